--- /dev/null
+++ b/scripts/check.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Formatter and linters. Prints every finding and fails if there is one.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+unformatted=$(go tool -modfile=tools.mod goimports -l $(git ls-files --cached --others --exclude-standard '*.go'))
+if [ -n "$unformatted" ]; then
+  echo "goimports: these files are not formatted:"
+  echo "$unformatted"
+  exit 1
+fi
+go vet ./...
+go tool -modfile=tools.mod revive -config revive.toml ./...
+go tool -modfile=tools.mod errcheck ./...
+echo "check: formatter and linters found nothing"
