--- /dev/null
+++ b/internal/commander/doc.go
@@ -0,0 +1,3 @@
+// Package commander is the transport to workers: JSON over HTTP POST. It makes no
+// decisions and retries nothing.
+package commander
