Add membership: heartbeats and leaving hosts

Ruled out: last write by wall clock, because the clocks of entry hosts differ. Result: with the check for this host's own list off, TestOlderListOfPeerDoesNotWithdraw fails; with ListSettleTime 0, TestFlappingListKeepsHostLeaving fails; both pass with the lines on.

--- a/internal/messenger/message.go
+++ b/internal/messenger/message.go
@@ -28,7 +28,27 @@
 	Generation    uint64 // of the configuration in effect
 	InEffectFor   time.Duration
 	Leaving       bool
-	LeavingHosts  []string // hosts known to be leaving
+	Notices       []HostNotice // what the sender knows of leaving hosts
+}
+
+// NoticeSource says who gave a HostNotice.
+type NoticeSource string
+
+// Notice sources.
+const (
+	SourcePlatform NoticeSource = "platform"
+	SourceOperator NoticeSource = "operator"
+	SourceHost     NoticeSource = "host" // the host itself
+)
+
+// HostNotice says whether a host is leaving, by one source. Of two notices with the
+// same host and source the one with the higher Version holds; at equal versions the
+// one that says leaving.
+type HostNotice struct {
+	Host    string
+	Source  NoticeSource
+	Leaving bool
+	Version uint64
 }
 
 // ShardClaim names a shard ("domain/shard") that the sender owns.
--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,110 @@
+package registrar
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"peridotpitch/internal/messenger"
+	"peridotpitch/internal/storer"
+)
+
+func list(host string, s storer.HostState) storer.HostList {
+	return storer.HostList{Hosts: []storer.Host{{Name: host, State: s}}}
+}
+
+// Guards against new work for a leaving host when the platform's list goes back and forth.
+func TestFlappingListKeepsHostLeaving(t *testing.T) {
+	is := is.New(t)
+	r, now := New(), time.Unix(0, 0)
+	is.Equal(r.PlatformList(list("w1", storer.HostLeaving), now), []string{"w1"})
+	for range 10 {
+		r.PlatformList(list("w1", storer.HostLive), now)
+		now = now.Add(30 * time.Second)
+		r.PlatformList(list("w1", storer.HostLive), now)
+		is.True(r.Leaving("w1"))
+		now = now.Add(time.Second)
+		r.PlatformList(list("w1", storer.HostLeaving), now)
+		is.True(r.Leaving("w1"))
+	}
+	r.PlatformList(list("w1", storer.HostLive), now)
+	r.PlatformList(list("w1", storer.HostLive), now.Add(ListSettleTime))
+	is.True(!r.Leaving("w1")) // live for the whole settle time
+}
+
+// Guards against a peer with an older platform list taking back a leaving host.
+func TestOlderListOfPeerDoesNotWithdraw(t *testing.T) {
+	is := is.New(t)
+	r, now := New(), time.Unix(0, 0)
+	r.PlatformList(list("w1", storer.HostLeaving), now)
+	withdrawn := messenger.HostNotice{Host: "w1", Source: messenger.SourcePlatform, Version: 9}
+	r.Heard(messenger.Identity{Host: "e2", Notices: []messenger.HostNotice{withdrawn}}, now)
+	is.True(r.Leaving("w1"))
+	is.Equal(r.Notices()[0].Version, uint64(10)) // outranks the peer's withdrawal everywhere
+}
+
+// Guards against an operator's drain being undone by the platform calling the host live.
+func TestSourcesAreIndependent(t *testing.T) {
+	is := is.New(t)
+	r, now := New(), time.Unix(0, 0)
+	is.True(r.Mark("w1", messenger.SourceOperator, true))
+	r.PlatformList(list("w1", storer.HostLive), now)
+	r.PlatformList(list("w1", storer.HostLive), now.Add(2*ListSettleTime))
+	is.True(r.Leaving("w1"))
+	is.True(r.Mark("w1", messenger.SourceOperator, false))
+	is.True(!r.Leaving("w1"))
+}
+
+// Guards against a restarted entry host staying out of service because its earlier
+// process was leaving.
+func TestNewIncarnationIsNotLeaving(t *testing.T) {
+	is := is.New(t)
+	r, now := New(), time.Unix(0, 0)
+	r.Heard(messenger.Identity{Host: "e1", Incarnation: "a", Leaving: true}, now)
+	is.True(r.Leaving("e1"))
+	r.Heard(messenger.Identity{Host: "e1", Incarnation: "b"}, now)
+	is.True(!r.Leaving("e1"))
+	is.True(r.Alive("e1", now.Add(SilenceLimit-1)))
+	is.True(!r.Alive("e1", now.Add(SilenceLimit)))
+}
+
+// Guards against views that stay different: whatever was marked where and however
+// heartbeats were reordered, a full exchange leaves all entry hosts with one view, and
+// the latest operator command that saw the others wins.
+func TestExchangeConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		hosts := []*Registrar{New(), New(), New()}
+		identity := func(i int) messenger.Identity {
+			return messenger.Identity{Host: fmt.Sprint("e", i), Incarnation: "a", Notices: hosts[i].Notices()}
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			i := rapid.IntRange(0, 2).Draw(t, "host")
+			if rapid.Bool().Draw(t, "mark") {
+				w := fmt.Sprint("w", rapid.IntRange(0, 2).Draw(t, "worker"))
+				leaving := rapid.Bool().Draw(t, "leaving")
+				hosts[i].Mark(w, messenger.SourceOperator, leaving)
+				if hosts[i].Leaving(w) != leaving {
+					t.Fatalf("mark %v of %s did not hold on the host that took it", leaving, w)
+				}
+				continue
+			}
+			hosts[rapid.IntRange(0, 2).Draw(t, "to")].Heard(identity(i), now)
+		}
+		for range 2 {
+			for i := range hosts {
+				for j := range hosts {
+					hosts[j].Heard(identity(i), now)
+				}
+			}
+		}
+		for i := 1; i < len(hosts); i++ {
+			if fmt.Sprint(hosts[0].Notices()) != fmt.Sprint(hosts[i].Notices()) {
+				t.Fatalf("views differ: %v and %v", hosts[0].Notices(), hosts[i].Notices())
+			}
+		}
+	})
+}
