Add the signatures of configuration, settings and operator interface

Cause: internal/server is written side by side and needs fixed signatures. Change: types and signatures of configurator, publisher, loader, administrator and commandline. No tests are run yet.

--- /dev/null
+++ b/cmd/peridotpitch/main.go
@@ -0,0 +1,37 @@
+// Command peridotpitch is the entry host and the operators' command line.
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"peridotpitch/internal/commandline"
+	"peridotpitch/internal/loader"
+)
+
+// version is set by the linker.
+var version = "development"
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return commandline.Run(ctx, os.Args[1:], commandline.Environment{
+		Stdout:  os.Stdout,
+		Stderr:  os.Stderr,
+		Getenv:  os.Getenv,
+		Serve:   serve,
+		Version: version,
+	})
+}
+
+// serve is replaced by internal/server.Run.
+func serve(context.Context, loader.Settings) error {
+	return errors.New("this build contains no server")
+}
--- /dev/null
+++ b/internal/administrator/client.go
@@ -0,0 +1,191 @@
+package administrator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"peridotpitch/internal/configurator"
+	"peridotpitch/internal/messenger"
+	"peridotpitch/internal/publisher"
+	"peridotpitch/internal/scheduler"
+)
+
+// maxAnswerSize bounds an answer, in bytes. 16,000 jobs take about 8 MB.
+const maxAnswerSize = 64 << 20
+
+// UnreachableError says that no usable answer arrived. If Sent is set, a request that
+// changes something may have taken effect.
+type UnreachableError struct {
+	Address netip.AddrPort
+	Sent    bool
+	Cause   error
+}
+
+func (e *UnreachableError) Error() string {
+	if e.Sent {
+		return fmt.Sprintf("no answer from entry host %s, the request may have taken effect: %v", e.Address, e.Cause)
+	}
+	return fmt.Sprintf("entry host %s is unreachable: %v", e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// Client asks one entry host. Its methods mirror Backend; their errors are of type
+// *Error or *UnreachableError. It never repeats a request. It is safe for concurrent
+// use.
+type Client struct {
+	address netip.AddrPort
+	timeout time.Duration
+}
+
+// NewClient returns a client of the entry host with the given AdminAddress. timeout
+// bounds each request.
+func NewClient(address netip.AddrPort, timeout time.Duration) *Client {
+	return &Client{address: address, timeout: timeout}
+}
+
+// ApplyConfiguration applies s.
+func (c *Client) ApplyConfiguration(ctx context.Context, s publisher.Submission) (publisher.Applied, error) {
+	return call[publisher.Applied](ctx, c, fasthttp.MethodPost, "config/apply", nil, s)
+}
+
+// ShowConfiguration returns the configuration in effect.
+func (c *Client) ShowConfiguration(ctx context.Context) (ConfigurationView, error) {
+	return call[ConfigurationView](ctx, c, fasthttp.MethodGet, "config/show", nil, nil)
+}
+
+// ConfigurationHistory returns the newest records first.
+func (c *Client) ConfigurationHistory(ctx context.Context, limit int) ([]configurator.Record, error) {
+	return call[[]configurator.Record](ctx, c, fasthttp.MethodGet, "config/history",
+		url.Values{"limit": {strconv.Itoa(limit)}}, nil)
+}
+
+// SubmitJob submits a job.
+func (c *Client) SubmitJob(ctx context.Context, spec scheduler.JobSpec) (scheduler.JobStatus, error) {
+	return call[scheduler.JobStatus](ctx, c, fasthttp.MethodPost, "job/submit", nil, spec)
+}
+
+// CancelJob cancels a job.
+func (c *Client) CancelJob(ctx context.Context, name string) (scheduler.JobStatus, error) {
+	return call[scheduler.JobStatus](ctx, c, fasthttp.MethodPost, "job/cancel", nil, nameBody{Name: name})
+}
+
+// ListJobs returns the jobs that f selects.
+func (c *Client) ListJobs(ctx context.Context, f JobFilter) ([]scheduler.JobStatus, error) {
+	return call[[]scheduler.JobStatus](ctx, c, fasthttp.MethodGet, "job/list",
+		url.Values{"team": {f.Team}, "state": {string(f.State)}, "limit": {strconv.Itoa(f.Limit)}}, nil)
+}
+
+// ShowJob returns one job.
+func (c *Client) ShowJob(ctx context.Context, name string) (scheduler.JobStatus, error) {
+	return call[scheduler.JobStatus](ctx, c, fasthttp.MethodGet, "job/show", url.Values{"name": {name}}, nil)
+}
+
+// ListServices returns all services.
+func (c *Client) ListServices(ctx context.Context) ([]ServiceStatus, error) {
+	return call[[]ServiceStatus](ctx, c, fasthttp.MethodGet, "service/list", nil, nil)
+}
+
+// ShowService returns one service.
+func (c *Client) ShowService(ctx context.Context, name string) (ServiceStatus, error) {
+	return call[ServiceStatus](ctx, c, fasthttp.MethodGet, "service/show", url.Values{"name": {name}}, nil)
+}
+
+// ListHosts returns the entry hosts and workers.
+func (c *Client) ListHosts(ctx context.Context) ([]HostStatus, error) {
+	return call[[]HostStatus](ctx, c, fasthttp.MethodGet, "host/list", nil, nil)
+}
+
+// DrainHost drains a host, or returns it to service if undo is set.
+func (c *Client) DrainHost(ctx context.Context, host string, undo bool) error {
+	path := "host/drain"
+	if undo {
+		path = "host/undrain"
+	}
+	_, err := call[struct{}](ctx, c, fasthttp.MethodPost, path, nil, nameBody{Name: host})
+	return err
+}
+
+// Explain returns the decision records about a job, task or request.
+func (c *Client) Explain(ctx context.Context, id string) ([]messenger.ExplainAnswer, error) {
+	return call[[]messenger.ExplainAnswer](ctx, c, fasthttp.MethodGet, "explain", url.Values{"id": {id}}, nil)
+}
+
+// Status summarizes the system.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return call[Status](ctx, c, fasthttp.MethodGet, "status", nil, nil)
+}
+
+func call[T any](ctx context.Context, c *Client, method, path string, query url.Values, body any) (T, error) {
+	var answer T
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(p)
+	u := url.URL{Scheme: "http", Host: c.address.String(), Path: "/admin/" + path, RawQuery: query.Encode()}
+	q.SetRequestURI(u.String())
+	q.Header.SetMethod(method)
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return answer, &UnreachableError{Address: c.address, Cause: err}
+		}
+		q.Header.SetContentType("application/json")
+		q.SetBodyRaw(raw)
+	}
+	if err := c.do(ctx, q, p); err != nil {
+		return answer, err
+	}
+	return decodeAnswer[T](c, p)
+}
+
+// do sends q once. Library retries are off because a repeated submission could hide
+// that the first one took effect.
+func (c *Client) do(ctx context.Context, q *fasthttp.Request, p *fasthttp.Response) error {
+	if err := ctx.Err(); err != nil {
+		return &UnreachableError{Address: c.address, Cause: err}
+	}
+	connection, err := (&fasthttp.TCPDialer{}).DialTimeout(c.address.String(), c.timeout)
+	if err != nil {
+		return &UnreachableError{Address: c.address, Cause: err}
+	}
+	defer func() { _ = connection.Close() }()
+	deadline := time.Now().Add(c.timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := connection.SetDeadline(deadline); err != nil {
+		return &UnreachableError{Address: c.address, Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	defer stop()
+	if err := exchange(connection, q, p); err != nil {
+		return &UnreachableError{Address: c.address, Sent: true, Cause: err}
+	}
+	return nil
+}
+
+func decodeAnswer[T any](c *Client, p *fasthttp.Response) (T, error) {
+	var answer T
+	if p.StatusCode() == fasthttp.StatusOK {
+		if err := json.Unmarshal(p.Body(), &answer); err != nil {
+			return answer, &UnreachableError{Address: c.address, Sent: true, Cause: err}
+		}
+		return answer, nil
+	}
+	var failure struct{ Error *Error }
+	decoder := json.NewDecoder(bytes.NewReader(p.Body()))
+	if err := decoder.Decode(&failure); err != nil || failure.Error == nil {
+		return answer, &UnreachableError{Address: c.address, Sent: true,
+			Cause: fmt.Errorf("status %d without a readable error", p.StatusCode())}
+	}
+	return answer, failure.Error
+}
