Apply and follow the configuration through the store

Cause: an accepted configuration must be in effect on all reachable hosts within 7 s and never revert; two operators must not both believe that they won.

--- /dev/null
+++ b/internal/publisher/follower_test.go
@@ -0,0 +1,199 @@
+package publisher
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpitch/internal/configurator"
+	"peridotpitch/internal/storer"
+)
+
+// withinBound is the time in which a configuration takes effect on reachable hosts.
+const withinBound = 7 * time.Second
+
+// simulate runs f in virtual time and stops everything that uses its context.
+func simulate(t *testing.T, f func(ctx context.Context, is *is.I)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f(ctx, is.New(t))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a configuration that reaches some hosts late: by watch, with a watch
+// that misses events, with a slow store, and right after a store outage.
+func TestInEffectWithinBound(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		set   func(*fakeStore)
+		bound time.Duration
+	}{
+		{"watch", func(*fakeStore) {}, time.Second},
+		{"watch misses events", func(s *fakeStore) { s.missEvents = true }, withinBound},
+		{"slow store", func(s *fakeStore) {
+			s.missEvents = true
+			s.delay = func() time.Duration { return 1400 * time.Millisecond }
+		}, withinBound},
+		{"outage ended", func(s *fakeStore) { s.down = true }, withinBound},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			simulate(t, func(ctx context.Context, is *is.I) {
+				s := newFakeStore()
+				publisher := NewPublisher(s, keys, "writer", time.Now)
+				_, err := publisher.Apply(ctx, submission(1, "first"))
+				is.NoErr(err)
+				var hosts []*host
+				for i := range 8 {
+					hosts = append(hosts, startHost(ctx, t, s, uint64(i)))
+				}
+				time.Sleep(10 * time.Second)
+				s.set(c.set)
+				time.Sleep(time.Minute + 100*time.Millisecond) // just after the periodic reads
+				s.set(func(s *fakeStore) { s.down = false })
+				_, err = publisher.Apply(ctx, submission(2, "second"))
+				is.NoErr(err)
+				time.Sleep(c.bound)
+				for _, h := range hosts {
+					is.Equal(h.generations(), []uint64{1, 2}) // in effect once, in order
+				}
+			})
+		})
+	}
+}
+
+// Guards against hosts that return together after an outage.
+func TestReadsAreJitteredAfterOutage(t *testing.T) {
+	simulate(t, func(ctx context.Context, is *is.I) {
+		s := newFakeStore()
+		_, err := NewPublisher(s, keys, "writer", time.Now).Apply(ctx, submission(1, "first"))
+		is.NoErr(err)
+		s.set(func(s *fakeStore) { s.down = true })
+		for i := range 8 {
+			startHost(ctx, t, s, uint64(i))
+		}
+		time.Sleep(time.Minute)
+		s.set(func(s *fakeStore) { s.down = false; s.gets = 0 })
+		most := 0
+		for range 20 {
+			s.set(func(s *fakeStore) { s.gets = 0 })
+			time.Sleep(100 * time.Millisecond)
+			s.set(func(s *fakeStore) { most = max(most, s.gets) })
+		}
+		is.True(most <= 4) // reads of 8 hosts in any 100 ms
+	})
+}
+
+// Guards against a host that stays behind while the store is down although a peer has
+// the configuration.
+func TestFetchFromPeerByHeartbeat(t *testing.T) {
+	simulate(t, func(ctx context.Context, is *is.I) {
+		s := newFakeStore()
+		_, err := NewPublisher(s, keys, "writer", time.Now).Apply(ctx, submission(1, "first"))
+		is.NoErr(err)
+		slow, good := &fakePeer{record: record(2, "second"), delay: time.Hour}, &fakePeer{record: record(2, "second")}
+		h := startHost(ctx, t, s, 1, Peer{Name: "slow", Fetcher: slow}, Peer{Name: "good", Fetcher: good})
+		time.Sleep(time.Second)
+		s.set(func(s *fakeStore) { s.down = true })
+		h.Seen("slow", 2)
+		h.Seen("good", 2)
+		time.Sleep(withinBound)
+		is.Equal(h.generations(), []uint64{1, 2})
+	})
+}
+
+// Guards against a configuration that reverts: a peer that was partitioned, or a store
+// that was restored from an old copy, offers a lower generation.
+func TestNeverReverts(t *testing.T) {
+	simulate(t, func(ctx context.Context, is *is.I) {
+		s := newFakeStore()
+		publisher := NewPublisher(s, keys, "writer", time.Now)
+		_, err := publisher.Apply(ctx, submission(1, "first"))
+		is.NoErr(err)
+		old, err := s.Get(ctx, CurrentKey)
+		is.NoErr(err)
+		_, err = publisher.Apply(ctx, submission(2, "second"))
+		is.NoErr(err)
+		peer := &fakePeer{record: record(1, "first")}
+		h := startHost(ctx, t, s, 1, Peer{Name: "peer", SameFailureDomain: true, Fetcher: peer})
+		time.Sleep(time.Second)
+		h.Seen("peer", 9) // a heartbeat that claims more than the peer has
+		e, err := s.Get(ctx, CurrentKey)
+		is.NoErr(err)
+		_, _, err = s.CompareAndSwap(ctx, CurrentKey, e.Revision, old.Value)
+		is.NoErr(err)
+		time.Sleep(time.Minute)
+		is.Equal(h.generations(), []uint64{2})
+	})
+}
+
+// Guards against a host that restarts in a store outage and takes the first answer,
+// that of a peer which was partitioned and holds an old configuration.
+func TestStartWithoutStoreTakesHighest(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fresh *fakePeer
+		want  []uint64
+		after time.Duration
+	}{
+		{"all answer", &fakePeer{record: record(7, "fresh"), delay: time.Second}, []uint64{7}, 3 * time.Second},
+		{"one is late", &fakePeer{record: record(7, "fresh"), failures: 1}, []uint64{7}, 6 * time.Second},
+		{"one is gone", &fakePeer{failures: 1000}, []uint64{5}, 10 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			simulate(t, func(ctx context.Context, is *is.I) {
+				s := newFakeStore()
+				s.down = true
+				stale, forged := &fakePeer{record: record(5, "stale")}, &fakePeer{record: record(9, "forged")}
+				forged.record.Signature = configurator.Sign([]byte("other"), ana)
+				h := startHost(ctx, t, s, 1, Peer{"stale", true, stale}, Peer{"forged", true, forged}, Peer{"fresh", true, c.fresh},
+					Peer{"elsewhere", false, &fakePeer{record: record(8, "elsewhere")}})
+				for range 20 {
+					h.Seen("stale", 5)
+					time.Sleep(c.after / 20)
+				}
+				is.Equal(h.generations(), c.want)
+			})
+		})
+	}
+}
+
+// Guards against a corrupt or unverifiable value that is adopted, overwritten, or logged
+// at every read; the last good configuration stays in effect.
+func TestCorruptStoreValue(t *testing.T) {
+	for _, value := range []string{"not JSON", strings.Replace(`{"Generation":2,"Text":"x","Signature":"YWJj","Key":"ana"}`, "x", "[X]", 1)} {
+		simulate(t, func(ctx context.Context, is *is.I) {
+			s := newFakeStore()
+			publisher := NewPublisher(s, keys, "writer", time.Now)
+			_, err := publisher.Apply(ctx, submission(1, "first"))
+			is.NoErr(err)
+			h := startHost(ctx, t, s, 1)
+			time.Sleep(time.Second)
+			e, err := s.Get(ctx, CurrentKey)
+			is.NoErr(err)
+			_, _, err = s.CompareAndSwap(ctx, CurrentKey, e.Revision, []byte(value))
+			is.NoErr(err)
+			_, err = publisher.Apply(ctx, submission(2, "second"))
+			is.True(err != nil) // an application does not overwrite it
+			time.Sleep(time.Minute)
+			e, err = s.Get(ctx, CurrentKey)
+			is.NoErr(err)
+			is.Equal(string(e.Value), value)
+			is.Equal(h.generations(), []uint64{1})
+			is.Equal(strings.Count(h.log.String(), "configuration refused"), 1)
+		})
+	}
+}
+
+func ExampleFollower_Current() {
+	f := NewFollower(FollowerOptions{Store: storer.Store(newFakeStore()), Keys: keys})
+	_, c := f.Current()
+	fmt.Println(c == nil)
+	// Output: true
+}
