Read the settings file of an entry host

Cause: an entry host has no disk state; its addresses and the operators' public keys come from one file, whose faults must all show at once. Change: loader on the key tables of configurator; peers, keys, log level and limits.

--- a/internal/configurator/parse.go
+++ b/internal/configurator/parse.go
@@ -85,16 +85,21 @@
 // configurations, and Parse returns an equal configuration for it if it is valid.
 func Print(c *Configuration) []byte {
 	var b bytes.Buffer
-	for i, s := range sectionsOf(c) {
+	WriteSections(&b, sectionsOf(c))
+	return b.Bytes()
+}
+
+// WriteSections writes sections in the format that ReadSections reads.
+func WriteSections(b *bytes.Buffer, ss []Section) {
+	for i, s := range ss {
 		if i > 0 {
 			b.WriteByte('\n')
 		}
-		fmt.Fprintf(&b, "[%s]\n", s.Header())
+		fmt.Fprintf(b, "[%s]\n", s.Header())
 		for _, e := range s.Entries {
-			fmt.Fprintf(&b, "%s = %s\n", e.Key, e.Value)
+			fmt.Fprintf(b, "%s = %s\n", e.Key, e.Value)
 		}
 	}
-	return b.Bytes()
 }
 
 // sectionsOf returns the configuration's sections in the order of Docs, those of one
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -1,10 +1,19 @@
 package loader
 
 import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"os"
+	"slices"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"peridotpitch/internal/configurator"
 )
 
@@ -38,18 +47,152 @@
 	DrainTimeout       time.Duration // bound of a graceful shutdown
 }
 
-// Defaults of Limits.
-const (
-	DefaultMaxQueuedRequests  = 10000
-	DefaultMaxDecisionRecords = 20000
-	DefaultStoreTimeout       = 2 * time.Second
-	DefaultMessageTimeout     = time.Second
-	DefaultDrainTimeout       = 45 * time.Second
-)
-
-// Load reads and checks the settings file at path.
-func Load(path string) (Settings, error) { return Settings{}, &configurator.InvalidError{Name: path} }
+// Load reads and checks the settings file at path. A fault of the text gives a
+// *configurator.InvalidError with the path as its name.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, merry.Prepend(err, "read settings")
+	}
+	s, err := Parse(text)
+	var invalid *configurator.InvalidError
+	if errors.As(err, &invalid) {
+		invalid.Name = path
+	}
+	return s, err
+}
 
 // Parse checks the text of a settings file. Its errors are of type
-// *configurator.InvalidError.
-func Parse(_ []byte) (Settings, error) { return Settings{}, &configurator.InvalidError{} }
+// *configurator.InvalidError and list every fault.
+func Parse(text []byte) (Settings, error) {
+	sections, faults := configurator.ReadSections(text)
+	p := parser{lines: map[string]int{}, faults: faults}
+	p.s.OperatorKeys = configurator.Keys{}
+	p.faults = append(p.faults, configurator.MissingSections(sections, Docs())...)
+	p.defaults()
+	for _, s := range sections {
+		p.read(s)
+	}
+	p.check()
+	if len(p.faults) > 0 {
+		return Settings{}, &configurator.InvalidError{Faults: configurator.SortFaults(p.faults)}
+	}
+	slices.SortFunc(p.s.Peers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+	return p.s, nil
+}
+
+type parser struct {
+	s      Settings
+	lines  map[string]int // section header to line
+	faults []configurator.Fault
+}
+
+// defaults sets the values of optional sections that may be absent.
+func (p *parser) defaults() {
+	p.faults = append(p.faults, logTable.Read(configurator.Section{}, &p.s)...)
+	p.faults = append(p.faults, limitsTable.Read(configurator.Section{}, &p.s)...)
+}
+
+func (p *parser) read(s configurator.Section) {
+	if f, unknown := configurator.UnknownSection(s, Docs()); unknown {
+		p.faults = append(p.faults, f)
+		return
+	}
+	p.lines[s.Header()] = s.Line
+	var faults []configurator.Fault
+	switch s.Kind {
+	case hostTable.Kind:
+		faults = hostTable.Read(s, &p.s)
+	case storeTable.Kind:
+		faults = storeTable.Read(s, &p.s)
+	case peerTable.Kind:
+		peer := Peer{Name: s.Name}
+		faults = peerTable.Read(s, &peer)
+		p.s.Peers = append(p.s.Peers, peer)
+	case operatorKeyTable.Kind:
+		key := operatorKey{name: s.Name}
+		if faults = operatorKeyTable.Read(s, &key); len(faults) == 0 {
+			p.s.OperatorKeys[s.Name] = key.public
+		}
+	case logTable.Kind:
+		faults = logTable.Read(s, &p.s)
+	case limitsTable.Kind:
+		faults = limitsTable.Read(s, &p.s)
+	}
+	p.faults = append(p.faults, faults...)
+}
+
+func (p *parser) fault(section configurator.Section, key, allowed, format string, args ...any) {
+	header := section.Header()
+	p.faults = append(p.faults, configurator.Fault{Line: p.lines[header], Section: header, Key: key,
+		Problem: fmt.Sprintf(format, args...), Allowed: allowed})
+}
+
+func (p *parser) check() {
+	host := configurator.Section{Kind: hostTable.Kind}
+	own := []struct {
+		key     string
+		address netip.AddrPort
+	}{{"CallerAddress", p.s.CallerAddress}, {"MessageAddress", p.s.MessageAddress}, {"AdminAddress", p.s.AdminAddress}}
+	for i, a := range own {
+		for _, b := range own[:i] {
+			if overlaps(a.address, b.address) {
+				p.fault(host, a.key, "an address of its own", "%s is also %s", a.address, b.key)
+			}
+		}
+	}
+	addresses := map[netip.AddrPort]string{}
+	for _, peer := range p.s.Peers {
+		s := configurator.Section{Kind: peerTable.Kind, Name: peer.Name}
+		if peer.Name == p.s.Name {
+			p.fault(s, "", "other entry hosts", "this entry host is listed as its own peer")
+		}
+		if first, ok := addresses[peer.Address]; ok && peer.Address.IsValid() {
+			p.fault(s, "Address", "an address of its own", "%s also belongs to %q", peer.Address, first)
+		}
+		addresses[peer.Address] = peer.Name
+	}
+	p.checkKeys()
+}
+
+// checkKeys refuses a key under two names: the history could not tell who applied.
+func (p *parser) checkKeys() {
+	owners := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(p.s.OperatorKeys)) {
+		text := configurator.EncodePublicKey(p.s.OperatorKeys[name])
+		if first, ok := owners[text]; ok {
+			p.fault(configurator.Section{Kind: operatorKeyTable.Kind, Name: name}, "PublicKey", "a key of its own", "key also belongs to %q", first)
+		}
+		owners[text] = name
+	}
+}
+
+// overlaps reports whether both addresses cannot be listened on at once.
+func overlaps(a, b netip.AddrPort) bool {
+	if !a.IsValid() || !b.IsValid() || a.Port() != b.Port() {
+		return false
+	}
+	return a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+}
+
+// Print returns the text of a settings file. Parse returns equal settings for it.
+func Print(s Settings) []byte {
+	sections := []configurator.Section{
+		{Kind: hostTable.Kind, Entries: hostTable.Entries(&s)},
+		{Kind: storeTable.Kind, Entries: storeTable.Entries(&s)},
+	}
+	peers := slices.SortedFunc(slices.Values(s.Peers), func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+	for _, p := range peers {
+		sections = append(sections, configurator.Section{Kind: peerTable.Kind, Name: p.Name, Entries: peerTable.Entries(&p)})
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.OperatorKeys)) {
+		k := operatorKey{name, s.OperatorKeys[name]}
+		sections = append(sections, configurator.Section{Kind: operatorKeyTable.Kind, Name: name, Entries: operatorKeyTable.Entries(&k)})
+	}
+	sections = append(sections,
+		configurator.Section{Kind: logTable.Kind, Entries: logTable.Entries(&s)},
+		configurator.Section{Kind: limitsTable.Kind, Entries: limitsTable.Entries(&s)})
+	var b bytes.Buffer
+	configurator.WriteSections(&b, sections)
+	return b.Bytes()
+}
