Add the command line

Cause: operators check, sign and apply configurations and act on jobs, services and hosts. Change: subcommands serve, config, job, service, host, explain, status and version with -json, -h and documented exit codes; unknown subcommands, flags, keys and values are named with what is allowed; golden sessions against a backend in the test process.

--- a/internal/administrator/server.go
+++ b/internal/administrator/server.go
@@ -228,8 +228,8 @@
 	return "", &Error{Code: CodeBadRequest, Message: fmt.Sprintf("job state %q is not accepted; allowed: %s", text, strings.Join(names, ", "))}
 }
 
-// maxJobLimit bounds the number of jobs in one answer.
-const maxJobLimit = 50000
+// MaxJobLimit bounds the number of jobs in one answer.
+const MaxJobLimit = 50000
 
 func listJobs(ctx context.Context, b Backend, q *fasthttp.RequestCtx) (any, error) {
 	f := JobFilter{Team: string(q.QueryArgs().Peek("team"))}
@@ -239,7 +239,7 @@
 			return nil, err
 		}
 	}
-	if f.Limit, err = limitParameter(q, DefaultJobLimit, maxJobLimit); err != nil {
+	if f.Limit, err = limitParameter(q, DefaultJobLimit, MaxJobLimit); err != nil {
 		return nil, err
 	}
 	return b.ListJobs(ctx, f)
--- /dev/null
+++ b/internal/commandline/run_test.go
@@ -0,0 +1,244 @@
+package commandline
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"peridotpitch/internal/administrator"
+	"peridotpitch/internal/configurator"
+	"peridotpitch/internal/loader"
+	"peridotpitch/internal/messenger"
+	"peridotpitch/internal/publisher"
+	"peridotpitch/internal/scheduler"
+	"peridotpitch/internal/storer"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"peridotpitch": func() {
+		os.Exit(Run(context.Background(), os.Args[1:], Environment{Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, Version: "1.2.3",
+			Serve: func(_ context.Context, s loader.Settings) error {
+				return fmt.Errorf("%s is not served in tests", s.Name)
+			}}))
+	}})
+}
+
+// Guards against a subcommand whose output, errors or exit codes change unnoticed, or
+// whose errors do not name what is wrong and what is allowed. The command
+// "exits CODE COMMAND..." checks the exit code; "store up|down" switches the store.
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata",
+		UpdateScripts: os.Getenv("UPDATE_SESSIONS") != "",
+		Setup: func(env *testscript.Env) error {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return err
+			}
+			b := newBackend()
+			s := administrator.NewServer(context.Background(), b)
+			go func() { _ = s.Serve(l) }()
+			env.Defer(func() { _ = s.Shutdown() })
+			env.Setenv(addressVariable, l.Addr().String())
+			env.Setenv("USER", "ana at the desk")
+			env.Setenv("GORACE", "atexit_sleep_ms=0") // the race detector delays each exit by 1 s
+			env.Values["backend"] = b
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exits": func(ts *testscript.TestScript, _ bool, args []string) {
+				err := ts.Exec(args[1], args[2:]...)
+				code := 0
+				var exit *exec.ExitError
+				if errors.As(err, &exit) {
+					code = exit.ExitCode()
+				} else {
+					ts.Check(err)
+				}
+				if strconv.Itoa(code) != args[0] {
+					ts.Fatalf("exit code %d, want %s", code, args[0])
+				}
+			},
+			"store": func(ts *testscript.TestScript, _ bool, args []string) {
+				b := ts.Value("backend").(*backend)
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				b.down = args[0] == "down"
+			},
+		},
+	})
+}
+
+// Guards against a key file that others can read, and against losing an existing one.
+func TestKeyFile(t *testing.T) {
+	path := t.TempDir() + "/key"
+	key := ed25519.NewKeyFromSeed(bytes.Repeat([]byte{1}, ed25519.SeedSize))
+	if err := writeKeyFile(path, key); err != nil {
+		t.Fatal(err)
+	}
+	if err := writeKeyFile(path, key); !errors.Is(err, os.ErrExist) {
+		t.Errorf("overwritten: %v", err)
+	}
+	if got, err := readKeyFile(path); err != nil || !got.Equal(key) {
+		t.Errorf("read back: %v", err)
+	}
+	for _, mode := range []os.FileMode{0o640, 0o604, 0o700} {
+		if err := os.Chmod(path, mode); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := readKeyFile(path); err == nil {
+			t.Errorf("mode %o accepted", mode)
+		}
+	}
+}
+
+func ExampleRun() {
+	code := Run(context.Background(), []string{"version"}, Environment{Stdout: os.Stdout, Getenv: os.Getenv, Version: "1.2.3"})
+	fmt.Println(code)
+	// Output:
+	// 1.2.3
+	// 0
+}
+
+// backend answers with fixed data; configurations go through a real publisher.
+type backend struct {
+	publisher *publisher.Publisher
+
+	mu      sync.Mutex
+	entries map[string]storer.Entry
+	down    bool
+}
+
+// noon is the time of all events.
+var noon = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+
+func newBackend() *backend {
+	keys := configurator.Keys{}
+	for name, seed := range map[string]byte{"ana": 1, "ben": 2} {
+		keys[name] = ed25519.NewKeyFromSeed(bytes.Repeat([]byte{seed}, ed25519.SeedSize)).Public().(ed25519.PublicKey)
+	}
+	b := &backend{entries: map[string]storer.Entry{}}
+	b.publisher = publisher.NewPublisher(b, keys, "sampaloc-1/process-1", func() time.Time { return noon })
+	return b
+}
+
+func (b *backend) Get(_ context.Context, key string) (storer.Entry, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.down {
+		return storer.Entry{}, &storer.UnavailableError{Reason: "it is down"}
+	}
+	return b.entries[key], nil
+}
+func (b *backend) CompareAndSwap(_ context.Context, key string, expect uint64, value []byte) (bool, uint64, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.entries[key].Revision != expect {
+		return false, b.entries[key].Revision, nil
+	}
+	b.entries[key] = storer.Entry{Key: key, Value: value, Revision: expect + 1}
+	return true, expect + 1, nil
+}
+func (b *backend) List(context.Context, string) ([]storer.Entry, uint64, error) {
+	return nil, 0, errors.ErrUnsupported
+}
+func (b *backend) Delete(context.Context, string, uint64) (bool, error) {
+	return false, errors.ErrUnsupported
+}
+func (b *backend) Watch(context.Context, string, uint64, time.Duration) (storer.Events, error) {
+	return storer.Events{}, errors.ErrUnsupported
+}
+func (b *backend) Hosts(context.Context) (storer.HostList, error) {
+	return storer.HostList{}, errors.ErrUnsupported
+}
+
+func (b *backend) ApplyConfiguration(ctx context.Context, s publisher.Submission) (publisher.Applied, error) {
+	return b.publisher.Apply(ctx, s)
+}
+func (b *backend) ShowConfiguration(ctx context.Context) (administrator.ConfigurationView, error) {
+	rs, err := b.publisher.History(ctx, 1)
+	if err == nil && len(rs) == 0 {
+		err = &administrator.Error{Code: administrator.CodeNotFound, Message: "no configuration is in effect yet"}
+	}
+	if err != nil {
+		return administrator.ConfigurationView{}, err
+	}
+	return administrator.ConfigurationView{Host: "sampaloc-1", Record: rs[0], InEffectFor: 90 * time.Second}, nil
+}
+func (b *backend) ConfigurationHistory(ctx context.Context, limit int) ([]configurator.Record, error) {
+	return b.publisher.History(ctx, limit)
+}
+
+// named returns an error for the names that stand for faults.
+func named(kind, name string) error {
+	switch {
+	case strings.HasPrefix(name, "missing"):
+		return &administrator.Error{Code: administrator.CodeNotFound, Message: fmt.Sprintf("%s %q does not exist", kind, name)}
+	case strings.HasPrefix(name, "refused"):
+		return &administrator.Error{Code: administrator.CodeRefused, Message: fmt.Sprintf("%s %q is refused", kind, name)}
+	case strings.HasPrefix(name, "lost"):
+		return &storer.UnknownOutcomeError{Key: "shards/Sampaloc/1", Reason: "answer lost"}
+	}
+	return nil
+}
+
+func job(name string) scheduler.JobStatus {
+	return scheduler.JobStatus{Spec: scheduler.JobSpec{Name: name, Class: "dents", Team: "schools"}, State: scheduler.JobPending,
+		Shard: "Sampaloc/1", Attempt: 1, Submitted: noon, Decision: "waits: no worker has 2 cores free"}
+}
+func (b *backend) SubmitJob(_ context.Context, s scheduler.JobSpec) (scheduler.JobStatus, error) {
+	j := job(s.Name)
+	j.Spec = s
+	return j, named("job", s.Name)
+}
+func (b *backend) CancelJob(_ context.Context, name string) (scheduler.JobStatus, error) {
+	j := job(name)
+	j.State, j.Worker, j.Started, j.Decision = scheduler.JobCanceling, "sampaloc-w1", noon, "cancelled by an operator"
+	return j, named("job", name)
+}
+func (b *backend) ListJobs(_ context.Context, f administrator.JobFilter) ([]scheduler.JobStatus, error) {
+	if f.State != "" && f.State != scheduler.JobPending {
+		return nil, nil
+	}
+	return []scheduler.JobStatus{job("trombone-17"), job("tuba-3")}[:min(2, f.Limit)], nil
+}
+func (b *backend) ShowJob(_ context.Context, name string) (scheduler.JobStatus, error) {
+	return job(name), named("job", name)
+}
+func (b *backend) ListServices(ctx context.Context) ([]administrator.ServiceStatus, error) {
+	s, err := b.ShowService(ctx, "quotes")
+	return []administrator.ServiceStatus{s}, err
+}
+func (b *backend) ShowService(_ context.Context, name string) (administrator.ServiceStatus, error) {
+	return administrator.ServiceStatus{Name: name, Class: "workshop", Wanted: map[string]int{"Sampaloc": 1, "Malolos": 1}, P99: 120 * time.Millisecond,
+		Instances: []messenger.Endpoint{{Instance: "quotes-1", FailureDomain: "Sampaloc", Worker: "sampaloc-w1", Address: "10.1.1.1:9001", Slots: 8, Connections: 64, Slowdown: 1.25}}}, named("service", name)
+}
+func (b *backend) ListHosts(context.Context) ([]administrator.HostStatus, error) {
+	return []administrator.HostStatus{
+		{Name: "sampaloc-1", Role: "entry", FailureDomain: "Sampaloc", State: "live", Generation: 3},
+		{Name: "sampaloc-w1", Role: "worker", FailureDomain: "Sampaloc", State: "quarantined", Reason: "3 tasks failed in a row", Tasks: 2,
+			Capacity: configurator.Resources{Cores: 32, Memory: 125e9}, Committed: configurator.Resources{Cores: 6.5, Memory: 8e9}},
+	}, nil
+}
+func (b *backend) DrainHost(_ context.Context, host string, _ bool) error { return named("host", host) }
+func (b *backend) Explain(_ context.Context, id string) ([]messenger.ExplainAnswer, error) {
+	return []messenger.ExplainAnswer{{Host: "sampaloc-1", Records: []string{"decision=wait job=" + id + " rule=fit"}}}, named("identity", id)
+}
+func (b *backend) Status(ctx context.Context) (administrator.Status, error) {
+	hosts, err := b.ListHosts(ctx)
+	return administrator.Status{Host: "sampaloc-1", FailureDomain: "Sampaloc", Version: "1.2.3", Uptime: time.Hour, NotReady: []string{"no configuration"},
+		Generation: 3, InEffectFor: time.Minute, StoreState: "available", Hosts: hosts,
+		Shards: []administrator.ShardStatus{{Name: "Sampaloc/1", Owner: "sampaloc-1", Epoch: 4, Jobs: map[scheduler.JobState]int{scheduler.JobRunning: 2, scheduler.JobPending: 1}}}}, err
+}
--- a/internal/configurator/adopter.go
+++ b/internal/configurator/adopter.go
@@ -30,6 +30,9 @@
 
 func (e *RefusedError) Error() string {
 	s := fmt.Sprintf("configuration generation %d refused: %s", e.Generation, e.Reason)
+	if e.Generation == 0 {
+		s = fmt.Sprintf("configuration refused: %s", e.Reason)
+	}
 	if e.Detail != "" {
 		s += ": " + e.Detail
 	}
