--- /dev/null
+++ b/examples/vitosha/main_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotpitch/internal/configurator"
+	"peridotpitch/pkg/composer"
+)
+
+// Guards against a program whose text changes unnoticed or no longer has the size of
+// the deployment.
+func TestGolden(t *testing.T) {
+	is := is.New(t)
+	golden := filepath.Join("testdata", "vitosha.ini")
+	var out, failure strings.Builder
+	is.Equal(composer.Run(nil, &out, &failure, compose), composer.ExitDone)
+	want, err := os.ReadFile(golden)
+	is.NoErr(err)
+	is.Equal(out.String(), string(want))
+
+	c, err := configurator.Parse(want)
+	is.NoErr(err)
+	is.Equal([]int{len(c.FailureDomains), len(c.Workers), len(c.EntryHosts)}, []int{4, 65, 8})
+	instances, racks, shards := 0, map[string]int{}, map[string]bool{}
+	for _, n := range c.Services[0].Instances {
+		instances += n
+	}
+	for _, w := range c.Workers {
+		is.Equal(w.Capacity, configurator.Resources{Cores: 16, Memory: 60e9})
+		racks[w.Rack]++
+		is.True(racks[w.Rack] <= 8) // workers in a rack
+		shards[w.FailureDomain+"/"+w.Shard] = true
+	}
+	is.Equal(instances, len(c.Workers))
+	is.Equal(len(shards), 2*len(c.FailureDomains))
+	is.Equal([]int{c.Services[0].Slots, c.Services[0].Connections}, []int{8, 64})
+	is.True(c.Measures.Latency > c.Measures.Throughput && c.Measures.Throughput > c.Measures.Evictions)
+
+	out.Reset()
+	is.Equal(composer.Run([]string{"-diff", golden}, &out, &failure, compose), composer.ExitDone)
+	is.Equal(out.String(), "~ [Configuration] Generation = 1 -> 2\n~ [Configuration] Replaces = 0 -> 1\n")
+}
