--- a/internal/configurator/registry.go
+++ b/internal/configurator/registry.go
@@ -14,15 +14,25 @@
 
 // Bounds of values. They exclude slips such as a wrong unit rather than real systems.
 const (
-	maxCores        = 1024
-	maxMemory       = 64e12 // bytes
-	maxAccelerators = 64
-	maxSlots        = 1024
-	maxConnections  = 65536
-	maxInstances    = 10000
-	maxShare        = 1000
-	maxWeight       = 1000
-	maxAttempts     = 100
+	maxCores             = 1024
+	maxMemory            = 64e12 // bytes
+	maxAccelerators      = 64
+	maxQuotaCores        = 1e6 // a quota spans workers
+	maxQuotaMemory       = 1e16
+	maxQuotaAccelerators = 100000
+	maxSlots             = 1024
+	maxConnections       = 65536
+	maxInstances         = 10000
+	maxShare             = 1000
+	maxWeight            = 1000
+	maxAttempts          = 100
+)
+
+// Bounds of the resources of one host or task, and of a team's quota.
+var (
+	leastOfOne = Resources{Cores: 0.001, Memory: 1e6}
+	mostOfOne  = Resources{Cores: maxCores, Memory: maxMemory, Accelerators: maxAccelerators}
+	mostOfTeam = Resources{Cores: maxQuotaCores, Memory: maxQuotaMemory, Accelerators: maxQuotaAccelerators}
 )
 
 // Docs returns the documentation of every section, in the order in which they are
@@ -111,7 +121,7 @@
 			func(w *Worker) *string { return &w.Shard }),
 		AddressKey(KeyDoc{Name: "Address", Required: true, Meaning: "address of the worker's agent"},
 			false, func(w *Worker) *netip.AddrPort { return &w.Address }),
-	}, resourceKeys("capacity", 0.001, func(w *Worker) *Resources { return &w.Capacity })...),
+	}, resourceKeys("capacity", leastOfOne, mostOfOne, func(w *Worker) *Resources { return &w.Capacity })...),
 }
 
 var serviceTable = Table[Service]{
@@ -120,7 +130,7 @@
 		NameKey(KeyDoc{Name: "Class", Required: true, Meaning: "interference class of the instances"},
 			func(s *Service) *string { return &s.Class }),
 		instancesKey,
-	}, resourceKeys("size of one instance", 0.001, func(s *Service) *Resources { return &s.Size }), []Key[Service]{
+	}, resourceKeys("size of one instance", leastOfOne, mostOfOne, func(s *Service) *Resources { return &s.Size }), []Key[Service]{
 		IntegerKey(KeyDoc{Name: "Slots", Unit: "requests", Default: "8", Meaning: "requests that an instance runs at once; at least the number of entry hosts of each of its failure domains"},
 			1, maxSlots, func(s *Service) *int { return &s.Slots }),
 		IntegerKey(KeyDoc{Name: "Connections", Unit: "connections", Default: "64", Meaning: "connections that an instance accepts, at least Slots"},
@@ -135,7 +145,7 @@
 	Keys: slices.Concat([]Key[JobClass]{
 		BooleanKey(KeyDoc{Name: "Urgent", Default: "false", Meaning: "jobs start before others"},
 			func(j *JobClass) *bool { return &j.Urgent }),
-	}, resourceKeys("declared size unless a job states its own", 0.001, func(j *JobClass) *Resources { return &j.Size }), []Key[JobClass]{
+	}, resourceKeys("declared size unless a job states its own", leastOfOne, mostOfOne, func(j *JobClass) *Resources { return &j.Size }), []Key[JobClass]{
 		IntegerKey(KeyDoc{Name: "MaxAttempts", Unit: "runs", Default: "5", Meaning: "failed runs after which a job is given up"},
 			1, maxAttempts, func(j *JobClass) *int { return &j.MaxAttempts }),
 	}),
@@ -143,20 +153,20 @@
 
 var teamTable = Table[Team]{
 	Kind: "Team", Named: true, Meaning: "tenant",
-	Keys: append(resourceKeys("quota of placed batch tasks", 0, func(t *Team) *Resources { return &t.Quota }),
+	Keys: append(resourceKeys("quota of placed batch tasks", Resources{}, mostOfTeam, func(t *Team) *Resources { return &t.Quota }),
 		NumberKey(KeyDoc{Name: "Share", Default: "1", Meaning: "weight in fair queueing of requests"},
 			0.001, maxShare, func(t *Team) *float64 { return &t.Share })),
 }
 
 // resourceKeys returns the keys of an amount of resources.
-func resourceKeys[T any](what string, minCores float64, f func(*T) *Resources) []Key[T] {
+func resourceKeys[T any](what string, lo, hi Resources, f func(*T) *Resources) []Key[T] {
 	return []Key[T]{
 		NumberKey(KeyDoc{Name: "Cores", Unit: "cores", Required: true, Meaning: what},
-			minCores, maxCores, func(t *T) *float64 { return &f(t).Cores }),
+			lo.Cores, hi.Cores, func(t *T) *float64 { return &f(t).Cores }),
 		SizeKey(KeyDoc{Name: "Memory", Required: true, Meaning: what},
-			0, maxMemory, func(t *T) *int64 { return &f(t).Memory }),
+			lo.Memory, hi.Memory, func(t *T) *int64 { return &f(t).Memory }),
 		IntegerKey(KeyDoc{Name: "Accelerators", Unit: "accelerators", Default: "0", Meaning: what},
-			0, maxAccelerators, func(t *T) *int { return &f(t).Accelerators }),
+			lo.Accelerators, hi.Accelerators, func(t *T) *int { return &f(t).Accelerators }),
 	}
 }
 
--- /dev/null
+++ b/internal/loader/docs_test.go
@@ -0,0 +1,32 @@
+package loader
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"peridotpitch/internal/configurator"
+)
+
+// Guards against a key that docs/configuration.md lacks, describes in another way than
+// the code, or still lists after its removal.
+func TestPageListsEveryKey(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "configuration.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rest := string(page)
+	for _, d := range append(configurator.Docs(), Docs()...) {
+		before, after, found := strings.Cut(rest, d.Markdown())
+		if !found {
+			t.Errorf("page lacks this part, or has it in another place:\n%s", d.Markdown())
+			continue
+		}
+		rest = before + after
+	}
+	if row := regexp.MustCompile("(?m)^\\| `[A-Z].*$").FindString(rest); row != "" {
+		t.Errorf("page has a row that the code does not know: %s", row)
+	}
+}
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -252,3 +252,15 @@
 		})
 	}
 }
+
+func ExamplePublisher_Apply() {
+	noon := func() time.Time { return time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC) }
+	p := NewPublisher(newFakeStore(), keys, "sampaloc-1/process-1", noon)
+	applied, err := p.Apply(context.Background(), submission(1, "ana"))
+	fmt.Println(applied.Record.Generation, err)
+	_, err = p.Apply(context.Background(), submission(1, "ben"))
+	fmt.Println(err)
+	// Output:
+	// 1 <nil>
+	// generation 1 was applied first by ana (key "ana") at 2026-12-03T12:00:00Z
+}
