Bound the history's memory and log store outages once

Cause: 500 texts of 200 KB exceed an entry host's memory; an outage showed in no log line; the operators' client dialled IPv4 only and ignored cancellation while it dialled. Change: History returns texts of the newest 20 records; the follower logs begin and end of an outage and forgets heartbeats of unknown peers; the client dials with its context.

--- a/internal/administrator/client.go
+++ b/internal/administrator/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/netip"
 	"net/url"
 	"strconv"
@@ -153,21 +154,19 @@
 	if err := ctx.Err(); err != nil {
 		return &UnreachableError{Address: c.address, Cause: err}
 	}
-	connection, err := (&fasthttp.TCPDialer{}).DialTimeout(c.address.String(), c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.address.String())
 	if err != nil {
 		return &UnreachableError{Address: c.address, Cause: err}
 	}
 	defer func() { _ = connection.Close() }()
-	deadline := time.Now().Add(c.timeout)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
-	}
-	if err := connection.SetDeadline(deadline); err != nil {
-		return &UnreachableError{Address: c.address, Cause: err}
-	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	defer stop()
 	if err := exchange(connection, q, p); err != nil {
+		if ctx.Err() != nil {
+			err = ctx.Err() // the connection was closed for this reason
+		}
 		return &UnreachableError{Address: c.address, Sent: true, Cause: err}
 	}
 	return nil
--- a/internal/configurator/parse.go
+++ b/internal/configurator/parse.go
@@ -11,8 +11,8 @@
 // fault of the text.
 func Parse(text []byte) (*Configuration, error) {
 	sections, faults := ReadSections(text)
-	p := parser{c: &Configuration{}, lines: map[position]int{}, faults: faults}
-	p.faults = append(p.faults, MissingSections(sections, Docs())...)
+	p := parser{c: &Configuration{}, docs: Docs(), lines: map[position]int{}, faults: faults}
+	p.faults = append(p.faults, MissingSections(sections, p.docs)...)
 	p.faults = append(p.faults, policyTable.Read(Section{}, &p.c.Policy)...)
 	for _, s := range sections {
 		p.read(s)
@@ -31,12 +31,13 @@
 
 type parser struct {
 	c      *Configuration
+	docs   []SectionDoc
 	lines  map[position]int
 	faults []Fault
 }
 
 func (p *parser) read(s Section) {
-	if f, unknown := UnknownSection(s, Docs()); unknown {
+	if f, unknown := UnknownSection(s, p.docs); unknown {
 		p.faults = append(p.faults, f)
 		return
 	}
--- a/internal/publisher/follower.go
+++ b/internal/publisher/follower.go
@@ -131,8 +131,10 @@
 // read reads the store periodically, because a watch may miss events.
 func (f *Follower) read(ctx context.Context) {
 	started := time.Now()
+	available := true
 	for ctx.Err() == nil {
 		err := f.readOnce(ctx)
+		available = f.logAvailability(available, err)
 		if _, c := f.Current(); c == nil && err != nil {
 			f.askPeers(ctx, time.Since(started) >= startPatience)
 		}
@@ -146,6 +148,20 @@
 	}
 }
 
+// logAvailability logs the begin and the end of a store outage and returns whether the
+// store is available.
+func (f *Follower) logAvailability(before bool, err error) bool {
+	var corrupt *CorruptError
+	var refused *configurator.RefusedError
+	now := err == nil || errors.As(err, &corrupt) || errors.As(err, &refused)
+	if before && !now {
+		f.options.Log.Warn("store unavailable, configuration is followed through peers", "error", err)
+	} else if !before && now {
+		f.options.Log.Info("store available")
+	}
+	return now
+}
+
 // readOnce returns an error if the store gave no usable record.
 func (f *Follower) readOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -346,22 +362,30 @@
 			return
 		case <-f.wake:
 		}
+		wanted := f.takeWanted()
 		for _, p := range f.options.Peers() {
-			if f.claim(p.Name, time.Now()) {
+			if f.claim(p.Name, wanted[p.Name], time.Now()) {
 				g.Go(func() error { f.fetchOnce(ctx, p); return nil })
 			}
 		}
 	}
 }
 
+// takeWanted returns the generations by peer since the last call.
+func (f *Follower) takeWanted() map[string]uint64 {
+	f.state.Lock()
+	defer f.state.Unlock()
+	wanted := f.wanted
+	f.wanted = map[string]uint64{}
+	return wanted
+}
+
 // claim reports whether the peer has a higher generation and may be asked now, and
 // keeps it from being asked again for one timeout.
-func (f *Follower) claim(peer string, now time.Time) bool {
+func (f *Follower) claim(peer string, generation uint64, now time.Time) bool {
 	f.state.Lock()
 	defer f.state.Unlock()
-	g, ok := f.wanted[peer]
-	delete(f.wanted, peer)
-	if !ok || g <= f.record.Generation || now.Before(f.paused[peer]) {
+	if generation <= f.record.Generation || now.Before(f.paused[peer]) {
 		return false
 	}
 	f.paused[peer] = now.Add(callTimeout)
--- a/internal/publisher/follower_test.go
+++ b/internal/publisher/follower_test.go
@@ -66,15 +66,17 @@
 	}
 }
 
-// Guards against hosts that return together after an outage.
+// Guards against hosts that return together after an outage, and against an outage that
+// is not logged or is logged at each read.
 func TestReadsAreJitteredAfterOutage(t *testing.T) {
 	simulate(t, func(ctx context.Context, is *is.I) {
 		s := newFakeStore()
 		_, err := NewPublisher(s, keys, "writer", time.Now).Apply(ctx, submission(1, "first"))
 		is.NoErr(err)
 		s.set(func(s *fakeStore) { s.down = true })
+		var h *host
 		for i := range 8 {
-			startHost(ctx, t, s, uint64(i))
+			h = startHost(ctx, t, s, uint64(i))
 		}
 		time.Sleep(time.Minute)
 		s.set(func(s *fakeStore) { s.down = false; s.gets = 0 })
@@ -85,6 +87,8 @@
 			s.set(func(s *fakeStore) { most = max(most, s.gets) })
 		}
 		is.True(most <= 4) // reads of 8 hosts in any 100 ms
+		is.Equal(strings.Count(h.log.String(), "store unavailable"), 1)
+		is.Equal(strings.Count(h.log.String(), "store available"), 1)
 	})
 }
 
@@ -100,6 +104,7 @@
 		time.Sleep(time.Second)
 		s.set(func(s *fakeStore) { s.down = true })
 		h.Seen("slow", 2)
+		h.Seen("stranger", 2)
 		h.Seen("good", 2)
 		time.Sleep(withinBound)
 		is.Equal(h.generations(), []uint64{1, 2})
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -16,6 +16,10 @@
 // HistoryLimit is the number of history records that are kept.
 const HistoryLimit = 500
 
+// HistoryTexts is the number of newest records that History returns with their text.
+// All texts together can exceed 100 MB.
+const HistoryTexts = 20
+
 // pruneWindow is the number of generations beyond HistoryLimit that each application
 // looks at, so that records which one application failed to delete go with a later one.
 const pruneWindow = 10
@@ -309,8 +313,9 @@
 	}
 }
 
-// History returns the newest records first, at most limit of them. A record that cannot
-// be decoded is left out.
+// History returns the newest records first, at most limit of them. Records after the
+// first HistoryTexts lack text and signature. A record that cannot be decoded is left
+// out.
 func (p *Publisher) History(ctx context.Context, limit int) ([]configurator.Record, error) {
 	b, err := readCurrent(ctx, p.store, p.keys)
 	if err != nil {
@@ -320,7 +325,6 @@
 	if b.revision != 0 {
 		rs = append(rs, b.record)
 	}
-	// Records are read one by one because all of them together can exceed 100 MB.
 	for g := b.record.Generation; g > 1 && len(rs) < min(limit, HistoryLimit); g-- {
 		r, err := p.history(ctx, g-1)
 		var corrupt *CorruptError
@@ -333,6 +337,9 @@
 		if r.Generation == 0 {
 			break
 		}
+		if len(rs) >= HistoryTexts {
+			r.Text, r.Signature = "", nil
+		}
 		rs = append(rs, r)
 	}
 	return rs, nil
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -149,9 +149,13 @@
 			is.NoErr(err)
 		}
 		is.Equal(len(s.entries), HistoryLimit+1) // and config/current
-		rs, err := p.History(ctx, 3)
+		rs, err := p.History(ctx, HistoryLimit)
 		is.NoErr(err)
-		is.Equal([]uint64{rs[0].Generation, rs[1].Generation, rs[2].Generation}, []uint64{520, 519, 518})
+		is.Equal(len(rs), HistoryLimit)
+		for i, r := range rs {
+			is.Equal(r.Generation, uint64(HistoryLimit+20-i))
+			is.Equal(r.Text != "", i < HistoryTexts) // bounds memory
+		}
 	})
 }
 
