--- a/internal/placer/estimator.go
+++ b/internal/placer/estimator.go
@@ -28,15 +28,17 @@
 	maxWorkersSeen = 4096
 	// maxSizeRatio bounds the correction of declared sizes.
 	maxSizeRatio = 8
-	// sizeHalfLife is the number of observed tasks after which half of the size
-	// correction comes from newer ones.
+	// sizeGain is the weight of a new measurement in the correction of declared sizes.
 	sizeGain = 0.05
 )
 
-// cell is what is known about one pair of classes.
-type cell struct {
-	mean, variance float64
-	at             int64 // Unix time in nanoseconds of the last observation, 0: never
+// row is what is known about one victim class: the coefficients of its neighbours and
+// their covariance. Classes that always appear together stay uncertain together, which
+// independent variances would hide.
+type row struct {
+	mean [maxClasses]float64
+	cov  [maxClasses * maxClasses]float64
+	at   time.Time // when the last used report was measured
 }
 
 // ratio is a running mean and absolute deviation of measured over declared size.
@@ -49,7 +51,7 @@
 
 type estimator struct {
 	classes map[string]int
-	cells   []cell // victim*maxClasses + neighbour
+	rows    [maxClasses]*row // by victim, nil: nothing observed
 	sizes   [maxClasses]sizeRatio
 	seen    map[string]time.Time // by worker: when the last used report was measured
 	loads   [maxClasses]float64  // scratch
@@ -57,15 +59,16 @@
 }
 
 func newEstimator() *estimator {
-	e := &estimator{
-		classes: map[string]int{},
-		cells:   make([]cell, maxClasses*maxClasses),
-		seen:    map[string]time.Time{},
-	}
-	for i := range e.cells {
-		e.cells[i] = cell{mean: priorHarm, variance: priorVariance}
+	return &estimator{classes: map[string]int{}, seen: map[string]time.Time{}}
+}
+
+func newRow(at time.Time) *row {
+	r := &row{at: at}
+	for i := range maxClasses {
+		r.mean[i] = priorHarm
+		r.cov[i*maxClasses+i] = priorVariance
 	}
-	return e
+	return r
 }
 
 // index returns the table index of a class.
@@ -85,26 +88,46 @@
 // count returns the number of table entries in use, including entry 0.
 func (e *estimator) count() int { return len(e.classes) + 1 }
 
-// aged returns the cell as of now: knowledge fades towards the prior.
-func (c cell) aged(now time.Time) cell {
-	if c.at == 0 {
-		return c
+// kept returns the share of knowledge that remains after a time.
+func kept(age time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(harmHalfLife))
+}
+
+// fadeStep is the age from which fading is applied to a row; applying it for each report
+// would cost more than learning from it.
+const fadeStep = time.Minute
+
+// fade moves a row towards the prior.
+func (r *row) fade(at time.Time, count int) {
+	age := at.Sub(r.at)
+	if age < fadeStep {
+		return
 	}
-	dt := now.UnixNano() - c.at
-	if dt <= 0 {
-		return c
+	keep := kept(age)
+	r.at = at
+	for i := range count {
+		r.mean[i] = priorHarm + (r.mean[i]-priorHarm)*keep
+		for j := range count {
+			r.cov[i*maxClasses+j] *= keep
+		}
+		r.cov[i*maxClasses+i] += (1 - keep) * priorVariance
 	}
-	keep := math.Exp2(-float64(dt) / float64(harmHalfLife))
-	c.mean = priorHarm + (c.mean-priorHarm)*keep
-	c.variance = priorVariance + (c.variance-priorVariance)*keep
-	return c
 }
 
 // harm returns the expected slowdown per share of cores that neighbour adds to victim,
 // and its standard deviation.
 func (e *estimator) harm(victim, neighbour int, now time.Time) (mean, sigma float64) {
-	c := e.cells[victim*maxClasses+neighbour].aged(now)
-	return c.mean, math.Sqrt(c.variance)
+	r := e.rows[victim]
+	if r == nil {
+		return priorHarm, math.Sqrt(priorVariance)
+	}
+	keep := kept(now.Sub(r.at))
+	mean = priorHarm + (r.mean[neighbour]-priorHarm)*keep
+	variance := r.cov[neighbour*maxClasses+neighbour]*keep + priorVariance*(1-keep)
+	return max(0, mean), math.Sqrt(max(0, variance))
 }
 
 // cautious returns the expected harm plus a margin for its uncertainty.
@@ -172,25 +195,39 @@
 }
 
 // learnHarm corrects the coefficients of a victim by one measured excess slowdown: a
-// Kalman filter with independent coefficients.
+// Kalman filter whose state is the victim's row.
 func (e *estimator) learnHarm(victim int, ownLoad, excess float64, at time.Time) {
-	row := e.cells[victim*maxClasses : (victim+1)*maxClasses]
+	r := e.rows[victim]
+	if r == nil {
+		r = newRow(at)
+		e.rows[victim] = r
+	}
+	n := e.count()
+	r.fade(at, n)
+	var spread [maxClasses]float64 // covariance times the loads
 	predicted, variance := 0.0, reportNoise
 	for _, c := range e.present {
-		row[c] = row[c].aged(at)
 		x := e.neighbourLoad(c, victim, ownLoad)
-		predicted += x * row[c].mean
-		variance += x * x * row[c].variance
+		if x <= 0 {
+			continue
+		}
+		predicted += x * r.mean[c]
+		for i := range n {
+			spread[i] += x * r.cov[i*maxClasses+c]
+		}
 	}
 	for _, c := range e.present {
-		x := e.neighbourLoad(c, victim, ownLoad)
-		if x <= 0 {
+		variance += e.neighbourLoad(c, victim, ownLoad) * spread[c]
+	}
+	for i := range n {
+		gain := spread[i] / variance
+		if gain == 0 {
 			continue
 		}
-		gain := row[c].variance * x / variance
-		row[c].mean = max(0, row[c].mean+gain*(excess-predicted))
-		row[c].variance *= 1 - gain*x
-		row[c].at = max(row[c].at, at.UnixNano())
+		r.mean[i] += gain * (excess - predicted)
+		for j := range n {
+			r.cov[i*maxClasses+j] -= gain * spread[j]
+		}
 	}
 }
 
@@ -218,6 +255,9 @@
 func (r *ratio) learn(x, gain float64) {
 	d := x - r.mean
 	r.mean += gain * d
+	if gain == 1 {
+		return // the first sample has no deviation
+	}
 	r.deviation += gain * (math.Abs(d) - r.deviation)
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -33,8 +33,11 @@
 	elsewhere map[string]configurator.Resources
 	reserved  []reservation
 	summaries []summary
+	teams     map[string]int32 // teams that have a quota
 	racks     map[string]int32
 	domains   map[string]int32
+	search    search  // scratch of one Place
+	prey      []prey  // scratch: residents that may be preempted on one worker
 	rackUse   []int32 // scratch: members of the task's spread group by rack
 	domainUse []int32 // scratch: the same by failure domain
 }
@@ -51,6 +54,7 @@
 		estimator: newEstimator(),
 		failures:  newFailureTracker(),
 		relief:    newReliefState(),
+		teams:     map[string]int32{},
 		racks:     map[string]int32{},
 		domains:   map[string]int32{},
 	}
@@ -72,6 +76,7 @@
 	}
 	p.policy = policy
 	p.weights = normalise(m)
+	p.summaries = nil // they hold sums for the teams of the earlier policy
 }
 
 // SetUsedElsewhere sets the capacity that each team's batch tasks hold in other shards.
@@ -192,10 +197,10 @@
 	if !ok || t.Kind != KindBatch {
 		return nil
 	}
-	used := p.elsewhere[t.Team]
+	used, team := p.elsewhere[t.Team], intern(p.teams, t.Team)
 	for i := range p.summaries {
 		for j := range p.summaries[i].teams {
-			if u := &p.summaries[i].teams[j]; u.team == t.Team {
+			if u := &p.summaries[i].teams[j]; u.team == team {
 				used = used.Add(u.used)
 			}
 		}
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -61,6 +62,14 @@
 	return 0.01 + p.weights.Evictions*again + p.weights.Throughput*max(0, lost)*r.Declared.Cores
 }
 
+// prey is a resident that may be preempted.
+type prey struct {
+	index  int
+	size   configurator.Resources
+	cost   float64
+	chosen bool
+}
+
 type plan struct {
 	worker  int
 	victims []int
@@ -86,8 +95,12 @@
 		if s.unavailable(i) >= 0 || p.failures.quarantined(ws[i].Name) || ws[i].Name == avoid && len(ws) > 1 {
 			continue
 		}
-		if v, cost, ok := p.victims(&ws[i], s, i); ok {
-			plans = insertPlan(plans, plan{i, v, cost})
+		limit := math.Inf(1)
+		if len(plans) == MaxCandidates {
+			limit = plans[MaxCandidates-1].cost
+		}
+		if cost, ok := p.victims(s, i, limit); ok {
+			plans = insertPlan(plans, plan{i, p.chosen(), cost})
 		}
 	}
 	if len(plans) == 0 {
@@ -123,56 +136,92 @@
 	return plans[:min(len(plans), MaxCandidates)]
 }
 
-// victims chooses residents of w whose end makes room for the task: by cost per share of
-// the missing capacity, then without those that turn out not to be needed. Tasks that
-// are stopping already count as gone and cost nothing.
-func (p *Placer) victims(w *Worker, s *search, index int) ([]int, float64, bool) {
+// victims chooses, in p.prey, residents of a worker whose end makes room for the task: by
+// cost per share of the missing capacity, then without those that turn out not to be
+// needed. Tasks that are stopping already count as gone and cost nothing. It gives up if
+// the cost cannot be below limit.
+func (p *Placer) victims(s *search, index int, limit float64) (float64, bool) {
+	w := &s.ws[index]
 	free, _ := s.room(index)
-	if s.baseline() {
-		free = w.Capacity.Sub(p.summaries[index].declared)
+	need := s.needOn(w.Capacity)
+	if p.baseline() {
+		free, need = w.Capacity.Sub(p.summaries[index].declared), s.t.Declared
 	}
+	p.prey = p.prey[:0]
+	cheapest := math.Inf(1)
 	for i := range w.Residents {
-		if w.Residents[i].Stopping {
-			free = free.Add(p.size(&w.Residents[i]))
+		r := &w.Residents[i]
+		if r.Stopping {
+			if s.now.Sub(r.LastAction) > preemptRetry {
+				// The worker does not stop its tasks in time.
+				return 0, false
+			}
+			free = free.Add(p.size(r))
+			continue
+		}
+		if r.Kind == KindBatch && !r.Urgent {
+			cost := p.victimCost(r, s.now)
+			cheapest = min(cheapest, cost)
+			p.prey = append(p.prey, prey{index: i, size: p.size(r), cost: cost})
 		}
 	}
-	need := s.needOn(w.Capacity)
-	if s.baseline() {
-		need = s.t.Declared
+	if !need.Fits(free) && cheapest >= limit {
+		return 0, false
+	}
+	free, ok := p.choose(need, free)
+	if !ok {
+		return 0, false
 	}
-	var chosen []int
-	for !need.Fits(free) {
+	cost := 0.0
+	for i := range p.prey {
+		v := &p.prey[i]
+		if v.chosen && need.Fits(free.Sub(v.size)) {
+			free = free.Sub(v.size)
+			v.chosen = false
+		}
+		if v.chosen {
+			cost += v.cost
+		}
+	}
+	return cost, cost < limit
+}
+
+// choose marks prey until the task fits, and returns the room that it then has.
+func (p *Placer) choose(need, free configurator.Resources) (configurator.Resources, bool) {
+	for n := 0; !need.Fits(free); n++ {
+		missing := need.Sub(free)
 		best, bestPrice := -1, 0.0
-		for i := range w.Residents {
-			r := &w.Residents[i]
-			if r.Kind != KindBatch || r.Urgent || r.Stopping || slices.Contains(chosen, i) {
+		for i := range p.prey {
+			v := &p.prey[i]
+			if v.chosen {
 				continue
 			}
-			share := relieves(need.Sub(free), p.size(r))
+			share := relieves(missing, v.size)
 			if share <= 0 {
 				continue
 			}
-			if price := p.victimCost(r, s.now) / share; best < 0 || price < bestPrice {
+			if price := v.cost / share; best < 0 || price < bestPrice {
 				best, bestPrice = i, price
 			}
 		}
-		if best < 0 || len(chosen) == maxVictims {
-			return nil, 0, false
+		if best < 0 || n == maxVictims {
+			return free, false
 		}
-		chosen = append(chosen, best)
-		free = free.Add(p.size(&w.Residents[best]))
+		p.prey[best].chosen = true
+		free = free.Add(p.prey[best].size)
 	}
-	cost := 0.0
-	for k := len(chosen) - 1; k >= 0; k-- {
-		size := p.size(&w.Residents[chosen[k]])
-		if need.Fits(free.Sub(size)) {
-			free = free.Sub(size)
-			chosen = slices.Delete(chosen, k, k+1)
-			continue
+	return free, true
+}
+
+// chosen returns the indices of the chosen residents.
+func (p *Placer) chosen() []int {
+	var out []int
+	for i := range p.prey {
+		if p.prey[i].chosen {
+			out = append(out, p.prey[i].index)
 		}
-		cost += p.victimCost(&w.Residents[chosen[k]], s.now)
 	}
-	return chosen, cost, true
+	return out
 }
 
 // size is the capacity that the end of r frees, as the policy counts it.
@@ -180,7 +229,7 @@
 	if p.baseline() {
 		return r.Declared
 	}
-	return r.held()
+	return p.held(r)
 }
 
 // relieves returns the sum over dimensions of the missing share that size provides.
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -71,7 +71,8 @@
 }
 
 func (p *Placer) newSearch(t Task, ws []Worker, now time.Time) *search {
-	s := &search{p: p, t: t, ws: ws, now: now, class: p.estimator.index(t.Class), reserved: p.reservationOf(t.Name)}
+	s := &p.search
+	*s = search{p: p, t: t, ws: ws, now: now, class: p.estimator.index(t.Class), reserved: p.reservationOf(t.Name)}
 	s.need = t.Declared
 	if !p.baseline() {
 		s.need = p.estimator.expected(s.class, t.Declared)
@@ -189,7 +190,7 @@
 		if s.baseline() {
 			total = total.Add(w.Residents[j].Declared)
 		} else {
-			total = total.Add(w.Residents[j].held())
+			total = total.Add(s.p.held(&w.Residents[j]))
 		}
 	}
 	return total.Fits(w.Capacity)
--- a/internal/placer/summary.go
+++ b/internal/placer/summary.go
@@ -11,7 +11,7 @@
 }
 
 type teamUse struct {
-	team string
+	team int32
 	used configurator.Resources
 }
 
@@ -37,9 +37,14 @@
 // already has: latency rises faster than slowdown near saturation.
 const degradedWeight = 4
 
-// held returns the capacity that counts as taken by r.
-func (r *Resident) held() configurator.Resources {
-	return r.Committed.Max(r.Declared)
+// held returns the capacity that counts as taken by r. A task that has not been measured
+// counts with the size that tasks of its class usually reach.
+func (p *Placer) held(r *Resident) configurator.Resources {
+	out := r.Committed.Max(r.Declared)
+	if p.baseline() || r.Measured != (configurator.Resources{}) {
+		return out
+	}
+	return out.Max(p.estimator.expected(p.estimator.index(r.Class), r.Declared))
 }
 
 // cores returns the cores that r uses as far as known.
@@ -75,12 +80,14 @@
 	}
 	for i := range w.Residents {
 		r := &w.Residents[i]
-		held := r.held()
+		held := p.held(r)
 		s.committed = s.committed.Add(held)
 		s.declared = s.declared.Add(r.Declared)
 		s.addClass(p.estimator.index(r.Class), r)
-		if r.Kind == KindBatch && r.Team != "" {
-			s.addTeam(r.Team, held)
+		if r.Kind == KindBatch {
+			if _, ok := p.policy.Quotas[r.Team]; ok {
+				s.addTeam(intern(p.teams, r.Team), held)
+			}
 		}
 		if r.Spread != "" {
 			s.addSpread(r.Spread)
@@ -105,7 +112,7 @@
 	}
 }
 
-func (s *summary) addTeam(team string, held configurator.Resources) {
+func (s *summary) addTeam(team int32, held configurator.Resources) {
 	for j := range s.teams {
 		if s.teams[j].team == team {
 			s.teams[j].used = s.teams[j].used.Add(held)
