--- /dev/null
+++ b/internal/scheduler/journal.go
@@ -0,0 +1,139 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+const (
+	// JournalVersion is the version of the encoding that this program writes.
+	JournalVersion = 1
+	// MaxJournalSize bounds the encoded journal, in bytes. It leaves room below the
+	// store's limit of 1 MB for changes of state of the jobs already listed.
+	MaxJournalSize = 900 << 10
+	// maxDecodedJournal is the largest value that is decoded, in bytes.
+	maxDecodedJournal = 1 << 20
+)
+
+// Journal is the durable state of a shard.
+type Journal struct {
+	Version    int
+	Shard      string
+	Owner      string // empty: given up, or never owned
+	Epoch      uint64
+	Renewal    uint64
+	Writer     string // process that wrote the value
+	Sequence   uint64 // of the write, increases by one with each
+	Successors []string
+	// RunningSuccessors are the hosts of the successor failure domain.
+	RunningSuccessors []string
+	MovedTo           string `json:",omitempty"` // shard that takes over the jobs
+	Jobs              []JobEntry
+	Instances         []InstanceEntry
+}
+
+// JobEntry is a job in the journal.
+type JobEntry struct {
+	Spec       JobSpec
+	State      JobState
+	Worker     string `json:",omitempty"`
+	Attempt    int    // number of assignments so far
+	Evictions  int    `json:",omitempty"`
+	Failures   int    `json:",omitempty"`
+	Checkpoint string `json:",omitempty"`
+	Submitted  time.Time
+	Started    time.Time `json:",omitzero"`
+	Ended      time.Time `json:",omitzero"`
+	Decision   string    `json:",omitempty"`
+}
+
+// InstanceEntry is a service instance in the journal.
+type InstanceEntry struct {
+	Task     string
+	Service  string
+	Index    int
+	Attempt  int
+	Worker   string
+	Retiring bool `json:",omitempty"`
+}
+
+// JournalError says why a journal value was rejected.
+type JournalError struct {
+	Shard  string
+	Size   int // bytes
+	Reason string
+}
+
+func (e *JournalError) Error() string {
+	return fmt.Sprintf("journal of shard %q (%d bytes) is rejected: %s", e.Shard, e.Size, e.Reason)
+}
+
+// DecodeJournal decodes and checks the journal of the named shard. Errors are of type
+// *JournalError.
+func DecodeJournal(shard string, value []byte) (Journal, error) {
+	reject := func(format string, args ...any) (Journal, error) {
+		return Journal{}, &JournalError{Shard: shard, Size: len(value), Reason: fmt.Sprintf(format, args...)}
+	}
+	if len(value) > maxDecodedJournal {
+		return reject("larger than %d bytes", maxDecodedJournal)
+	}
+	var j Journal
+	if err := json.Unmarshal(value, &j); err != nil {
+		return reject("%v", err)
+	}
+	if j.Version != JournalVersion {
+		return reject("version %d, this program reads version %d", j.Version, JournalVersion)
+	}
+	if j.Shard != shard {
+		return reject("it is the journal of shard %q", j.Shard)
+	}
+	seen := make(map[string]bool, len(j.Jobs))
+	for _, b := range j.Jobs {
+		if reason := b.check(); reason != "" {
+			return reject("job %q: %s", b.Spec.Name, reason)
+		}
+		if seen[b.Spec.Name] {
+			return reject("job %q is listed twice", b.Spec.Name)
+		}
+		seen[b.Spec.Name] = true
+	}
+	tasks := make(map[string]bool, len(j.Instances))
+	for _, i := range j.Instances {
+		if i.Task == "" || i.Service == "" || i.Attempt < 0 || tasks[i.Task] {
+			return reject("instance %q is not valid", i.Task)
+		}
+		tasks[i.Task] = true
+	}
+	return j, nil
+}
+
+// check returns why the entry is not valid, or "".
+func (b *JobEntry) check() string {
+	switch b.State {
+	case JobStarting, JobRunning, JobEvicting:
+		if b.Worker == "" {
+			return fmt.Sprintf("state %q without a worker", b.State)
+		}
+	case JobPending, JobCanceling, JobFinished, JobFailed, JobCancelled, JobRejected:
+	default:
+		return fmt.Sprintf("unknown state %q", b.State)
+	}
+	switch {
+	case b.Spec.Name == "":
+		return "no name"
+	case b.Attempt < 0 || b.Evictions < 0 || b.Failures < 0:
+		return "negative count"
+	}
+	return ""
+}
+
+// Encode returns the journal's value in the store.
+func (j *Journal) Encode() ([]byte, error) {
+	j.Version = JournalVersion
+	value, err := json.Marshal(j)
+	if err != nil {
+		return nil, &JournalError{Shard: j.Shard, Reason: err.Error()}
+	}
+	return value, nil
+}
