Add the shard's state machine and the runtime that owns shards

Measured in virtual time with fakes: 40 jobs over 2 entry hosts per failure domain and 8 workers all finished, no invariant of the fakes was violated.

--- a/internal/proprietor/doc.go
+++ b/internal/proprietor/doc.go
@@ -3,5 +3,6 @@
 // tenure has certainly ended, and carries out the actions of scheduler.Shard against
 // the store and the workers.
 //
-// Lock order: Proprietor.mutex before holding.mutex. Neither is held during I/O.
+// Lock order: Proprietor.mutex before holding.mutex before Proprietor.closing.
+// None of them is held during I/O.
 package proprietor
--- /dev/null
+++ b/internal/proprietor/proprietor_test.go
@@ -0,0 +1,41 @@
+package proprietor_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// check fails the test for each violated invariant.
+func check(t *testing.T, w *world) {
+	t.Helper()
+	for i, v := range w.violations {
+		if i < 5 {
+			t.Error(v)
+		}
+	}
+}
+
+// Guards against a runtime that loses a job between submission and its end.
+func TestJobsRunToTheirEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(configuration(2, 4, 2))
+		defer w.stopAll()
+		for _, h := range w.config.EntryHosts {
+			w.start(h.Name)
+		}
+		time.Sleep(6 * time.Second)
+		for i := range 40 {
+			a, ok := w.submit(fmt.Sprint("job", i), 10*time.Second)
+			is.True(ok)
+			is.True(a.Accepted)
+		}
+		time.Sleep(60 * time.Second)
+		is.Equal(w.count(), 40)
+		check(t, w)
+	})
+}
--- a/internal/scheduler/action.go
+++ b/internal/scheduler/action.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"peridotpitch/internal/commander"
+	"peridotpitch/internal/placer"
+	"peridotpitch/internal/recorder"
 )
 
 // Action is something that the caller does for a shard.
@@ -75,11 +77,11 @@
 type Record struct {
 	Time       time.Time
 	ID         string // job, task or worker
-	Action     string
+	Kind       recorder.Kind
 	Rule       string
 	Cause      string
 	Worker     string
-	Candidates []string
+	Candidates []placer.Candidate
 }
 
 func (WriteJournal) action()     {}
--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -29,8 +29,11 @@
 	// RunningSuccessors are the hosts of the successor failure domain.
 	RunningSuccessors []string
 	MovedTo           string `json:",omitempty"` // shard that takes over the jobs
-	Jobs              []JobEntry
-	Instances         []InstanceEntry
+	// Moved names the shards that took over jobs, so that a repeated submission does
+	// not run a job a second time.
+	Moved     map[string]string `json:",omitempty"`
+	Jobs      []JobEntry
+	Instances []InstanceEntry
 }
 
 // JobEntry is a job in the journal.
@@ -137,3 +140,20 @@
 	}
 	return value, nil
 }
+
+// Empty removes the jobs of a journal that another shard has imported. Their names are
+// kept, so that a repeated submission is refused.
+func (j *Journal) Empty(writer string) {
+	moved := make(map[string]string, len(j.Jobs))
+	for _, b := range j.Jobs {
+		moved[b.Spec.Name] = j.MovedTo
+	}
+	for name, to := range j.Moved {
+		if len(moved) < maxMovedJobs && moved[name] == "" {
+			moved[name] = to
+		}
+	}
+	j.Moved = moved
+	j.Jobs, j.MovedTo, j.Owner, j.Writer = nil, "", "", writer
+	j.Sequence++
+}
