Add the store and worker clients and the platform and worker stand-ins

Cause: the entry host needs transports to the platform and to workers, and something that answers them by protocol.

Change: package poster sends one JSON POST, reports whether a byte left the process and closes the connection of an abandoned call; storer.Client and commander.Client classify every error with it. Package emulator has Store and Machine, which run without a network and in virtual time, and Platform, Worker and Backend, which serve them over HTTP with fault switches.

--- /dev/null
+++ b/internal/commander/client_test.go
@@ -0,0 +1,105 @@
+package commander_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpitch/internal/commander"
+	"peridotpitch/internal/configurator"
+	"peridotpitch/internal/emulator"
+)
+
+func start(t *testing.T, f emulator.Faults) (*emulator.Worker, netip.AddrPort, *commander.Client) {
+	t.Helper()
+	w, address, stop, err := emulator.NewWorker(emulator.WorkerOptions{MachineOptions: emulator.MachineOptions{
+		Name: "w1", Capacity: configurator.Resources{Cores: 8, Memory: 16 << 30}, Faults: f,
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	c, closeIdle := commander.NewClient(commander.Options{Timeout: 500 * time.Millisecond})
+	t.Cleanup(closeIdle)
+	return w, address, c
+}
+
+var service = commander.Command{
+	Verb: commander.VerbStart, Task: "quotes-1", Attempt: 1, Kind: commander.KindService, Class: "quotes", Service: "quotes",
+	Declared: configurator.Resources{Cores: 2, Memory: 1 << 30}, Slots: 8, LeaseEnd: time.Hour,
+}
+
+// Guards against fields lost on the way to the worker or back.
+func TestCommandsReachTheWorker(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	_, address, c := start(t, emulator.Faults{})
+	f, err := c.Fence(ctx, address, 3, "e1")
+	is.NoErr(err)
+	is.True(f.Accepted)
+	is.Equal(f.Report.Capacity.Cores, 8.0)
+	a, err := c.Apply(ctx, address, 3, "e1", []commander.Command{service})
+	is.NoErr(err)
+	is.Equal(a.Results, []commander.Result{{Task: "quotes-1", Done: true}})
+	r, err := c.Report(ctx, address)
+	is.NoErr(err)
+	_, err = netip.ParseAddrPort(r.Tasks[0].Address)
+	is.NoErr(err) // a service task has the address of its instance
+	is.Equal(r.Tasks[0].LeaseEnd, time.Hour)
+	a, err = c.Apply(ctx, address, 2, "e0", []commander.Command{service})
+	is.NoErr(err)
+	is.True(!a.Accepted)
+	is.Equal(a.Epoch, uint64(3))
+}
+
+// Guards against a command that may have taken effect reported as not sent, and the
+// other way round.
+func TestUnreachableSaysWhetherSent(t *testing.T) {
+	for name, f := range map[string]emulator.Faults{
+		"answer lost":    {LoseAnswers: 1},
+		"half answer":    {HalfAnswers: 1},
+		"no answer":      {CutAnswers: true},
+		"server error":   {Down: true},
+		"request in air": {CutRequests: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, address, c := start(t, f)
+			_, err := c.Apply(t.Context(), address, 1, "e1", []commander.Command{service})
+			var u *commander.UnreachableError
+			is.True(errors.As(err, &u))
+			is.True(u.Sent)
+		})
+	}
+	t.Run("connection refused", func(t *testing.T) {
+		is := is.New(t)
+		_, address, stop, err := emulator.NewWorker(emulator.WorkerOptions{})
+		is.NoErr(err)
+		stop()
+		c, closeIdle := commander.NewClient(commander.Options{})
+		defer closeIdle()
+		_, err = c.Report(t.Context(), address)
+		var u *commander.UnreachableError
+		is.True(errors.As(err, &u))
+		is.True(!u.Sent)
+	})
+}
+
+func ExampleClient() {
+	_, address, stop, err := emulator.NewWorker(emulator.WorkerOptions{MachineOptions: emulator.MachineOptions{Name: "w1"}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer stop()
+	c, closeIdle := commander.NewClient(commander.Options{})
+	defer closeIdle()
+	a, err := c.Fence(context.Background(), address, 1, "e1")
+	fmt.Println(a.Accepted, a.Report.Worker, err)
+	// Output: true w1 <nil>
+}
--- /dev/null
+++ b/internal/emulator/backend.go
@@ -0,0 +1,367 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+)
+
+// Headers between the entry host and a backend server.
+const (
+	HeaderRequest   = "Peridot-Request"
+	HeaderAttempt   = "Peridot-Attempt"
+	HeaderDeadline  = "Peridot-Deadline" // milliseconds left
+	HeaderSlotsUsed = "Peridot-Slots-Used"
+	HeaderNotRun    = "Peridot-Not-Run"
+)
+
+// Defaults of BackendOptions.
+const (
+	DefaultSlots       = 8
+	DefaultConnections = 64
+	DefaultServiceTime = 5 * time.Millisecond
+	DefaultAnswerSize  = 512 // bytes of padding
+	// maxCounted bounds the identities whose executions are counted.
+	maxCounted = 1 << 20
+)
+
+// TimeShape is the shape of the distribution of service times.
+type TimeShape string
+
+// Shapes.
+const (
+	ShapeFixed       TimeShape = "fixed"
+	ShapeExponential TimeShape = "exponential"
+	ShapeLogNormal   TimeShape = "lognormal" // median Mean/e^(1/8), sigma 0.5
+)
+
+const logNormalSigma = 0.5
+
+// BackendOptions configures a Backend. Zero fields take the defaults.
+type BackendOptions struct {
+	Service     string
+	Address     netip.AddrPort // zero: any loopback port
+	Slots       int
+	Connections int
+	ServiceTime time.Duration // mean, without slowdown
+	Shape       TimeShape     // default: lognormal
+	AnswerSize  int           // bytes of padding
+	Executions  *Executions   // shared by the instances of a test; default: its own
+	Faults      Faults
+	Seed        uint64
+}
+
+// BackendCounts counts what a backend server saw.
+type BackendCounts struct {
+	Requests, Run, NotRun, ConnectionsRefused int
+	MostRunning, MostConnections              int
+	AfterDeadline                             int // executions that ended after the deadline sent with the request
+}
+
+// Executions counts how often each request ran, by the identity that the entry host
+// gave it, and by the caller's own token (query argument "token") if there is one.
+type Executions struct {
+	mu        sync.Mutex // guards both maps
+	byRequest map[string]int
+	byToken   map[string]int
+}
+
+// NewExecutions returns an empty count.
+func NewExecutions() *Executions {
+	return &Executions{byRequest: make(map[string]int), byToken: make(map[string]int)}
+}
+
+func (e *Executions) add(request, token string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.byRequest) < maxCounted {
+		e.byRequest[request]++
+	}
+	if token != "" && len(e.byToken) < maxCounted {
+		e.byToken[token]++
+	}
+}
+
+// Request returns how often the request with this identity ran.
+func (e *Executions) Request(identity string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.byRequest[identity]
+}
+
+// Tokens returns how often each caller's token ran.
+func (e *Executions) Tokens() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[string]int, len(e.byToken))
+	for k, v := range e.byToken {
+		out[k] = v
+	}
+	return out
+}
+
+// Backend is one instance of a service.
+type Backend struct {
+	options BackendOptions
+	server  *server
+
+	mu       sync.Mutex // guards all fields below
+	rnd      *rand.Rand
+	running  int
+	conns    int
+	draining bool
+	slowdown float64
+	last     *finished
+	counts   BackendCounts
+}
+
+// finished is an answer kept to be sent to the wrong request.
+type finished struct{ request, attempt, body string }
+
+// NewBackend starts a backend server and returns it, its address and a function that
+// stops it.
+func NewBackend(o BackendOptions) (*Backend, netip.AddrPort, func(), error) {
+	if o.Slots <= 0 {
+		o.Slots = DefaultSlots
+	}
+	if o.Connections <= 0 {
+		o.Connections = DefaultConnections
+	}
+	setDefault(&o.ServiceTime, DefaultServiceTime)
+	if o.Shape == "" {
+		o.Shape = ShapeLogNormal
+	}
+	if o.AnswerSize <= 0 {
+		o.AnswerSize = DefaultAnswerSize
+	}
+	if o.Executions == nil {
+		o.Executions = NewExecutions()
+	}
+	l, address, err := listen(o.Address)
+	if err != nil {
+		return nil, netip.AddrPort{}, nil, err
+	}
+	b := &Backend{options: o, rnd: rand.New(rand.NewPCG(o.Seed, 2)), slowdown: 1}
+	b.server = newServer(address, newFaultSwitch(o.Faults, o.Seed), b.control, b.handle)
+	b.server.start(&limitListener{Listener: l, backend: b})
+	return b, address, b.server.stop, nil
+}
+
+// SetFaults replaces the fault switches.
+func (b *Backend) SetFaults(f Faults) { b.server.faults.set(f) }
+
+// Executions returns the count of executions that this instance adds to.
+func (b *Backend) Executions() *Executions { return b.options.Executions }
+
+// Counts returns the counts so far.
+func (b *Backend) Counts() BackendCounts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counts
+}
+
+// Address implements Instance.
+func (b *Backend) Address() string { return b.server.address.String() }
+
+// Load implements Instance.
+func (b *Backend) Load() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return float64(b.running) / float64(b.options.Slots)
+}
+
+// InFlight implements Instance.
+func (b *Backend) InFlight() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.running
+}
+
+// SetSlowdown implements Instance.
+func (b *Backend) SetSlowdown(factor float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slowdown = factor
+}
+
+// Drain implements Instance: new requests are answered "not run".
+func (b *Backend) Drain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.draining = true
+}
+
+// Stop implements Instance. It returns at once.
+func (b *Backend) Stop() { go b.server.stop() }
+
+func (b *Backend) control(ctx *fasthttp.RequestCtx) bool {
+	switch string(ctx.Path()) {
+	case "/counts":
+		writeJSON(ctx, b.Counts())
+	case "/executions":
+		writeJSON(ctx, b.options.Executions.Tokens())
+	default:
+		return false
+	}
+	return true
+}
+
+func (b *Backend) handle(ctx *fasthttp.RequestCtx) {
+	request := string(ctx.Request.Header.Peek(HeaderRequest))
+	attempt := string(ctx.Request.Header.Peek(HeaderAttempt))
+	token := string(ctx.QueryArgs().Peek("token"))
+	arrived := time.Now()
+	d, ok := b.begin()
+	if !ok {
+		ctx.Error("not run: full or draining", fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set(HeaderNotRun, "true")
+		b.echo(ctx, request, attempt)
+		return
+	}
+	b.options.Executions.add(request, token)
+	if f := b.server.faults.get().SlowFactor; f > 0 {
+		d = time.Duration(float64(d) * f)
+	}
+	wait(d, nil, b.server.done)
+	a := finished{request, attempt, b.body(token, ctx.PostBody())}
+	late := afterDeadline(ctx, arrived)
+	if other := b.end(a, late); other != nil && b.server.faults.draw(b.server.faults.get().WrongIdentity) {
+		a = *other
+	}
+	ctx.SetContentType("text/plain")
+	ctx.SetBodyString(a.body)
+	b.echo(ctx, a.request, a.attempt)
+}
+
+func (b *Backend) echo(ctx *fasthttp.RequestCtx, request, attempt string) {
+	ctx.Response.Header.Set(HeaderRequest, request)
+	ctx.Response.Header.Set(HeaderAttempt, attempt)
+	ctx.Response.Header.Set(HeaderSlotsUsed, strconv.Itoa(b.InFlight()))
+}
+
+// begin takes a slot and draws the service time.
+func (b *Backend) begin() (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts.Requests++
+	if b.draining || b.running >= b.options.Slots {
+		b.counts.NotRun++
+		return 0, false
+	}
+	b.counts.Run++
+	b.running++
+	b.counts.MostRunning = max(b.counts.MostRunning, b.running)
+	x := 1.0
+	switch b.options.Shape {
+	case ShapeExponential:
+		x = b.rnd.ExpFloat64()
+	case ShapeLogNormal:
+		x = math.Exp(logNormalSigma*b.rnd.NormFloat64() - logNormalSigma*logNormalSigma/2)
+	}
+	return time.Duration(x * b.slowdown * float64(b.options.ServiceTime)), true
+}
+
+// end frees the slot and returns the answer of another request, if there was one.
+func (b *Backend) end(a finished, late bool) *finished {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running--
+	if late {
+		b.counts.AfterDeadline++
+	}
+	other := b.last
+	b.last = &a
+	return other
+}
+
+func afterDeadline(ctx *fasthttp.RequestCtx, arrived time.Time) bool {
+	ms, err := strconv.ParseInt(string(ctx.Request.Header.Peek(HeaderDeadline)), 10, 64)
+	return err == nil && time.Since(arrived) > time.Duration(ms)*time.Millisecond
+}
+
+// body returns an answer from which a caller can see that it is whole and its own: the
+// caller's token, a hash of the request's body, padding, and a hash of all of that.
+func (b *Backend) body(token string, request []byte) string {
+	var s strings.Builder
+	fmt.Fprintf(&s, "token=%s\nservice=%s\nrequest=%016x\n", token, b.options.Service, xxhash.Sum64(request))
+	s.WriteString(strings.Repeat(".", b.options.AnswerSize))
+	s.WriteString("\n")
+	fmt.Fprintf(&s, "sum=%016x\n", xxhash.Sum64String(s.String()))
+	return s.String()
+}
+
+// CheckBody reports what is wrong with an answer of a Backend to a request with this
+// token and body; nil if it is whole and its own.
+func CheckBody(answer []byte, token string, request []byte) error {
+	text := string(answer)
+	at := strings.LastIndex(text, "sum=")
+	if at < 0 {
+		return fmt.Errorf("answer of %d bytes is cut: it has no sum", len(answer))
+	}
+	if want := fmt.Sprintf("sum=%016x\n", xxhash.Sum64String(text[:at])); text[at:] != want {
+		return fmt.Errorf("answer of %d bytes is damaged: its sum is wrong", len(answer))
+	}
+	lines := strings.SplitN(text, "\n", 4)
+	if got := strings.TrimPrefix(lines[0], "token="); got != token {
+		return fmt.Errorf("answer belongs to token %q, not to %q", got, token)
+	}
+	if want := fmt.Sprintf("request=%016x", xxhash.Sum64(request)); len(lines) < 3 || lines[2] != want {
+		return fmt.Errorf("answer of token %q belongs to another request body", token)
+	}
+	return nil
+}
+
+// limitListener closes connections over the instance's limit as they arrive.
+type limitListener struct {
+	net.Listener
+	backend *Backend
+}
+
+func (l *limitListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.backend.openConn() {
+			return &limitedConn{Conn: c, backend: l.backend}, nil
+		}
+		_ = c.Close()
+	}
+}
+
+func (b *Backend) openConn() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.conns >= b.options.Connections {
+		b.counts.ConnectionsRefused++
+		return false
+	}
+	b.conns++
+	b.counts.MostConnections = max(b.counts.MostConnections, b.conns)
+	return true
+}
+
+type limitedConn struct {
+	net.Conn
+	backend *Backend
+	once    sync.Once
+}
+
+func (c *limitedConn) Close() error {
+	c.once.Do(func() {
+		c.backend.mu.Lock()
+		c.backend.conns--
+		c.backend.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/emulator/machine_test.go
@@ -0,0 +1,144 @@
+package emulator
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpitch/internal/commander"
+	"peridotpitch/internal/configurator"
+)
+
+var small = configurator.Resources{Cores: 4, Memory: 8 << 30}
+
+func startCommand(name string, attempt int, d time.Duration, leaseEnd commander.WorkerTime) commander.Command {
+	return commander.Command{
+		Verb: commander.VerbStart, Task: name, Attempt: attempt, Kind: commander.KindBatch, Class: "plain",
+		Declared: configurator.Resources{Cores: 1, Memory: 1 << 30}, Duration: d, LeaseEnd: leaseEnd,
+	}
+}
+
+func quiet() *Interference { return NewInterference(1, 0) }
+
+func state(m *Machine, name string) commander.TaskReport {
+	for _, t := range m.Report().Tasks {
+		if t.Task == name {
+			return t
+		}
+	}
+	return commander.TaskReport{}
+}
+
+// Guards against a stand-in that lets a batch task run past its lease, which would hide
+// jobs that run in two places.
+func TestLeaseEndStopsTaskWithCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := NewMachine(MachineOptions{Name: "w1", Capacity: small, Interference: quiet()})
+		a := m.Apply(1, "e1", []commander.Command{startCommand("j", 1, time.Hour, 2*time.Second)})
+		is.True(a.Accepted && a.Results[0].Done)
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(state(m, "j").State, commander.TaskRunning)
+		time.Sleep(time.Second)
+		s := state(m, "j")
+		is.Equal(s.State, commander.TaskStopped)
+		is.Equal(s.Checkpoint, "work:1.93s") // 2 s, less the start time and the checkpoint time
+		is.Equal(m.Counts().LeasesEnded, 1)
+		rs := m.options.Ledger.Runs()
+		is.Equal(rs[0].Ended.Sub(rs[0].Started), 2*time.Second)
+	})
+}
+
+// Guards against renewals that shorten a lease when they arrive out of order.
+func TestRenewNeverShortens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := NewMachine(MachineOptions{Name: "w1", Capacity: small, Interference: quiet()})
+		m.Apply(1, "e1", []commander.Command{startCommand("j", 1, 3*time.Second, time.Second)})
+		for _, end := range []time.Duration{10 * time.Second, 2 * time.Second} {
+			m.Apply(1, "e1", []commander.Command{{Verb: commander.VerbRenew, Task: "j", Attempt: 1, LeaseEnd: end}})
+		}
+		time.Sleep(4 * time.Second)
+		is.Equal(state(m, "j").State, commander.TaskFinished)
+	})
+}
+
+// Guards against a stand-in that enforces what the product must enforce, or does not
+// count that the product failed to.
+func TestFaultsOfTheProductAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := NewMachine(MachineOptions{Name: "w1", Capacity: small, Interference: quiet()})
+		var cs []commander.Command
+		for _, n := range []string{"a", "b", "c", "d", "e"} {
+			cs = append(cs, startCommand(n, 1, time.Second, time.Minute))
+		}
+		a := m.Apply(1, "e1", cs)
+		is.True(a.Results[4].Done) // beyond the capacity, and yet started
+		is.Equal(m.Counts().Overcommits, 1)
+		m.Apply(1, "e1", []commander.Command{startCommand("a", 1, time.Second, time.Minute)})
+		is.Equal(m.Counts().DoubleStarts, 0) // a repeated command has no effect
+		m.Apply(1, "e1", []commander.Command{startCommand("a", 2, time.Second, time.Minute)})
+		is.Equal(m.Counts().DoubleStarts, 1)
+		time.Sleep(time.Millisecond)
+		is.Equal(len(Violations(m.options.Ledger.Runs(), time.Now())), 1)
+	})
+}
+
+// Guards against commands of an earlier owner, or delayed ones, taking effect.
+func TestEpochAndNotAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := NewMachine(MachineOptions{Name: "w1", Capacity: small})
+		is.True(m.Fence(5, "e2").Accepted)
+		a := m.Apply(4, "e1", []commander.Command{startCommand("j", 1, time.Second, time.Minute)})
+		is.True(!a.Accepted)
+		is.Equal(a.Epoch, uint64(5))
+		time.Sleep(time.Second)
+		c := startCommand("j", 1, time.Second, time.Minute)
+		c.NotAfter = 500 * time.Millisecond
+		is.True(!m.Apply(5, "e2", []commander.Command{c}).Results[0].Done)
+		is.Equal(len(m.Report().Tasks), 0)
+	})
+}
+
+// Guards against a usage report without lag, and against neighbours without effect.
+func TestInterferenceIsReportedWithLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		in := quiet()
+		in.Set("plain", "plain", 4)
+		m := NewMachine(MachineOptions{Name: "w1", Capacity: small, Interference: in, ReportLag: time.Second})
+		m.Apply(1, "e1", []commander.Command{startCommand("a", 1, time.Hour, time.Hour), startCommand("b", 1, time.Hour, time.Hour)})
+		time.Sleep(900 * time.Millisecond)
+		is.Equal(state(m, "a").Slowdown, 0.0) // not measured yet
+		time.Sleep(time.Second)
+		r := m.Report()
+		is.Equal(r.Clock-r.MeasuredAt, time.Second)
+		is.True(r.Tasks[0].Slowdown > 1.1)
+	})
+}
+
+// Guards against a stop that loses the work done since the last checkpoint.
+func TestStopTakesCheckpointAndResumes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := NewMachine(MachineOptions{Name: "w1", Capacity: small, Interference: quiet()})
+		m.Apply(1, "e1", []commander.Command{startCommand("j", 1, 2*time.Second, time.Minute)})
+		time.Sleep(1020 * time.Millisecond)
+		m.Apply(1, "e1", []commander.Command{{Verb: commander.VerbStop, Task: "j", Attempt: 1, Grace: time.Second}})
+		time.Sleep(time.Second)
+		s := state(m, "j")
+		is.Equal(s.Checkpoint, "work:1s")
+		c := startCommand("j", 2, 2*time.Second, time.Minute)
+		c.Checkpoint = s.Checkpoint
+		m.Apply(1, "e1", []commander.Command{c})
+		time.Sleep(1020 * time.Millisecond)
+		rs := m.options.Ledger.Runs()
+		is.Equal(rs[1].State, commander.TaskFinished)
+		is.Equal(rs[1].FromWork, time.Second)
+		is.Equal(Violations(rs, time.Now()), nil)
+	})
+}
--- /dev/null
+++ b/internal/poster/poster.go
@@ -0,0 +1,193 @@
+package poster
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Defaults of Options.
+const (
+	DefaultTimeout         = 2 * time.Second
+	DefaultDialTimeout     = time.Second
+	DefaultMaxConnections  = 64
+	DefaultMaxAnswerSize   = 64 << 20        // bytes
+	defaultMaxIdleDuration = 5 * time.Second // below the idle timeout of usual servers
+)
+
+// Options configures a Poster. Zero fields take the defaults.
+type Options struct {
+	Timeout        time.Duration // of a call whose context has no earlier deadline
+	DialTimeout    time.Duration
+	MaxConnections int
+	MaxAnswerSize  int // bytes
+}
+
+func (o Options) withDefaults() Options {
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	if o.MaxConnections <= 0 {
+		o.MaxConnections = DefaultMaxConnections
+	}
+	if o.MaxAnswerSize <= 0 {
+		o.MaxAnswerSize = DefaultMaxAnswerSize
+	}
+	return o
+}
+
+// Error says how far a failed call got. A call with Sent false certainly had no effect.
+type Error struct {
+	Address netip.AddrPort
+	Path    string
+	Sent    bool // at least one byte of the request was handed to the network
+	Cause   error
+}
+
+func (e *Error) Error() string {
+	sent := "not sent"
+	if e.Sent {
+		sent = "sent"
+	}
+	return fmt.Sprintf("post to %s%s (%s): %v", e.Address, e.Path, sent, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Answer is a complete HTTP answer.
+type Answer struct {
+	Status     int
+	RetryAfter time.Duration // 0 if the answer has none
+	Body       []byte
+}
+
+// Poster sends calls to one address.
+type Poster struct {
+	address netip.AddrPort
+	options Options
+	client  *fasthttp.HostClient
+}
+
+// New returns a Poster and a function that closes its idle connections.
+func New(address netip.AddrPort, o Options) (*Poster, func()) {
+	o = o.withDefaults()
+	p := &Poster{address: address, options: o}
+	p.client = &fasthttp.HostClient{
+		Addr:                address.String(),
+		MaxConns:            o.MaxConnections,
+		MaxIdleConnDuration: defaultMaxIdleDuration,
+		MaxResponseBodySize: o.MaxAnswerSize,
+		DialTimeout: func(addr string, timeout time.Duration) (net.Conn, error) {
+			if timeout <= 0 || timeout > o.DialTimeout {
+				timeout = o.DialTimeout
+			}
+			return net.DialTimeout("tcp", addr, timeout)
+		},
+	}
+	return p, p.client.CloseIdleConnections
+}
+
+// Address returns the address that calls go to.
+func (p *Poster) Address() netip.AddrPort { return p.address }
+
+// Post sends in as JSON once and returns the answer, whatever its status. Errors are
+// of type *Error.
+func (p *Poster) Post(ctx context.Context, path string, in any) (Answer, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return Answer{}, &Error{Address: p.address, Path: path, Cause: fmt.Errorf("encode request: %w", err)}
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.options.Timeout)
+	defer cancel()
+	a, sent, err := p.exchange(ctx, path, body)
+	if err != nil {
+		if c := context.Cause(ctx); c != nil {
+			err = errors.Join(c, err)
+		}
+		return Answer{}, &Error{Address: p.address, Path: path, Sent: sent, Cause: err}
+	}
+	return a, nil
+}
+
+// exchange uses the client's connections directly instead of HostClient.Do, because Do
+// cannot be cancelled and does not tell whether the request was written.
+func (p *Poster) exchange(ctx context.Context, path string, body []byte) (Answer, bool, error) {
+	if err := ctx.Err(); err != nil {
+		return Answer{}, false, err
+	}
+	deadline, _ := ctx.Deadline()
+	cc, err := p.client.AcquireConn(time.Until(deadline), false)
+	if err != nil {
+		return Answer{}, false, err
+	}
+	conn := &countingConn{Conn: cc.Conn()}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	err = p.roundTrip(conn, path, body, resp)
+	if !stop() && err == nil {
+		// The answer was complete before the call was abandoned; the connection is
+		// closed all the same.
+		p.client.CloseConn(cc)
+		return answerOf(resp), true, nil
+	}
+	if err != nil || resp.ConnectionClose() {
+		p.client.CloseConn(cc)
+	} else {
+		p.client.ReleaseConn(cc)
+	}
+	if err != nil {
+		return Answer{}, conn.written > 0, err
+	}
+	return answerOf(resp), true, nil
+}
+
+func (p *Poster) roundTrip(conn net.Conn, path string, body []byte, resp *fasthttp.Response) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(path)
+	req.Header.SetHost(p.client.Addr)
+	req.Header.SetContentType("application/json")
+	req.SetBodyRaw(body)
+	bw := bufio.NewWriter(conn)
+	if err := req.Write(bw); err != nil {
+		return err
+	}
+	if err := bw.Flush(); err != nil {
+		return err
+	}
+	return resp.ReadLimitBody(bufio.NewReader(conn), p.options.MaxAnswerSize)
+}
+
+func answerOf(resp *fasthttp.Response) Answer {
+	a := Answer{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+	if s, err := strconv.ParseFloat(string(resp.Header.Peek("Retry-After")), 64); err == nil && s > 0 {
+		a.RetryAfter = time.Duration(s * float64(time.Second))
+	}
+	return a
+}
+
+// countingConn counts the bytes that the network accepted.
+type countingConn struct {
+	net.Conn
+	written int
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written += n
+	return n, err
+}
