--- a/internal/scheduler/work.go
+++ b/internal/scheduler/work.go
@@ -203,6 +203,9 @@
 				continue
 			}
 		}
+		if t != nil && s.finishedUnseen(t, tr) {
+			s.finish(t, JobFinished, "finished on "+w.name+" while it was silent", now)
+		}
 		key := strayKey(tr)
 		o := w.foreign[key]
 		if o == nil {
@@ -218,6 +221,13 @@
 	return strays
 }
 
+// finishedUnseen reports whether an earlier attempt finished on a worker that counted as
+// lost, before the next attempt was started.
+func (s *Shard) finishedUnseen(t *task, tr commander.TaskReport) bool {
+	return t.kind == commander.KindBatch && tr.State == commander.TaskFinished && tr.Attempt <= t.Attempt &&
+		!t.sent && (t.State == JobPending || t.State == JobStarting)
+}
+
 func strayKey(tr commander.TaskReport) string { return tr.Task + "\x00" + strconv.Itoa(tr.Attempt) }
 
 // adoptable reports whether a reported task is a later attempt of a job than the
