Shorten loop variables

Cause: the coding style gives loop variables one or two letters. Change: renamed; one corrupt value in a test is written out. Result: scripts/test.sh passes.

--- a/internal/commandline/operate.go
+++ b/internal/commandline/operate.go
@@ -313,8 +313,8 @@
 	row(w, "SHARD", "OWNER", "EPOCH", "JOBS")
 	for _, h := range s.Shards {
 		var jobs []string
-		for _, state := range slices.Sorted(maps.Keys(h.Jobs)) {
-			jobs = append(jobs, fmt.Sprintf("%d %s", h.Jobs[state], state))
+		for _, st := range slices.Sorted(maps.Keys(h.Jobs)) {
+			jobs = append(jobs, fmt.Sprintf("%d %s", h.Jobs[st], st))
 		}
 		row(w, h.Name, h.Owner, h.Epoch, strings.Join(jobs, ", "))
 	}
--- a/internal/commandline/run_test.go
+++ b/internal/commandline/run_test.go
@@ -94,12 +94,12 @@
 	if got, err := readKeyFile(path); err != nil || !got.Equal(key) {
 		t.Errorf("read back: %v", err)
 	}
-	for _, mode := range []os.FileMode{0o640, 0o604, 0o700} {
-		if err := os.Chmod(path, mode); err != nil {
+	for _, m := range []os.FileMode{0o640, 0o604, 0o700} {
+		if err := os.Chmod(path, m); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := readKeyFile(path); err == nil {
-			t.Errorf("mode %o accepted", mode)
+			t.Errorf("mode %o accepted", m)
 		}
 	}
 }
@@ -127,8 +127,8 @@
 
 func newBackend() *backend {
 	keys := configurator.Keys{}
-	for name, seed := range map[string]byte{"ana": 1, "ben": 2} {
-		keys[name] = ed25519.NewKeyFromSeed(bytes.Repeat([]byte{seed}, ed25519.SeedSize)).Public().(ed25519.PublicKey)
+	for n, s := range map[string]byte{"ana": 1, "ben": 2} {
+		keys[n] = ed25519.NewKeyFromSeed(bytes.Repeat([]byte{s}, ed25519.SeedSize)).Public().(ed25519.PublicKey)
 	}
 	b := &backend{entries: map[string]storer.Entry{}}
 	b.publisher = publisher.NewPublisher(b, keys, "sampaloc-1/process-1", func() time.Time { return noon })
--- a/internal/configurator/adopter_test.go
+++ b/internal/configurator/adopter_test.go
@@ -82,14 +82,14 @@
 	text, err := EncodePrivateKey(key)
 	is.NoErr(err)
 	seed := base64.StdEncoding.EncodeToString(key.Seed())
-	for _, form := range []string{string(text), seed + "\n", base64.StdEncoding.EncodeToString(key)} {
-		got, err := DecodePrivateKey([]byte(form))
+	for _, f := range []string{string(text), seed + "\n", base64.StdEncoding.EncodeToString(key)} {
+		got, err := DecodePrivateKey([]byte(f))
 		is.NoErr(err)
 		is.True(got.Equal(key))
 	}
 	mixed := append(key.Seed(), testKey('b')[ed25519.SeedSize:]...)
-	for _, form := range []string{"", seed[:20], "no key", base64.StdEncoding.EncodeToString(mixed), strings.ReplaceAll(string(text), "PRIVATE", "PUBLIC")} {
-		_, err := DecodePrivateKey([]byte(form))
+	for _, f := range []string{"", seed[:20], "no key", base64.StdEncoding.EncodeToString(mixed), strings.ReplaceAll(string(text), "PRIVATE", "PUBLIC")} {
+		_, err := DecodePrivateKey([]byte(f))
 		is.True(err != nil)
 	}
 	public, err := DecodePublicKey(EncodePublicKey(key.Public().(ed25519.PublicKey)))
--- a/internal/configurator/check.go
+++ b/internal/configurator/check.go
@@ -46,11 +46,11 @@
 // faulty ones are reported elsewhere.
 func (k *checker) given(kind, name string, keys ...string) bool {
 	header := Section{Kind: kind, Name: name}.Header()
-	for _, key := range keys {
-		if _, ok := k.lines[position{kind, name, key}]; !ok {
+	for _, y := range keys {
+		if _, ok := k.lines[position{kind, name, y}]; !ok {
 			return false
 		}
-		if slices.ContainsFunc(k.single, func(f Fault) bool { return f.Section == header && f.Key == key }) {
+		if slices.ContainsFunc(k.single, func(f Fault) bool { return f.Section == header && f.Key == y }) {
 			return false
 		}
 	}
--- a/internal/configurator/parse_test.go
+++ b/internal/configurator/parse_test.go
@@ -129,13 +129,13 @@
 // Guards against sizes that overflow or lose bytes.
 func TestSizes(t *testing.T) {
 	is := is.New(t)
-	for text, want := range map[string]int64{"125GB": 125e9, "512MB": 512e6, "1B": 1, "0B": 0, "9223372TB": 9223372e12} {
-		got, err := ParseSize(text)
+	for s, w := range map[string]int64{"125GB": 125e9, "512MB": 512e6, "1B": 1, "0B": 0, "9223372TB": 9223372e12} {
+		got, err := ParseSize(s)
 		is.NoErr(err)
-		is.Equal(got, want)
+		is.Equal(got, w)
 	}
-	for _, text := range []string{"", "GB", "1", "-1GB", "1.5GB", "1 GB", "9223373TB", "1gb", "+1GB"} {
-		_, err := ParseSize(text)
+	for _, s := range []string{"", "GB", "1", "-1GB", "1.5GB", "1 GB", "9223373TB", "1gb", "+1GB"} {
+		_, err := ParseSize(s)
 		is.True(err != nil) // malformed or too large
 	}
 	is.Equal(FormatSize(math.MaxInt64), "9223372036854775807B")
--- a/internal/configurator/registry.go
+++ b/internal/configurator/registry.go
@@ -186,8 +186,8 @@
 
 func setInstances(s *Service, text string) error {
 	instances := map[string]int{}
-	for part := range strings.SplitSeq(text, ",") {
-		name, count, _ := strings.Cut(part, ":")
+	for p := range strings.SplitSeq(text, ",") {
+		name, count, _ := strings.Cut(p, ":")
 		name = strings.Trim(name, " \t")
 		n, err := strconv.ParseUint(strings.Trim(count, " \t"), 10, 31)
 		if err != nil || n > maxInstances || !namePattern.MatchString(name) {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -142,15 +142,15 @@
 		}
 	}
 	addresses := map[netip.AddrPort]string{}
-	for _, peer := range p.s.Peers {
-		s := configurator.Section{Kind: peerTable.Kind, Name: peer.Name}
-		if peer.Name == p.s.Name {
+	for _, q := range p.s.Peers {
+		s := configurator.Section{Kind: peerTable.Kind, Name: q.Name}
+		if q.Name == p.s.Name {
 			p.fault(s, "", "other entry hosts", "this entry host is listed as its own peer")
 		}
-		if first, ok := addresses[peer.Address]; ok && peer.Address.IsValid() {
-			p.fault(s, "Address", "an address of its own", "%s also belongs to %q", peer.Address, first)
+		if first, ok := addresses[q.Address]; ok && q.Address.IsValid() {
+			p.fault(s, "Address", "an address of its own", "%s also belongs to %q", q.Address, first)
 		}
-		addresses[peer.Address] = peer.Name
+		addresses[q.Address] = q.Name
 	}
 	p.checkKeys()
 }
@@ -158,12 +158,12 @@
 // checkKeys refuses a key under two names: the history could not tell who applied.
 func (p *parser) checkKeys() {
 	owners := map[string]string{}
-	for _, name := range slices.Sorted(maps.Keys(p.s.OperatorKeys)) {
-		text := configurator.EncodePublicKey(p.s.OperatorKeys[name])
+	for _, n := range slices.Sorted(maps.Keys(p.s.OperatorKeys)) {
+		text := configurator.EncodePublicKey(p.s.OperatorKeys[n])
 		if first, ok := owners[text]; ok {
-			p.fault(configurator.Section{Kind: operatorKeyTable.Kind, Name: name}, "PublicKey", "a key of its own", "key also belongs to %q", first)
+			p.fault(configurator.Section{Kind: operatorKeyTable.Kind, Name: n}, "PublicKey", "a key of its own", "key also belongs to %q", first)
 		}
-		owners[text] = name
+		owners[text] = n
 	}
 }
 
@@ -185,9 +185,9 @@
 	for _, p := range peers {
 		sections = append(sections, configurator.Section{Kind: peerTable.Kind, Name: p.Name, Entries: peerTable.Entries(&p)})
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.OperatorKeys)) {
-		k := operatorKey{name, s.OperatorKeys[name]}
-		sections = append(sections, configurator.Section{Kind: operatorKeyTable.Kind, Name: name, Entries: operatorKeyTable.Entries(&k)})
+	for _, n := range slices.Sorted(maps.Keys(s.OperatorKeys)) {
+		k := operatorKey{n, s.OperatorKeys[n]}
+		sections = append(sections, configurator.Section{Kind: operatorKeyTable.Kind, Name: n, Entries: operatorKeyTable.Entries(&k)})
 	}
 	sections = append(sections,
 		configurator.Section{Kind: logTable.Kind, Entries: logTable.Entries(&s)},
--- a/internal/loader/tables.go
+++ b/internal/loader/tables.go
@@ -82,8 +82,8 @@
 }
 
 func setLevel(s *Settings, text string) error {
-	for l, name := range levelNames {
-		if name == text {
+	for l, n := range levelNames {
+		if n == text {
 			s.LogLevel = l
 			return nil
 		}
--- a/internal/publisher/follower_test.go
+++ b/internal/publisher/follower_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -170,7 +169,7 @@
 // Guards against a corrupt or unverifiable value that is adopted, overwritten, or logged
 // at every read; the last good configuration stays in effect.
 func TestCorruptStoreValue(t *testing.T) {
-	for _, value := range []string{"not JSON", strings.Replace(`{"Generation":2,"Text":"x","Signature":"YWJj","Key":"ana"}`, "x", "[X]", 1)} {
+	for _, v := range []string{"not JSON", `{"Generation":2,"Text":"[X]","Signature":"YWJj","Key":"ana"}`} {
 		simulate(t, func(ctx context.Context, is *is.I) {
 			s := newFakeStore()
 			publisher := NewPublisher(s, keys, "writer", time.Now)
@@ -180,14 +179,14 @@
 			time.Sleep(time.Second)
 			e, err := s.Get(ctx, CurrentKey)
 			is.NoErr(err)
-			_, _, err = s.CompareAndSwap(ctx, CurrentKey, e.Revision, []byte(value))
+			_, _, err = s.CompareAndSwap(ctx, CurrentKey, e.Revision, []byte(v))
 			is.NoErr(err)
 			_, err = publisher.Apply(ctx, submission(2, "second"))
 			is.True(err != nil) // an application does not overwrite it
 			time.Sleep(time.Minute)
 			e, err = s.Get(ctx, CurrentKey)
 			is.NoErr(err)
-			is.Equal(string(e.Value), value)
+			is.Equal(string(e.Value), v)
 			is.Equal(h.generations(), []uint64{1})
 			is.Equal(h.logged("configuration refused"), 1)
 		})
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -88,8 +88,8 @@
 // Guards against a lost answer that is taken for a failure or a success without looking,
 // also if the write takes effect late or was already replaced.
 func TestApplyLostAnswer(t *testing.T) {
-	for _, way := range []lostWay{lostAfterEffect, lostBeforeEffect, lostLate} {
-		t.Run(string(way), func(t *testing.T) {
+	for _, w := range []lostWay{lostAfterEffect, lostBeforeEffect, lostLate} {
+		t.Run(string(w), func(t *testing.T) {
 			simulate(t, func(ctx context.Context, is *is.I) {
 				s := newFakeStore()
 				lose := true
@@ -98,7 +98,7 @@
 						return ""
 					}
 					lose = false
-					return way
+					return w
 				}
 				applied, err := NewPublisher(s, keys, "writer", time.Now).Apply(ctx, submission(1, "first"))
 				is.NoErr(err)
@@ -200,9 +200,9 @@
 // explains: two winners of one generation, a loser told of a winner that never was in
 // effect, or a lost answer reported the wrong way.
 func TestApplyLinearizable(t *testing.T) {
-	for seed := range uint64(20) {
+	for n := range uint64(20) {
 		simulate(t, func(ctx context.Context, is *is.I) {
-			random := rand.New(rand.NewPCG(seed, 2))
+			random := rand.New(rand.NewPCG(n, 2))
 			s := newFakeStore()
 			s.delay = func() time.Duration { return time.Duration(random.Int64N(int64(300 * time.Millisecond))) }
 			s.loseAnswer = func(string) lostWay {
@@ -212,15 +212,15 @@
 			var mu sync.Mutex
 			var history []porcupine.Operation
 			var operators sync.WaitGroup
-			for client := range 4 {
+			for k := range 4 {
 				operators.Go(func() {
-					p := NewPublisher(s, keys, fmt.Sprint("writer-", client), time.Now)
+					p := NewPublisher(s, keys, fmt.Sprint("writer-", k), time.Now)
 					for i := range 5 {
 						var replaces uint64
 						if b, err := readCurrent(ctx, s, keys); err == nil {
 							replaces = b.record.Generation
 						}
-						operator := fmt.Sprintf("%d at %d", client, i)
+						operator := fmt.Sprintf("%d at %d", k, i)
 						call := clock.Add(1)
 						_, err := p.Apply(ctx, submission(replaces+1, operator))
 						end := clock.Add(1)
@@ -237,7 +237,7 @@
 							out.known, end = false, int64(1)<<40 // may take effect at any later time
 						}
 						mu.Lock()
-						history = append(history, porcupine.Operation{ClientId: client, Input: applyInput{replaces, operator}, Call: call, Output: out, Return: end})
+						history = append(history, porcupine.Operation{ClientId: k, Input: applyInput{replaces, operator}, Call: call, Output: out, Return: end})
 						mu.Unlock()
 					}
 				})
@@ -250,7 +250,7 @@
 			history = append(history, porcupine.Operation{ClientId: 4, Input: applyInput{}, Call: clock.Add(1),
 				Output: applyOutput{known: true, generation: b.record.Generation, winner: b.record.AppliedBy}, Return: clock.Add(1)})
 			if !porcupine.CheckOperations(applyModel, history) {
-				t.Errorf("seed %d: history of %d operations is not linearizable", seed, len(history))
+				t.Errorf("seed %d: history of %d operations is not linearizable", n, len(history))
 			}
 			is.True(len(history) > 5 && b.record.Generation > 1) // the race was exercised
 		})
--- a/pkg/composer/composition_test.go
+++ b/pkg/composer/composition_test.go
@@ -33,9 +33,9 @@
 	again, err := small(4).Text()
 	is.NoErr(err)
 	is.Equal(string(text), string(again))
-	for _, want := range []string{"Generation = 5\nReplaces = 4\n", "Slots = 8\nConnections = 64\n", "MaxAttempts = 5\n", "Share = 1\n", "OwnershipTtl = 3s\n",
+	for _, w := range []string{"Generation = 5\nReplaces = 4\n", "Slots = 8\nConnections = 64\n", "MaxAttempts = 5\n", "Share = 1\n", "OwnershipTtl = 3s\n",
 		"[Worker \"haskovo-w-3\"]\nFailureDomain = Haskovo\nRack = haskovo-w-rack-2\nShard = 1\nAddress = 10.4.1.3:7200\n", "Address = 10.4.0.255:7100\n"} {
-		is.True(strings.Contains(string(text), want)) // want is printed
+		is.True(strings.Contains(string(text), w)) // w is printed
 	}
 }
 
