Compare heartbeats' generations at a start without the store

Cause: a host that restarts in a store outage next to a peer that was partitioned, while the up-to-date peer of its failure domain is gone, took the old configuration although heartbeats from other failure domains carried a higher generation. Result: go test -race passes. With one mechanism off at a time: - Seen wakes the fetch before the first adoption: TestStartWithoutStoreTakesHighest fails. - askPeers ignores missing peers: TestStartWithoutStoreTakesHighest/one_is_late fails. - askPeers asks its failure domain only: .../another_failure_domain_has_it fails.

--- a/internal/publisher/follower.go
+++ b/internal/publisher/follower.go
@@ -112,14 +112,15 @@
 // does not block.
 func (f *Follower) Seen(peer string, generation uint64) {
 	f.state.Lock()
-	// Before the first adoption a single peer's generation may be an old one; the start
-	// asks all peers instead.
-	higher := f.parsed != nil && generation > f.record.Generation
+	higher := generation > f.record.Generation
 	if higher {
 		f.wanted[peer] = generation
 	}
+	// Before the first adoption a single peer's generation may be an old one: the start
+	// then compares the answers of several peers.
+	starting := f.parsed == nil
 	f.state.Unlock()
-	if !higher {
+	if !higher || starting {
 		return
 	}
 	select {
@@ -295,24 +296,28 @@
 	f.options.Log.Warn(message, "source", source, "generation", generation, "in_effect", f.adopter.Generation(), "error", err)
 }
 
-// askPeers asks all peers of the failure domain and adopts the highest valid generation
-// if all of them answered, or if patience has ended among those that did.
+// askPeers asks all peers of the failure domain, and those whose heartbeats carry a
+// generation. It adopts the highest valid generation if all of the failure domain
+// answered and no heartbeat carried a higher one, or when patience has ended.
 func (f *Follower) askPeers(ctx context.Context, patienceEnded bool) {
+	wanted := f.takeWanted()
 	var peers []Peer
+	var announced uint64
 	for _, p := range f.options.Peers() {
-		if p.SameFailureDomain {
+		if g := wanted[p.Name]; p.SameFailureDomain || g > 0 {
 			peers = append(peers, p)
+			announced = max(announced, g)
 		}
 	}
 	records, missing := f.fetchAll(ctx, peers)
-	if missing > 0 && !patienceEnded {
-		return
-	}
 	f.order.Lock()
 	defer f.order.Unlock()
 	if f.adopter.Generation() > 0 {
 		return // the watch was faster
 	}
+	if !patienceEnded && (missing || highest(records) < announced) {
+		return
+	}
 	c, err := f.adopter.OfferAll(records)
 	if c == nil {
 		if err != nil {
@@ -324,8 +329,17 @@
 	f.adopted(r, c, "peers at start")
 }
 
-// fetchAll returns the records of the peers and the number of peers without an answer.
-func (f *Follower) fetchAll(ctx context.Context, peers []Peer) ([]configurator.Record, int) {
+func highest(rs []configurator.Record) uint64 {
+	var g uint64
+	for _, r := range rs {
+		g = max(g, r.Generation)
+	}
+	return g
+}
+
+// fetchAll returns the records of the peers, and whether one of the failure domain did
+// not answer.
+func (f *Follower) fetchAll(ctx context.Context, peers []Peer) ([]configurator.Record, bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	answers := make([]configurator.Record, len(peers))
@@ -340,13 +354,12 @@
 	}
 	_ = g.Wait() // the functions return no error
 	var records []configurator.Record
-	missing := 0
-	for i, ok := range answered {
-		if !ok {
-			missing++
-		} else if answers[i].Generation > 0 {
+	missing := false
+	for i, p := range peers {
+		if answered[i] && answers[i].Generation > 0 {
 			records = append(records, answers[i])
 		}
+		missing = missing || p.SameFailureDomain && !answered[i]
 	}
 	return records, missing
 }
--- a/internal/publisher/follower_test.go
+++ b/internal/publisher/follower_test.go
@@ -146,6 +146,7 @@
 	}{
 		{"all answer", &fakePeer{record: record(7, "fresh"), delay: time.Second}, []uint64{7}, 3 * time.Second},
 		{"one is late", &fakePeer{record: record(7, "fresh"), failures: 1}, []uint64{7}, 6 * time.Second},
+		{"another failure domain has it", &fakePeer{failures: 1000}, []uint64{8}, 10 * time.Second},
 		{"one is gone", &fakePeer{failures: 1000}, []uint64{5}, 10 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -158,6 +159,9 @@
 					Peer{"elsewhere", false, &fakePeer{record: record(8, "elsewhere")}})
 				for range 20 {
 					h.Seen("stale", 5)
+					if c.want[0] == 8 {
+						h.Seen("elsewhere", 8)
+					}
 					time.Sleep(c.after / 20)
 				}
 				is.Equal(h.generations(), c.want)
