--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -239,7 +239,7 @@
 		in.abandoned = append(in.abandoned, h.deadline.Add(AbandonMargin))
 		in.observe(now.Sub(h.picked), now)
 	}
-	if o.SlotsUsed >= 0 && o.Kind != OutcomeAbandoned {
+	if o.SlotsUsed >= 0 && (o.Kind == OutcomeAnswered || o.Kind == OutcomeNotRun) {
 		in.hint = hint{others: max(0, o.SlotsUsed-1-len(in.held)), at: now}
 	}
 	if !in.present && in.used(now) == 0 {
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -83,6 +83,7 @@
 const (
 	OutcomeAnswered  OutcomeKind = "answered"  // complete response; the slot is free
 	OutcomeNotRun    OutcomeKind = "not-run"   // nothing written, or rejected by the instance; the slot is free
+	OutcomeUnused    OutcomeKind = "unused"    // no attempt was made; the slot is free
 	OutcomeAbandoned OutcomeKind = "abandoned" // may still run; the slot stays used until the deadline plus AbandonMargin
 )
 
