Wire one entry host

Cause: the packages need one process around them, so that a request and a job can pass. Change: internal/server assembles transports, decisions and loops: heartbeats, host list, endpoints, slot grants, operators, graceful shutdown. cmd/peridotpitch serve runs it. Heartbeats carry a sequence and the age of the process, because the allocator must not take a delayed report or a restarted process for proof that slots are free.

--- a/cmd/peridotpitch/main.go
+++ b/cmd/peridotpitch/main.go
@@ -3,13 +3,13 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"peridotpitch/internal/commandline"
 	"peridotpitch/internal/loader"
+	"peridotpitch/internal/server"
 )
 
 // version is set by the linker.
@@ -31,7 +31,6 @@
 	})
 }
 
-// serve is replaced by internal/server.Run.
-func serve(context.Context, loader.Settings) error {
-	return errors.New("this build contains no server")
+func serve(ctx context.Context, s loader.Settings) error {
+	return server.Run(ctx, s, version)
 }
--- a/internal/messenger/encoding_test.go
+++ b/internal/messenger/encoding_test.go
@@ -75,7 +75,7 @@
 // seeds are one full message for each fuzz target.
 var seeds = map[string]any{
 	"FuzzHeartbeat": Heartbeat{
-		Identity: Identity{Host: "e1", FailureDomain: "malolos", Incarnation: "e1-1", Generation: 4, InEffectFor: time.Second, LeavingHosts: []string{"e3"}},
+		Identity: Identity{Host: "e1", FailureDomain: "malolos", Incarnation: "e1-1", Generation: 4, InEffectFor: time.Second, Notices: []HostNotice{{Host: "w1", Source: SourcePlatform, Leaving: true, Version: 3}}},
 		Claims:   []ShardClaim{{Shard: "malolos/a", Epoch: 2, Kinds: []TenureKind{TenurePlacing, TenureRunning}}},
 		Demand:   []SlotDemand{{Instance: "quotes-1", InUse: 1, Wanted: 3}},
 	},
--- a/internal/messenger/message.go
+++ b/internal/messenger/message.go
@@ -24,8 +24,9 @@
 type Identity struct {
 	Host          string
 	FailureDomain string
-	Incarnation   string // unique for each process
-	Generation    uint64 // of the configuration in effect
+	Incarnation   string        // unique for each process
+	RunningFor    time.Duration // age of the process
+	Generation    uint64        // of the configuration in effect
 	InEffectFor   time.Duration
 	Leaving       bool
 	Notices       []HostNotice // what the sender knows of leaving hosts
@@ -97,8 +98,9 @@
 // Heartbeat is sent periodically to each other entry host.
 type Heartbeat struct {
 	Identity
-	Claims []ShardClaim
-	Demand []SlotDemand
+	Sequence uint64 // increases with each heartbeat of an incarnation
+	Claims   []ShardClaim
+	Demand   []SlotDemand
 }
 
 // HeartbeatAnswer answers a Heartbeat.
--- /dev/null
+++ b/internal/server/jobs.go
@@ -0,0 +1,135 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"peridotpitch/internal/administrator"
+	"peridotpitch/internal/configurator"
+	"peridotpitch/internal/messenger"
+	"peridotpitch/internal/proprietor"
+	"peridotpitch/internal/scheduler"
+)
+
+// unknownHostError says that no entry host of that name is known.
+type unknownHostError struct{ Host string }
+
+func (e *unknownHostError) Error() string { return fmt.Sprintf("entry host %q is not known", e.Host) }
+
+func notSent(err error) bool {
+	var e *messenger.NotSentError
+	var u *unknownHostError
+	return errors.As(err, &e) || errors.As(err, &u)
+}
+
+// shardOwner returns the host that most likely owns the shard: this host, else the one
+// that claimed it in its last heartbeat, else the one in the journal.
+func (h *host) shardOwner(shard string) string {
+	if owner := h.owner.Owner(shard); owner == h.settings.Name {
+		return owner
+	} else if claimant := h.endpoints.claimant(shard); claimant != "" {
+		return claimant
+	} else {
+		return owner
+	}
+}
+
+// atOwner calls local if this host owns the job's shard, else remote with the owner's
+// link. It follows one redirection, because the known owner may be out of date.
+func (h *host) atOwner(job string, local func() (messenger.JobAnswer, error), remote func(*link) (messenger.JobAnswer, error)) (messenger.JobAnswer, error) {
+	shard := h.owner.HomeShard(job)
+	if shard == "" {
+		return messenger.JobAnswer{}, &administrator.Error{Code: administrator.CodeUnavailable, Message: "no configuration is in effect"}
+	}
+	owner := h.shardOwner(shard)
+	if owner == h.settings.Name {
+		a, err := local()
+		var moved *proprietor.NotOwnerError
+		if !errors.As(err, &moved) {
+			return a, err
+		}
+		owner = moved.Owner
+	}
+	l, ok := h.peers.get(owner)
+	if !ok {
+		return messenger.JobAnswer{}, &administrator.Error{Code: administrator.CodeUnavailable,
+			Message: fmt.Sprintf("shard %s has no known owner at the moment; repeat the request later", shard)}
+	}
+	a, err := remote(l)
+	if err != nil && notSent(err) {
+		return a, &administrator.Error{Code: administrator.CodeUnavailable,
+			Message: fmt.Sprintf("owner %s of shard %s cannot be reached; repeat the request later", owner, shard)}
+	}
+	if err != nil {
+		return a, &administrator.Error{Code: administrator.CodeUnknownOutcome,
+			Message: fmt.Sprintf("owner %s of shard %s gave no answer: %s; the request is idempotent, repeat it", owner, shard, err)}
+	}
+	return a, nil
+}
+
+func (h *host) submit(ctx context.Context, spec scheduler.JobSpec) (messenger.JobAnswer, error) {
+	return h.atOwner(spec.Name,
+		func() (messenger.JobAnswer, error) { return h.owner.Submit(ctx, spec) },
+		func(l *link) (messenger.JobAnswer, error) { return l.client.SubmitJob(ctx, spec) })
+}
+
+func (h *host) cancel(ctx context.Context, name string) (messenger.JobAnswer, error) {
+	return h.atOwner(name,
+		func() (messenger.JobAnswer, error) { return h.owner.Cancel(ctx, name) },
+		func(l *link) (messenger.JobAnswer, error) { return l.client.CancelJob(ctx, name) })
+}
+
+// peerHandler serves the messages of other entry hosts.
+type peerHandler struct{ h *host }
+
+var _ messenger.Handler = peerHandler{}
+
+func (p peerHandler) Exchange(_ context.Context, m messenger.Heartbeat) (messenger.HeartbeatAnswer, error) {
+	return p.h.exchange(m), nil
+}
+
+func (p peerHandler) Forward(ctx context.Context, m messenger.ForwardRequest) (messenger.ForwardAnswer, error) {
+	return p.h.dispatcher.Forwarded(ctx, m), nil
+}
+
+// jobAnswer turns a change of owner into a refusal: the asking host looks the owner up
+// again on the next try.
+func jobAnswer(a messenger.JobAnswer, err error) (messenger.JobAnswer, error) {
+	var moved *proprietor.NotOwnerError
+	if errors.As(err, &moved) {
+		return messenger.JobAnswer{Reason: moved.Error()}, nil
+	}
+	return a, err
+}
+
+func (p peerHandler) SubmitJob(ctx context.Context, m scheduler.JobSpec) (messenger.JobAnswer, error) {
+	return jobAnswer(p.h.owner.Submit(ctx, m))
+}
+
+func (p peerHandler) CancelJob(ctx context.Context, name string) (messenger.JobAnswer, error) {
+	return jobAnswer(p.h.owner.Cancel(ctx, name))
+}
+
+func (p peerHandler) ListJobs(_ context.Context, m messenger.ListRequest) ([]scheduler.JobStatus, error) {
+	return p.h.owner.List(m), nil
+}
+
+func (p peerHandler) Explain(_ context.Context, id string) (messenger.ExplainAnswer, error) {
+	return p.h.explainHere(id), nil
+}
+
+func (p peerHandler) Drain(_ context.Context, host string, undo bool) error {
+	p.h.members.Mark(host, messenger.SourceOperator, !undo)
+	return nil
+}
+
+func (p peerHandler) FetchConfiguration(context.Context) (configurator.Record, error) {
+	a := p.h.configuration.Load()
+	if a == nil {
+		return configurator.Record{}, errNoConfiguration
+	}
+	return a.record, nil
+}
+
+var errNoConfiguration = errors.New("no configuration is in effect on this host")
--- /dev/null
+++ b/internal/server/records.go
@@ -0,0 +1,54 @@
+package server
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"peridotpitch/internal/dispatcher"
+	"peridotpitch/internal/messenger"
+	"peridotpitch/internal/recorder"
+)
+
+// signedBy returns the generation in effect and the key that signed it.
+func (h *host) signedBy() (uint64, string) {
+	a := h.configuration.Load()
+	if a == nil {
+		return 0, ""
+	}
+	return a.record.Generation, a.record.Key
+}
+
+// recordScheduling keeps the record of a decision about a job, task or worker.
+func (h *host) recordScheduling(r recorder.Record) {
+	r.Generation, r.SignedBy = h.signedBy()
+	h.records.Add(r)
+}
+
+// requestRecorder keeps the records of decisions about requests.
+type requestRecorder struct{ h *host }
+
+func (r requestRecorder) Record(d dispatcher.Decision) {
+	generation, key := r.h.signedBy()
+	rec := recorder.Record{
+		Time: d.At, Kind: recorder.Kind(d.Kind), Request: d.Request, Subject: d.Service, Cause: d.Cause, Rule: d.Rule,
+		Outcome: d.Result, Generation: generation, SignedBy: key,
+	}
+	for _, c := range d.Candidates {
+		rec.Candidates = append(rec.Candidates, recorder.Candidate{
+			Name: c.Instance, Figures: []recorder.Figure{{Name: "Cost", Value: c.Cost}}, Rejected: c.Note,
+		})
+	}
+	r.h.records.Add(rec)
+}
+
+// explainHere renders this host's records about an identity.
+func (h *host) explainHere(id string) messenger.ExplainAnswer {
+	rs := h.records.Explain(id)
+	slices.SortStableFunc(rs, func(a, b recorder.Record) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
+	a := messenger.ExplainAnswer{Host: h.settings.Name}
+	for _, r := range rs {
+		a.Records = append(a.Records, r.Time.UTC().Format(time.RFC3339Nano)+" "+recorder.Render(r))
+	}
+	return a
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,398 @@
+package server
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	crand "crypto/rand"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"golang.org/x/sync/errgroup"
+
+	"peridotpitch/internal/administrator"
+	"peridotpitch/internal/commander"
+	"peridotpitch/internal/configurator"
+	"peridotpitch/internal/dispatcher"
+	"peridotpitch/internal/forwarder"
+	"peridotpitch/internal/limiter"
+	"peridotpitch/internal/loader"
+	"peridotpitch/internal/messenger"
+	"peridotpitch/internal/proprietor"
+	"peridotpitch/internal/publisher"
+	"peridotpitch/internal/receiver"
+	"peridotpitch/internal/recorder"
+	"peridotpitch/internal/registrar"
+	"peridotpitch/internal/router"
+	"peridotpitch/internal/storer"
+)
+
+const (
+	// hostListInterval is how often the platform's host list is read. Eight hosts use 4
+	// of the store's 2,000 reads a second, and a leaving host is seen within 2 s.
+	hostListInterval = 2 * time.Second
+	// refreshInterval is how often endpoints, grants and leaving hosts are passed on
+	// inside the process.
+	refreshInterval = 250 * time.Millisecond
+	// balancerDelay is how long a leaving host goes on accepting requests, so that the
+	// balancer sees that it is not ready and stops sending.
+	balancerDelay = 3 * time.Second
+)
+
+// host is one running entry host.
+type host struct {
+	settings    loader.Settings
+	version     string
+	incarnation string
+	started     time.Time
+	log         *slog.Logger
+	registry    *prometheus.Registry
+
+	store      storer.Store
+	members    *registrar.Registrar
+	records    *recorder.Recorder
+	follower   *publisher.Follower
+	publisher  *publisher.Publisher
+	owner      *proprietor.Proprietor
+	dispatcher *dispatcher.Dispatcher
+	forwarder  *forwarder.Forwarder
+	peers      *peerTable
+	endpoints  *endpointTable
+	grants     *granter
+
+	configuration atomic.Pointer[adopted]
+	leaving       atomic.Bool
+	storeDown     atomic.Bool
+	requests      atomic.Uint64
+	sequence      atomic.Uint64
+}
+
+// adopted is the configuration in effect on this host.
+type adopted struct {
+	record configurator.Record
+	parsed *configurator.Configuration
+	since  time.Time
+}
+
+// Run runs an entry host until ctx ends and then shuts it down gracefully. version is
+// what status shows.
+func Run(ctx context.Context, s loader.Settings, version string) error {
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: s.LogLevel})).With("Host", s.Name)
+	h, cleanup, err := newHost(s, version, log)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	return h.run(ctx)
+}
+
+func newHost(s loader.Settings, version string, log *slog.Logger) (*host, func(), error) {
+	var closers []func()
+	cleanup := func() {
+		for i := len(closers) - 1; i >= 0; i-- {
+			closers[i]()
+		}
+	}
+	h := &host{
+		settings: s, version: version, incarnation: newIncarnation(), started: time.Now(), log: log,
+		registry: prometheus.NewRegistry(), members: registrar.New(),
+		endpoints: newEndpointTable(), grants: newGranter(s.Name),
+	}
+	h.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+
+	store, closeStore := storer.NewClient(s.StoreAddress, storer.Options{Timeout: s.Limits.StoreTimeout})
+	closers = append(closers, closeStore)
+	h.store = &storeProbe{Store: store, down: &h.storeDown}
+	workers, closeWorkers := commander.NewClient(commander.Options{})
+	closers = append(closers, closeWorkers)
+
+	records, closeRecords, err := recorder.New(recorder.Options{MaxRecords: s.Limits.MaxDecisionRecords}, log, h.registry)
+	if err != nil {
+		cleanup()
+		return nil, nil, merry.Prepend(err, "decision records")
+	}
+	closers = append(closers, closeRecords)
+	h.records = records
+	h.peers = newPeerTable(s, log)
+	closers = append(closers, h.peers.closeAll)
+	h.publisher = publisher.NewPublisher(h.store, s.OperatorKeys, h.incarnation, time.Now)
+
+	owner, closeOwner, err := proprietor.New(proprietor.Settings{
+		Host: s.Name, FailureDomain: s.FailureDomain, Incarnation: h.incarnation,
+		Store: h.store, Workers: workers, Random: newRandom(), Logger: log, Record: h.recordScheduling,
+	})
+	if err != nil {
+		cleanup()
+		return nil, nil, merry.Prepend(err, "shard ownership")
+	}
+	closers = append(closers, closeOwner)
+	h.owner = owner
+
+	var closeForwarder func()
+	h.forwarder, closeForwarder = forwarder.New()
+	closers = append(closers, closeForwarder)
+	var closeDispatcher func()
+	h.dispatcher, closeDispatcher = dispatcher.New(dispatcher.Settings{
+		Router:   router.New(router.Settings{Policy: configurator.RoutingAdaptive, MaxRequestTimeout: configurator.DefaultMaxRequestTimeout}, newRandom()),
+		Limiter:  limiter.New(limiter.Settings{Limits: configurator.LimitFair, Retries: configurator.RetryBudget}),
+		Sender:   h.forwarder,
+		Overflow: h,
+		Recorder: requestRecorder{h},
+		Logger:   log,
+	})
+	closers = append(closers, closeDispatcher)
+
+	h.follower = publisher.NewFollower(publisher.FollowerOptions{
+		Store: h.store, Keys: s.OperatorKeys, Peers: h.peers.configurationPeers,
+		Adopted: h.adopt, Log: log, Random: newRandom(),
+	})
+	return h, cleanup, nil
+}
+
+// adopt puts a configuration into effect.
+func (h *host) adopt(r configurator.Record, c *configurator.Configuration) {
+	h.configuration.Store(&adopted{record: r, parsed: c, since: time.Now()})
+	h.peers.configure(c.EntryHosts)
+	h.owner.Configure(c)
+	h.dispatcher.Configure(c)
+	h.refresh(time.Now())
+	h.log.Info("configuration in effect", "Generation", r.Generation, "Key", r.Key, "AppliedBy", r.AppliedBy)
+}
+
+func (h *host) run(ctx context.Context) error {
+	listeners, err := listen(ctx, h.settings)
+	if err != nil {
+		return err
+	}
+	r, err := receiver.New(receiver.Settings{
+		Handler: h.dispatcher, Ready: h.notReady, Registry: h.registry, Logger: h.log,
+		Identity: h.requestIdentity, Services: h.serviceNames, Tenants: h.teamNames,
+		MaxRequestTimeout: configurator.DefaultMaxRequestTimeout,
+	})
+	if err != nil {
+		return merry.Prepend(err, "receiver")
+	}
+	messages, closeMessages := messenger.NewServer(listeners.message, peerHandler{h}, h.log)
+	defer closeMessages()
+
+	// Background work goes on while the host drains and ends last.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	operators := administrator.NewServer(background, operatorBackend{h})
+	g, background := errgroup.WithContext(background)
+	g.Go(func() error { return h.follower.Run(background) })
+	g.Go(func() error { return h.peers.run(background, h.heartbeat) })
+	g.Go(func() error { return h.readHostList(background) })
+	g.Go(func() error { return h.refreshLoop(background) })
+	g.Go(func() error { return r.Serve(listeners.caller) })
+	g.Go(func() error { return operators.Serve(listeners.operator) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-background.Done():
+		}
+		err := h.shutdown(context.WithoutCancel(ctx), r, messages)
+		stop()
+		return errors.Join(err, operators.Shutdown())
+	})
+	h.log.Info("entry host started", "FailureDomain", h.settings.FailureDomain, "Incarnation", h.incarnation, "CallerAddress", h.settings.CallerAddress)
+	err = g.Wait()
+	h.log.Info("entry host stopped", "Error", fmt.Sprint(err))
+	return err
+}
+
+// shutdown stops new work first, waits for the requests in flight and then gives up
+// the shards, so that successors need not wait for the tenure to end.
+func (h *host) shutdown(ctx context.Context, r *receiver.Receiver, m *messenger.Server) error {
+	h.leaving.Store(true)
+	h.members.Mark(h.settings.Name, messenger.SourceHost, true)
+	h.log.Info("leaving", "BalancerDelay", balancerDelay, "DrainTimeout", h.settings.Limits.DrainTimeout)
+	time.Sleep(balancerDelay)
+	ctx, cancel := context.WithTimeout(ctx, h.settings.Limits.DrainTimeout)
+	defer cancel()
+	err := r.Shutdown(ctx)
+	if err != nil {
+		err = merry.Prependf(err, "requests were still in flight after %s", h.settings.Limits.DrainTimeout)
+	}
+	if e := h.owner.Release(ctx); e != nil {
+		h.log.Warn("shards were not released", "Error", e)
+	}
+	return errors.Join(err, m.Shutdown(ctx))
+}
+
+type listeners struct {
+	caller, message, operator net.Listener
+}
+
+func listen(ctx context.Context, s loader.Settings) (listeners, error) {
+	var l listeners
+	for _, x := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&l.caller, s.CallerAddress.String()},
+		{&l.message, s.MessageAddress.String()},
+		{&l.operator, s.AdminAddress.String()},
+	} {
+		var lc net.ListenConfig
+		var err error
+		if *x.listener, err = lc.Listen(ctx, "tcp", x.address); err != nil {
+			return l, merry.Prependf(err, "listen on %s", x.address)
+		}
+	}
+	return l, nil
+}
+
+// notReady lists the reasons why this host takes no traffic.
+func (h *host) notReady() []string {
+	var reasons []string
+	if h.configuration.Load() == nil {
+		reasons = append(reasons, "no configuration is in effect")
+	}
+	if h.leaving.Load() || h.members.Leaving(h.settings.Name) {
+		reasons = append(reasons, "the host is leaving")
+	}
+	return reasons
+}
+
+func (h *host) requestIdentity() string {
+	return fmt.Sprintf("%s-%s-%d", h.settings.Name, h.incarnation, h.requests.Add(1))
+}
+
+func (h *host) serviceNames() []string {
+	a := h.configuration.Load()
+	if a == nil {
+		return nil
+	}
+	names := make([]string, 0, len(a.parsed.Services))
+	for _, s := range a.parsed.Services {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+func (h *host) teamNames() []string {
+	a := h.configuration.Load()
+	if a == nil {
+		return nil
+	}
+	names := make([]string, 0, len(a.parsed.Teams))
+	for _, t := range a.parsed.Teams {
+		names = append(names, t.Name)
+	}
+	return names
+}
+
+// readHostList follows the platform's list of hosts.
+func (h *host) readHostList(ctx context.Context) error {
+	for {
+		l, err := h.store.Hosts(ctx)
+		if err != nil {
+			h.log.Debug("platform's host list not read", "Error", err)
+		}
+		for _, name := range h.members.PlatformList(l, time.Now()) {
+			h.log.Info("host is leaving", "Leaving", name, "Source", messenger.SourcePlatform)
+		}
+		// The jitter spreads the reads of hosts that started together.
+		if !sleep(ctx, hostListInterval/2+rand.N(hostListInterval)) {
+			return nil
+		}
+	}
+}
+
+// refreshLoop passes on inside the process what heartbeats and the store brought.
+func (h *host) refreshLoop(ctx context.Context) error {
+	for sleep(ctx, refreshInterval) {
+		h.refresh(time.Now())
+	}
+	return nil
+}
+
+func (h *host) refresh(now time.Time) {
+	h.owner.SetLeaving(h.members.LeavingHosts())
+	shards := h.owner.Shards()
+	h.endpoints.set(h.settings.Name, h.owner.Endpoints(), now)
+	all := h.endpoints.all()
+	a := h.configuration.Load()
+	if a == nil {
+		return
+	}
+	hosts := entryHosts(a.parsed, h.settings.FailureDomain)
+	h.grants.update(shards, h.owner.Endpoints(), hosts, a.parsed.Policy.MaxRequestTimeout, now)
+	settled := a.record.Generation == 1 || time.Since(a.record.AppliedAt) > router.ConfigurationDelay+a.parsed.Policy.MaxRequestTimeout
+	h.dispatcher.Update(all, router.Membership{Hosts: len(hosts), Settled: settled})
+	own := h.dispatcher.Demand(h.settings.Name)
+	g := h.grants.step(router.Report{Host: h.settings.Name, Incarnation: h.incarnation, Sequence: h.sequence.Add(1), RunningFor: now.Sub(h.started), Demand: own}, now)
+	h.dispatcher.Granted(h.settings.Name, g, now)
+}
+
+func entryHosts(c *configurator.Configuration, domain string) []string {
+	var names []string
+	for _, e := range c.EntryHosts {
+		if e.FailureDomain == domain {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
+
+// sleep waits for d and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func newIncarnation() string {
+	var b [6]byte
+	_, _ = crand.Read(b[:]) // never fails, as crypto/rand documents
+	return hex.EncodeToString(b[:])
+}
+
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// storeProbe notes whether the last call of the store reached it.
+type storeProbe struct {
+	storer.Store
+	down *atomic.Bool
+}
+
+func (p *storeProbe) note(err error) {
+	var unavailable *storer.UnavailableError
+	var unknown *storer.UnknownOutcomeError
+	p.down.Store(errors.As(err, &unavailable) || errors.As(err, &unknown))
+}
+
+func (p *storeProbe) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte) (bool, uint64, error) {
+	ok, revision, err := p.Store.CompareAndSwap(ctx, key, expect, value)
+	p.note(err)
+	return ok, revision, err
+}
+
+func (p *storeProbe) Get(ctx context.Context, key string) (storer.Entry, error) {
+	e, err := p.Store.Get(ctx, key)
+	p.note(err)
+	return e, err
+}
+
+func (p *storeProbe) Hosts(ctx context.Context) (storer.HostList, error) {
+	l, err := p.Store.Hosts(ctx)
+	p.note(err)
+	return l, err
+}
