Pass requests and jobs through the whole system in one test

Ruled out: refused commands (the worker's counts showed that no start was sent) and a missing tenure. Change: JobRecoveryDelay is at least 15 s, three times that silence. A test runs four entry hosts in two failure domains on stand-ins.

--- a/internal/configurator/configuration.go
+++ b/internal/configurator/configuration.go
@@ -98,6 +98,11 @@
 	DefaultMaxRequestTimeout = 30 * time.Second
 )
 
+// minJobRecoveryDelay is three times the silence after which the scheduler gives up on
+// a worker. It starts no batch task whose running tenure ends sooner than that silence,
+// so a delay of 5 s started none at all.
+const minJobRecoveryDelay = 15 * time.Second
+
 // FailureDomain is a set of hosts that fail or are partitioned together.
 type FailureDomain struct {
 	Name      string
--- a/internal/configurator/registry.go
+++ b/internal/configurator/registry.go
@@ -82,7 +82,7 @@
 		DurationKey(KeyDoc{Name: "OwnershipTtl", Unit: "Go duration", Default: formatDuration(DefaultOwnershipTTL), Meaning: "time without signs of life after which another entry host of the failure domain takes over a shard"},
 			time.Second, 30*time.Second, func(p *Policy) *time.Duration { return &p.OwnershipTTL }),
 		DurationKey(KeyDoc{Name: "JobRecoveryDelay", Unit: "Go duration", Default: formatDuration(DefaultJobRecoveryDelay), Meaning: "time after which the successor failure domain resumes the jobs of an unresponsive one"},
-			5*time.Second, time.Hour, func(p *Policy) *time.Duration { return &p.JobRecoveryDelay }),
+			minJobRecoveryDelay, time.Hour, func(p *Policy) *time.Duration { return &p.JobRecoveryDelay }),
 		DurationKey(KeyDoc{Name: "MaxRequestTimeout", Unit: "Go duration", Default: formatDuration(DefaultMaxRequestTimeout), Meaning: "longest time that a caller may allow a request"},
 			100*time.Millisecond, 30*time.Second, func(p *Policy) *time.Duration { return &p.MaxRequestTimeout }),
 	},
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -26,13 +27,11 @@
 // shardOwner returns the host that most likely owns the shard: this host, else the one
 // that claimed it in its last heartbeat, else the one in the journal.
 func (h *host) shardOwner(shard string) string {
-	if owner := h.owner.Owner(shard); owner == h.settings.Name {
-		return owner
-	} else if claimant := h.endpoints.claimant(shard); claimant != "" {
-		return claimant
-	} else {
+	owner := h.owner.Owner(shard)
+	if owner == h.settings.Name {
 		return owner
 	}
+	return cmp.Or(h.endpoints.claimant(shard), owner)
 }
 
 // atOwner calls local if this host owns the job's shard, else remote with the owner's
--- /dev/null
+++ b/internal/server/rig_test.go
@@ -0,0 +1,230 @@
+package server
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"peridotpitch/internal/administrator"
+	"peridotpitch/internal/configurator"
+	"peridotpitch/internal/emulator"
+	"peridotpitch/internal/loader"
+	"peridotpitch/internal/publisher"
+	"peridotpitch/internal/scheduler"
+)
+
+// eventLimit bounds the wait for an event. It is wide: tests judge what happens, not
+// how fast this machine is.
+const eventLimit = 60 * time.Second
+
+// rig is a system of entry hosts in this process on stand-ins.
+type rig struct {
+	t        *testing.T
+	platform *emulator.Platform
+	workers  []*emulator.Worker
+	hosts    []*runningHost
+	settings []loader.Settings
+	key      ed25519.PrivateKey
+	ledger   *emulator.Ledger
+	executed *emulator.Executions
+}
+
+type runningHost struct {
+	*host
+	operator *administrator.Client
+	stop     context.CancelFunc
+	group    *errgroup.Group
+}
+
+var rigDomains = []string{"North", "South"}
+
+// newRig starts the stand-ins, two entry hosts in each of two failure domains and
+// applies a configuration with one service and one job class.
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	is := is.New(t)
+	_, key, err := ed25519.GenerateKey(nil)
+	is.NoErr(err)
+	r := &rig{t: t, key: key, ledger: emulator.NewLedger(), executed: emulator.NewExecutions()}
+	platform, storeAddress, closePlatform, err := emulator.NewPlatform(emulator.PlatformOptions{})
+	is.NoErr(err)
+	t.Cleanup(closePlatform)
+	r.platform = platform
+	c := &configurator.Configuration{
+		Generation: 1, Firm: "Test", Measures: configurator.Measures{Latency: 3, Evictions: 2, Throughput: 1},
+		Policy: configurator.Policy{
+			Routing: configurator.RoutingAdaptive, Placement: configurator.PlacementInterference,
+			Limits: configurator.LimitFair, Retries: configurator.RetryBudget,
+			OwnershipTTL: configurator.DefaultOwnershipTTL, JobRecoveryDelay: 15 * time.Second, MaxRequestTimeout: 5 * time.Second,
+		},
+		Services: []configurator.Service{{Name: "quotes", Class: "quotes", Instances: map[string]int{"North": 2, "South": 2},
+			Size: configurator.Resources{Cores: 2, Memory: 1e9}, Slots: 8, Connections: 64, LatencyTarget: time.Second}},
+		JobClasses: []configurator.JobClass{{Name: "die", Size: configurator.Resources{Cores: 1, Memory: 1e8}, MaxAttempts: 3}},
+		Teams:      []configurator.Team{{Name: "mill", Quota: configurator.Resources{Cores: 100, Memory: 1e12}, Share: 1}},
+	}
+	for i, d := range rigDomains {
+		c.FailureDomains = append(c.FailureDomains, configurator.FailureDomain{Name: d, Region: "R", Successor: rigDomains[1-i]})
+		for j := range 2 {
+			r.addWorker(c, d, j)
+			r.addSettings(c, d, j, storeAddress)
+		}
+	}
+	for i := range r.settings {
+		for j, p := range r.settings {
+			if i != j {
+				r.settings[i].Peers = append(r.settings[i].Peers, loader.Peer{Name: p.Name, FailureDomain: p.FailureDomain, Address: p.MessageAddress})
+			}
+		}
+		r.hosts = append(r.hosts, r.start(r.settings[i]))
+	}
+	r.apply(c)
+	return r
+}
+
+func (r *rig) addWorker(c *configurator.Configuration, domain string, i int) {
+	name := fmt.Sprintf("%s-worker-%d", domain, i)
+	capacity := configurator.Resources{Cores: 16, Memory: 60e9}
+	w, address, closeWorker, err := emulator.NewWorker(emulator.WorkerOptions{
+		MachineOptions: emulator.MachineOptions{Name: name, Capacity: capacity, Ledger: r.ledger, Seed: uint64(i)},
+		Executions:     r.executed,
+	})
+	is.New(r.t).NoErr(err)
+	r.t.Cleanup(closeWorker)
+	r.workers = append(r.workers, w)
+	c.Workers = append(c.Workers, configurator.Worker{Name: name, FailureDomain: domain, Rack: domain + "-rack", Shard: "1", Address: address, Capacity: capacity})
+}
+
+func (r *rig) addSettings(c *configurator.Configuration, domain string, i int, store netip.AddrPort) {
+	s := loader.Settings{
+		Name: fmt.Sprintf("%s-entry-%d", domain, i), FailureDomain: domain, StoreAddress: store,
+		CallerAddress: freePort(r.t), MessageAddress: freePort(r.t), AdminAddress: freePort(r.t),
+		OperatorKeys: configurator.Keys{"maria": r.key.Public().(ed25519.PublicKey)}, LogLevel: slog.LevelInfo,
+		Limits: loader.Limits{MaxQueuedRequests: 1000, MaxDecisionRecords: 10000, StoreTimeout: 2 * time.Second, MessageTimeout: time.Second, DrainTimeout: 20 * time.Second},
+	}
+	r.settings = append(r.settings, s)
+	c.EntryHosts = append(c.EntryHosts, configurator.EntryHost{Name: s.Name, FailureDomain: domain, Address: s.MessageAddress})
+}
+
+// freePort returns a loopback address that nobody listened on a moment ago.
+func freePort(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { is.New(t).NoErr(l.Close()) }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func (r *rig) start(s loader.Settings) *runningHost {
+	logs := io.Discard
+	if os.Getenv("SERVER_LOGS") != "" {
+		logs = os.Stderr
+	}
+	h, cleanup, err := newHost(s, "test", slog.New(slog.NewTextHandler(logs, nil)).With("Host", s.Name))
+	is.New(r.t).NoErr(err)
+	ctx, stop := context.WithCancel(r.t.Context())
+	x := &runningHost{host: h, operator: administrator.NewClient(s.AdminAddress, 10*time.Second), stop: stop, group: new(errgroup.Group)}
+	x.group.Go(func() error {
+		defer cleanup()
+		return h.run(ctx)
+	})
+	r.t.Cleanup(func() {
+		stop()
+		if err := x.group.Wait(); err != nil {
+			r.t.Errorf("%s: %v", s.Name, err)
+		}
+	})
+	return x
+}
+
+func (r *rig) apply(c *configurator.Configuration) {
+	text := configurator.Print(c)
+	s := publisher.Submission{Text: string(text), Signature: configurator.Sign(text, r.key), Key: "maria", Replaces: c.Replaces, AppliedBy: "maria"}
+	r.eventually("apply configuration", func() error {
+		_, err := r.hosts[0].operator.ApplyConfiguration(context.Background(), s)
+		return err
+	})
+}
+
+// eventually waits until f succeeds.
+func (r *rig) eventually(what string, f func() error) {
+	r.t.Helper()
+	deadline := time.Now().Add(eventLimit)
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			r.t.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// waitForInstances waits until each host knows n instances.
+func (r *rig) waitForInstances(n int) {
+	r.t.Helper()
+	for _, h := range r.hosts {
+		r.eventually("instances known to "+h.settings.Name, func() error {
+			if es := h.endpoints.all(); len(es) != n {
+				return fmt.Errorf("%d instances are known, want %d", len(es), n)
+			}
+			return nil
+		})
+	}
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+	body    []byte
+}
+
+func (r *rig) call(h *runningHost, token string) (answer, error) {
+	q, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/services/quotes/x?token=%s", h.settings.CallerAddress, token), http.NoBody)
+	if err != nil {
+		return answer{}, err
+	}
+	q.Header.Set("Peridot-Tenant", "mill")
+	q.Header.Set("Peridot-Timeout", "5s")
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = a.Body.Close() }()
+	body, err := io.ReadAll(a.Body)
+	return answer{a.StatusCode, a.Header.Get("Peridot-Outcome"), a.Header.Get("Peridot-Reason"), body}, err
+}
+
+func (r *rig) submit(h *runningHost, name string, work time.Duration) {
+	r.t.Helper()
+	r.eventually("submit "+name, func() error {
+		_, err := h.operator.SubmitJob(context.Background(), scheduler.JobSpec{Name: name, Class: "die", Team: "mill", Duration: work})
+		return err
+	})
+}
+
+func (r *rig) waitForJob(h *runningHost, name string, state scheduler.JobState) scheduler.JobStatus {
+	r.t.Helper()
+	var j scheduler.JobStatus
+	r.eventually("job "+name, func() error {
+		var err error
+		if j, err = h.operator.ShowJob(context.Background(), name); err == nil && j.State != state {
+			err = fmt.Errorf("job is %s, want %s (%s)", j.State, state, j.Decision)
+		}
+		return err
+	})
+	return j
+}
