Add the load generator, the relay, cmd/standin and the process harness

Cause: focused failure tests and the demo need load whose outcomes are checked, partitions between processes, and child processes that can be paused and killed.

Change: package generator sends requests in an open loop and submits jobs, checks each answer for wholeness and identity and compares outcomes with what ran; package relayer forwards loopback TCP and holds back bytes of a cut direction; cmd/standin has the roles platform, worker, backend, load and relay; package harness builds the programs, starts them as children of a test and signals them.

--- /dev/null
+++ b/internal/generator/jobs.go
@@ -0,0 +1,184 @@
+package generator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"peridotpitch/internal/configurator"
+	"peridotpitch/internal/scheduler"
+)
+
+// JobOptions configures a run of job submissions.
+type JobOptions struct {
+	Admins   []netip.AddrPort // administration addresses of entry hosts, used in turn
+	Rate     float64          // submissions per second
+	Count    int
+	Classes  Mix
+	Teams    Mix
+	Urgent   float64                // share
+	Declared configurator.Resources // zero: the class's size
+	Duration time.Duration          // mean of the work
+	Wait     time.Duration          // for the jobs to end, after the last submission
+	Run      string                 // prefix of the names
+	Seed     uint64
+}
+
+const (
+	submitTimeout = 5 * time.Second
+	// submitAttempts bounds the attempts for a submission that was refused or lost.
+	// Submitting the same name again is safe, and a store outage refuses submissions.
+	submitAttempts = 10
+	pollEvery      = 200 * time.Millisecond
+)
+
+// Submit submits jobs, waits for their end and adds the counts to r.
+func Submit(ctx context.Context, o JobOptions, r *Result) error {
+	if len(o.Admins) == 0 || o.Rate <= 0 || o.Count <= 0 || o.Count > MaxCount || o.Classes.sum == 0 || o.Teams.sum == 0 {
+		return errors.New("administration addresses, a rate and a count above 0, classes and teams are required")
+	}
+	s := &submitter{options: o, rnd: rand.New(rand.NewPCG(o.Seed, 4)), accepted: make(map[string]scheduler.JobStatus)}
+	for _, a := range o.Admins {
+		s.clients = append(s.clients, newHostClient(a))
+	}
+	start := time.Now()
+	s.submitAll(ctx)
+	s.await(ctx)
+	s.counts.Took = time.Since(start)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.jobs = s.counts
+	return ctx.Err()
+}
+
+// Report runs Submit with a result of its own.
+func Report(ctx context.Context, o JobOptions) (*Result, error) {
+	r := newResult()
+	return r, Submit(ctx, o, r)
+}
+
+type submitter struct {
+	options  JobOptions
+	rnd      *rand.Rand
+	clients  []*fasthttp.HostClient
+	accepted map[string]scheduler.JobStatus // by name, with the last known status
+	counts   JobCounts
+}
+
+func (s *submitter) submitAll(ctx context.Context) {
+	next := time.Now()
+	for n := range s.options.Count {
+		if !sleepUntil(ctx, next) {
+			return
+		}
+		next = next.Add(time.Duration(float64(time.Second) / s.options.Rate))
+		spec := scheduler.JobSpec{
+			Name: fmt.Sprintf("%s-job-%d", s.options.Run, n), Class: s.options.Classes.Draw(s.rnd), Team: s.options.Teams.Draw(s.rnd),
+			Urgent: s.rnd.Float64() < s.options.Urgent, Declared: s.options.Declared,
+			Duration: time.Duration((0.5 + s.rnd.Float64()) * float64(s.options.Duration)),
+		}
+		s.submit(ctx, spec, n)
+	}
+}
+
+// submit tries the entry hosts in turn until one accepts the job.
+func (s *submitter) submit(ctx context.Context, spec scheduler.JobSpec, n int) {
+	last := &s.counts.Unknown
+	for i := range submitAttempts {
+		var js scheduler.JobStatus
+		status, err := s.do(s.clients[(n+i)%len(s.clients)], fasthttp.MethodPost, "/admin/job/submit", spec, &js)
+		switch {
+		case err == nil && status == fasthttp.StatusOK:
+			s.counts.Submitted++
+			s.accepted[spec.Name] = js
+			return
+		case err == nil:
+			last = &s.counts.Refused
+		default:
+			last = &s.counts.Unknown
+		}
+		if !sleepUntil(ctx, time.Now().Add(pollEvery)) {
+			break
+		}
+	}
+	*last++
+}
+
+// await asks for the states until all accepted jobs have ended or the wait is over.
+func (s *submitter) await(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.options.Wait)
+	defer cancel()
+	n := 0
+	for {
+		open := 0
+		for name, js := range s.accepted {
+			if js.State.Ended() {
+				continue
+			}
+			var now scheduler.JobStatus
+			n++
+			status, err := s.do(s.clients[n%len(s.clients)], fasthttp.MethodGet, "/admin/job/show?name="+url.QueryEscape(name), nil, &now)
+			if err == nil && status == fasthttp.StatusOK {
+				s.accepted[name] = now
+			}
+			if !s.accepted[name].State.Ended() {
+				open++
+			}
+		}
+		if open == 0 || !sleepUntil(ctx, time.Now().Add(pollEvery)) {
+			break
+		}
+	}
+	for _, js := range s.accepted {
+		s.counts.Evictions += js.Evictions
+		switch {
+		case js.State == scheduler.JobFinished:
+			s.counts.Finished++
+		case js.State.Ended():
+			s.counts.Failed++
+		default:
+			s.counts.Open++
+		}
+	}
+}
+
+func (s *submitter) do(c *fasthttp.HostClient, method, path string, in, out any) (int, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.Addr + path)
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return 0, err
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBody(b)
+	}
+	if err := c.DoTimeout(req, resp, submitTimeout); err != nil {
+		return 0, err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return resp.StatusCode(), nil
+	}
+	return resp.StatusCode(), json.Unmarshal(resp.Body(), out)
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/harness/control.go
@@ -0,0 +1,99 @@
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"peridotpitch/internal/emulator"
+	"peridotpitch/internal/relayer"
+	"peridotpitch/internal/storer"
+)
+
+var client = &http.Client{Timeout: 10 * time.Second}
+
+// Post sends in as JSON to a stand-in's control path and decodes the answer into out,
+// unless out is nil.
+func Post(t testing.TB, address netip.AddrPort, path string, in, out any) {
+	t.Helper()
+	b, err := json.Marshal(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	do(t, http.MethodPost, address, path, bytes.NewReader(b), out)
+}
+
+// Get decodes the answer of a stand-in's control path into out.
+func Get(t testing.TB, address netip.AddrPort, path string, out any) {
+	t.Helper()
+	do(t, http.MethodGet, address, path, nil, out)
+}
+
+func do(t testing.TB, method string, address netip.AddrPort, path string, body io.Reader, out any) {
+	t.Helper()
+	q, err := http.NewRequest(method, "http://"+address.String()+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := client.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("%s %s%s: status %d", method, address, path, resp.StatusCode)
+	}
+	if out != nil {
+		if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+			t.Fatalf("%s %s%s: %v", method, address, path, err)
+		}
+	}
+}
+
+// SetFaults replaces the fault switches of a stand-in.
+func SetFaults(t testing.TB, address netip.AddrPort, f emulator.Faults) {
+	t.Helper()
+	Post(t, address, "/faults", f, nil)
+}
+
+// SetCut replaces the cut of a relay, at its control address.
+func SetCut(t testing.TB, control netip.AddrPort, c relayer.Cut) {
+	t.Helper()
+	Post(t, control, "/", c, nil)
+}
+
+// SetHosts sets the actual hosts of a platform stand-in.
+func SetHosts(t testing.TB, platform netip.AddrPort, hosts []storer.Host) {
+	t.Helper()
+	Post(t, platform, "/hosts/set", struct{ Hosts []storer.Host }{hosts}, nil)
+}
+
+// Violations returns what the worker stand-ins at these addresses saw go wrong, and the
+// number of times each caller's token ran.
+func Violations(t testing.TB, workers []netip.AddrPort) ([]string, map[string]int) {
+	t.Helper()
+	var out []string
+	var runs []emulator.Run
+	tokens := make(map[string]int)
+	for _, a := range workers {
+		var rs []emulator.Run
+		var ran map[string]int
+		var c emulator.MachineCounts
+		Get(t, a, "/runs", &rs)
+		Get(t, a, "/executions", &ran)
+		Get(t, a, "/counts", &c)
+		runs = append(runs, rs...)
+		for k, n := range ran {
+			tokens[k] += n
+		}
+		if c.Overcommits+c.DoubleStarts+c.EpochConflicts > 0 {
+			out = append(out, fmt.Sprintf("worker %s: overcommits %d, double starts %d, epoch conflicts %d", a, c.Overcommits, c.DoubleStarts, c.EpochConflicts))
+		}
+	}
+	return append(out, emulator.Violations(runs, time.Now())...), tokens
+}
