--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -26,6 +26,7 @@
 	{"worker", "workers, which open a backend server for each service task", runWorkers},
 	{"backend", "one backend server", runBackend},
 	{"load", "callers and job submissions; prints outcomes and latencies", runLoad},
+	{"ready", "waits until entry hosts can serve", runReady},
 	{"relay", "forwards TCP between two loopback addresses and can be cut", runRelay},
 }
 
--- a/cmd/standin/roles.go
+++ b/cmd/standin/roles.go
@@ -18,6 +18,12 @@
 	"peridotpitch/internal/relayer"
 )
 
+// Units of memory flags, powers of 1000 as in the configuration.
+const (
+	bytesPerGB = 1_000_000_000
+	bytesPerMB = 1_000_000
+)
+
 // addresses implements flag.Value for a list of ip:port.
 type addresses []netip.AddrPort
 
@@ -96,7 +102,7 @@
 	if err := fs.Parse(arguments); err != nil {
 		return err
 	}
-	o.Capacity.Memory = *memory << 30
+	o.Capacity.Memory = *memory * bytesPerGB
 	o.Interference = emulator.NewInterference(o.Seed, *strength)
 	lines := make([]string, 0, *count)
 	for i := range *count {
@@ -165,6 +171,63 @@
 	return serveUntil(ctx, out, "relay listening address="+a.String())
 }
 
+// runReady waits until entry hosts can serve: each says that it is ready, and each answers
+// one request to each service.
+func runReady(ctx context.Context, fs *flag.FlagSet, arguments []string, out io.Writer) error {
+	var entries addresses
+	fs.Var(&entries, "entry", "caller `addresses` of entry hosts, separated by commas")
+	services := fs.String("services", "", "services to call, separated by commas")
+	tenant := fs.String("tenant", "", "tenant of the calls")
+	limit := fs.Duration("limit", time.Minute, "how long to wait")
+	if err := fs.Parse(arguments); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, *limit)
+	defer cancel()
+	for _, a := range entries {
+		paths := []string{"/ready"}
+		for _, s := range strings.Split(*services, ",") {
+			if s != "" {
+				paths = append(paths, "/services/"+s+"/ready?token=ready")
+			}
+		}
+		for _, p := range paths {
+			if err := await(ctx, "http://"+a.String()+p, *tenant); err != nil {
+				return fmt.Errorf("%s%s: %w", a, p, err)
+			}
+		}
+	}
+	_, err := fmt.Fprintf(out, "%d entry hosts are ready\n", len(entries))
+	return err
+}
+
+// await repeats a GET until it is answered with 200.
+func await(ctx context.Context, url, tenant string) error {
+	last := "no answer"
+	for {
+		q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return err
+		}
+		q.Header.Set("Peridot-Tenant", tenant)
+		q.Header.Set("Peridot-Timeout", "1s")
+		resp, err := http.DefaultClient.Do(q)
+		if err == nil {
+			text, _ := io.ReadAll(io.LimitReader(resp.Body, 300)) // only for the error
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+			last = fmt.Sprintf("status %d: %s", resp.StatusCode, text)
+		}
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+			return fmt.Errorf("not ready at the end of the wait: %s", last)
+		}
+	}
+}
+
 // load are the flags of the role load.
 type load struct {
 	callers generator.CallerOptions
@@ -206,7 +269,7 @@
 	if err := fs.Parse(arguments); err != nil {
 		return err
 	}
-	l.jobs.Declared.Memory = l.memory << 20
+	l.jobs.Declared.Memory = l.memory * bytesPerMB
 	l.jobs.Run, l.jobs.Seed = l.callers.Run, l.callers.Seed
 	return l.run(ctx, out)
 }
