Return plain typed errors from the transports; fix the demo's stop

Change: the clients return their error types unwrapped; load compares with the outer context; demo.sh stops entry hosts first, then workers, then the platform.

--- a/cmd/standin/roles.go
+++ b/cmd/standin/roles.go
@@ -276,16 +276,16 @@
 
 func (l *load) run(ctx context.Context, out io.Writer) error {
 	requests, jobs := &generator.Result{}, &generator.Result{}
-	g, ctx := errgroup.WithContext(ctx)
+	g, running := errgroup.WithContext(ctx)
 	if len(l.callers.Entries) > 0 {
 		g.Go(func() (err error) {
-			requests, err = generator.Call(ctx, l.callers)
+			requests, err = generator.Call(running, l.callers)
 			return err
 		})
 	}
 	if l.jobs.Count > 0 {
 		g.Go(func() (err error) {
-			jobs, err = generator.Report(ctx, l.jobs)
+			jobs, err = generator.Report(running, l.jobs)
 			return err
 		})
 	}
--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 
 	"peridotpitch/internal/poster"
 )
@@ -99,7 +98,7 @@
 	err := c.call(ctx, address, "/worker/apply", in, &out)
 	if err == nil && out.Accepted && len(out.Results) != len(commands) {
 		reason := fmt.Sprintf("%d results for %d commands", len(out.Results), len(commands))
-		return ApplyAnswer{}, merry.Wrap(&UnreachableError{Address: address, Sent: true, Status: http.StatusOK, Reason: reason})
+		return ApplyAnswer{}, &UnreachableError{Address: address, Sent: true, Status: http.StatusOK, Reason: reason}
 	}
 	return out, err
 }
@@ -109,15 +108,15 @@
 	if err != nil {
 		var pe *poster.Error
 		sent := !errors.As(err, &pe) || pe.Sent
-		return merry.Wrap(&UnreachableError{Address: address, Sent: sent, Reason: err.Error()})
+		return &UnreachableError{Address: address, Sent: sent, Reason: err.Error()}
 	}
 	if a.Status != http.StatusOK {
 		reason := fmt.Sprintf("%s was answered with status %d", path, a.Status)
-		return merry.Wrap(&UnreachableError{Address: address, Sent: true, Status: a.Status, Reason: reason})
+		return &UnreachableError{Address: address, Sent: true, Status: a.Status, Reason: reason}
 	}
 	if err := json.Unmarshal(a.Body, out); err != nil {
 		reason := fmt.Sprintf("answer to %s cannot be decoded: %v", path, err)
-		return merry.Wrap(&UnreachableError{Address: address, Sent: true, Status: a.Status, Reason: reason})
+		return &UnreachableError{Address: address, Sent: true, Status: a.Status, Reason: reason}
 	}
 	return nil
 }
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcerr"
@@ -214,7 +213,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	notSent := func(err error) error {
-		return merry.Wrap(&NotSentError{Address: l.client.address, Method: method, Cause: err})
+		return &NotSentError{Address: l.client.address, Method: method, Cause: err}
 	}
 	// Encoded before a connection is taken: what cannot be encoded is not sent.
 	body, err := encoding{}.Marshal(in)
@@ -240,11 +239,11 @@
 	case err == nil:
 		return nil
 	case code != 0:
-		return merry.Wrap(&RefusedError{Address: l.client.address, Method: method, Reason: err.Error()})
+		return &RefusedError{Address: l.client.address, Method: method, Reason: err.Error()}
 	case !sent:
 		return notSent(err)
 	}
-	return merry.Wrap(&LostError{Address: l.client.address, Method: method, Cause: err})
+	return &LostError{Address: l.client.address, Method: method, Cause: err}
 }
 
 // encoded is the client's drpc encoding: requests are already encoded.
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 
 	"peridotpitch/internal/poster"
 )
@@ -142,21 +141,21 @@
 	if err != nil {
 		var pe *poster.Error
 		if write != "" && errors.As(err, &pe) && pe.Sent {
-			return merry.Wrap(&UnknownOutcomeError{Key: write, Reason: err.Error()})
+			return &UnknownOutcomeError{Key: write, Reason: err.Error()}
 		}
-		return merry.Wrap(&UnavailableError{Address: p.Address(), Reason: err.Error()})
+		return &UnavailableError{Address: p.Address(), Reason: err.Error()}
 	}
 	switch a.Status {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable:
-		return merry.Wrap(&UnavailableError{Address: p.Address(), Reason: fmt.Sprintf("%s was refused with status %d", path, a.Status)})
+		return &UnavailableError{Address: p.Address(), Reason: fmt.Sprintf("%s was refused with status %d", path, a.Status)}
 	case http.StatusTooManyRequests:
 		if a.RetryAfter == 0 {
 			a.RetryAfter = defaultRetryAfter
 		}
-		return merry.Wrap(&RateLimitedError{RetryAfter: a.RetryAfter})
+		return &RateLimitedError{RetryAfter: a.RetryAfter}
 	case http.StatusRequestEntityTooLarge:
-		return merry.Wrap(&TooLargeError{Key: write})
+		return &TooLargeError{Key: write}
 	default:
 		return c.unclear(p, write, fmt.Sprintf("%s was answered with unexpected status %d", path, a.Status))
 	}
@@ -169,7 +168,7 @@
 // unclear classifies an answer that does not say whether the call took effect.
 func (c *Client) unclear(p *poster.Poster, write, reason string) error {
 	if write != "" {
-		return merry.Wrap(&UnknownOutcomeError{Key: write, Reason: reason})
+		return &UnknownOutcomeError{Key: write, Reason: reason}
 	}
-	return merry.Wrap(&UnavailableError{Address: p.Address(), Reason: reason})
+	return &UnavailableError{Address: p.Address(), Reason: reason}
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,36 +12,44 @@
 pids=()
 names=()
 
-# stop ends the processes that this script started, in the reverse order of their start.
+# stop ends the processes that this script started and whose names begin with $1. Entry
+# hosts stop before what they depend on.
 stop() {
   local i pid
-  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
-    pid=${pids[i]}
-    kill -TERM "$pid" 2>/dev/null || true
+  for i in "${!pids[@]}"; do
+    [[ ${names[i]} == "$1"* ]] && kill -TERM "${pids[i]}" 2>/dev/null
   done
-  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+  for i in "${!pids[@]}"; do
+    [[ ${names[i]} == "$1"* ]] || continue
     pid=${pids[i]}
-    for _ in $(seq 100); do
+    for _ in $(seq 200); do
       kill -0 "$pid" 2>/dev/null || break
       sleep 0.1
     done
     if kill -0 "$pid" 2>/dev/null; then
-      echo "demo: ${names[i]} did not stop within 10 s, killing it" >&2
-      kill -KILL "$pid" 2>/dev/null || true
+      echo "demo: ${names[i]} did not stop within 20 s, killing it" >&2
+      kill -KILL "$pid" 2>/dev/null
       failed=1
     elif ! wait "$pid"; then
       echo "demo: ${names[i]} ended with an error, its last lines:" >&2
       tail -n 5 "$dir/${names[i]}.log" >&2
       failed=1
     fi
+    unset "pids[i]" "names[i]"
   done
-  pids=()
+}
+
+stop_all() {
+  stop entry-
+  stop workers-
+  stop platform
 }
 failed=0
 
 finish() {
   local code=$?
-  stop
+  set +e
+  stop_all
   if [ "$code" -ne 0 ]; then
     echo "demo: failed, last lines of the entry hosts:" >&2
     tail -qn 5 "$dir"/entry-*.log >&2 2>/dev/null || true
@@ -158,9 +166,13 @@
 $peridotpitch explain demo-job-7 | tail -n 12
 
 echo "== stop"
-stop
+set +e
+stop_all
 if ! grep -q '^violations 0, overcommits 0, double starts 0, epoch conflicts 0$' "$dir/load.log"; then
   echo "demo: the stand-ins saw violations" >&2
   failed=1
 fi
-[ "$failed" -eq 0 ] && echo "demo: everything stopped cleanly after $((SECONDS - started)) s"
+if [ "$failed" -eq 0 ]; then
+  echo "demo: everything stopped cleanly after $((SECONDS - started)) s"
+fi
+exit "$failed"
