--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-
 	"peridotpitch/internal/poster"
 )
 
--- /dev/null
+++ b/internal/poster/poster_test.go
@@ -0,0 +1,110 @@
+package poster_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpitch/internal/poster"
+)
+
+// raw answers each connection with text after it received something, and closes it.
+func raw(t *testing.T, text string) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b := make([]byte, 4096)
+			if _, err := c.Read(b); err == nil {
+				_, _ = c.Write([]byte(text))
+			}
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Guards against a damaged answer taken for a whole one.
+func TestDamagedAnswersAreErrors(t *testing.T) {
+	for name, text := range map[string]string{
+		"no answer":        "",
+		"no header end":    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+		"short body":       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{}",
+		"cut chunk":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{}",
+		"not HTTP":         "hello\r\n\r\n",
+		"over the maximum": "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, stop := poster.New(raw(t, text), poster.Options{MaxAnswerSize: 1000})
+			defer stop()
+			_, err := p.Post(t.Context(), "/x", struct{}{})
+			var e *poster.Error
+			is.True(errors.As(err, &e))
+			is.True(e.Sent)
+		})
+	}
+}
+
+// Guards against a call that was cancelled before it was sent and counts as sent.
+func TestCancelledCallIsNotSent(t *testing.T) {
+	is := is.New(t)
+	p, stop := poster.New(raw(t, ""), poster.Options{})
+	defer stop()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := p.Post(ctx, "/x", struct{}{})
+	var e *poster.Error
+	is.True(errors.As(err, &e))
+	is.True(!e.Sent)
+	is.True(errors.Is(err, context.Canceled))
+}
+
+// Guards against a retry: fasthttp repeats requests on a closed connection by default.
+func TestNothingIsRepeated(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	p, stop := poster.New(l.Addr().(*net.TCPAddr).AddrPort(), poster.Options{Timeout: time.Second})
+	defer stop()
+	accepted := make(chan int, 10)
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				close(accepted)
+				return
+			}
+			accepted <- n
+			_ = c.Close()
+		}
+	}()
+	_, err = p.Post(t.Context(), "/x", struct{}{})
+	is.True(err != nil)
+	is.NoErr(l.Close())
+	last := 0
+	for n := range accepted {
+		last = n
+	}
+	is.Equal(last, 1)
+}
+
+func ExampleError() {
+	fmt.Println(&poster.Error{Address: netip.MustParseAddrPort("127.0.0.1:7000"), Path: "/kv/get", Cause: context.DeadlineExceeded})
+	// Output: post to 127.0.0.1:7000/kv/get (not sent): context deadline exceeded
+}
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"time"
 
-
 	"peridotpitch/internal/poster"
 )
 
