Add the evaluator; keep room for urgent work; ignore sick instances

Cause: policies were not compared with baselines. First runs showed that with a slowdown bound of 1.3 relief throttled a third of all batch work, that urgent jobs evicted one batch job each, that relief blamed neighbours for a sick instance (69 to 81 evictions in scenario slow), and that jobs declared 4 times too small never started beside a service (urgent start after 3m29s). The placer keeps room for one urgent task on up to 12% of a shard's workers by the weight of evictions, bounds what one report can teach, acts only if the neighbours explain 30% of the excess, pauses after 5 actions without effect, caps the expected size at what services leave, and weighs harm to batch by lost progress. The slowdown bound is 2. Baselines put one instance on each worker while they can.

--- /dev/null
+++ b/cmd/evaluate/main.go
@@ -0,0 +1,66 @@
+// Command evaluate compares the product's policies with baselines on virtual time and
+// prints a table. The same flags always print the same table.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"peridotpitch/internal/evaluator"
+)
+
+func main() {
+	seeds := flag.String("seed", "101", "comma-separated seeds; 1 to 20 are for tuning, 101 to 105 for judging")
+	firm := flag.String("firm", "", "firm (dimasalang or vitosha); empty: both")
+	scenario := flag.String("scenario", "", "comma-separated scenarios; empty: all")
+	minutes := flag.Float64("minutes", 10, "measured virtual minutes of each run")
+	broken := flag.Bool("broken", false, "print the first case of each broken guarantee")
+	flag.Parse()
+	if err := run(*seeds, *firm, *scenario, *minutes, *broken); err != nil {
+		fmt.Fprintln(os.Stderr, "evaluate:", err)
+		os.Exit(1)
+	}
+}
+
+func run(seedList, firm, scenario string, minutes float64, broken bool) error {
+	var seeds []uint64
+	for s := range strings.SplitSeq(seedList, ",") {
+		n, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			return fmt.Errorf("seed %q is not a number", s)
+		}
+		seeds = append(seeds, n)
+	}
+	var firms []evaluator.Firm
+	for _, f := range evaluator.Firms() {
+		if firm == "" || firm == f.Name {
+			firms = append(firms, f)
+		}
+	}
+	var scenarios []evaluator.Scenario
+	for _, s := range evaluator.Scenarios() {
+		if scenario == "" || strings.Contains(","+scenario+",", ","+s.Name+",") {
+			scenarios = append(scenarios, s)
+		}
+	}
+	if len(firms) == 0 || len(scenarios) == 0 || !(minutes > 0) {
+		return fmt.Errorf("no firm %q, no scenario %q or minutes %g not above 0", firm, scenario, minutes)
+	}
+	policies := append([]evaluator.Policies{evaluator.Product}, evaluator.Baselines()...)
+	rows := evaluator.Evaluate(firms, scenarios, policies, seeds, time.Duration(minutes*float64(time.Minute)))
+	if err := evaluator.Print(os.Stdout, rows); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		for g := 1; broken && g <= 9; g++ {
+			if e := r.Example[g]; e != "" {
+				fmt.Printf("%s %s %s seed %d: guarantee %d, %d cases, first %s\n", r.Firm, r.Scenario, r.Policies, r.Seed, g, r.Broken[g], e)
+			}
+		}
+	}
+	return nil
+}
--- a/internal/placer/baseline.go
+++ b/internal/placer/baseline.go
@@ -2,16 +2,33 @@
 
 import "peridotpitch/internal/configurator"
 
-// firstFit takes the first worker whose declared sizes leave room.
+// firstFit takes the first worker whose declared sizes leave room. Like bestFit it puts at
+// most one member of a spread group on a worker as long as there is another choice.
 func (s *search) firstFit() int {
 	s.rule = RuleFirstFit
+	second := -1
 	for i := range s.ws {
-		if free, ok := s.declaredRoom(i); ok {
+		free, ok := s.declaredRoom(i)
+		if !ok {
+			continue
+		}
+		if !s.shared(i) {
 			s.insert(ranked{index: i, free: free})
 			return i
 		}
+		if second < 0 {
+			second = i
+		}
+	}
+	if second >= 0 {
+		s.insert(ranked{index: second})
 	}
-	return -1
+	return second
+}
+
+// shared reports whether worker i has a member of the task's spread group.
+func (s *search) shared(i int) bool {
+	return s.t.Spread != "" && s.p.summaries[i].members(s.t.Spread) > 0
 }
 
 // bestFit takes the worker with the least free declared capacity that has room.
@@ -24,7 +41,11 @@
 			if c.Memory > 0 {
 				left += float64(free.Memory) / float64(c.Memory)
 			}
-			s.insert(ranked{index: i, score: left, free: free})
+			r := ranked{index: i, score: left, free: free}
+			if s.shared(i) {
+				r.band = 1
+			}
+			s.insert(r)
 		}
 	}
 	if s.count == 0 {
--- a/internal/placer/estimator.go
+++ b/internal/placer/estimator.go
@@ -18,6 +18,8 @@
 	priorVariance = 0.25
 	// reportNoise is the variance of one measured slowdown around the model.
 	reportNoise = 0.02
+	// outlierSigmas bounds the surprise of one report.
+	outlierSigmas = 3
 	// harmHalfLife is the time after which half of what is known about a pair has been
 	// replaced by the prior.
 	harmHalfLife = 2 * time.Hour
@@ -219,12 +221,15 @@
 	for _, c := range e.present {
 		variance += e.neighbourLoad(c, victim, ownLoad) * spread[c]
 	}
+	// An instance that is slow for another reason must not be blamed on its neighbours.
+	bound := outlierSigmas * math.Sqrt(variance)
+	surprise := min(bound, max(-bound, excess-predicted))
 	for i := range n {
 		gain := spread[i] / variance
 		if gain == 0 {
 			continue
 		}
-		r.mean[i] += gain * (excess - predicted)
+		r.mean[i] += gain * surprise
 		for j := range n {
 			r.cov[i*maxClasses+j] -= gain * spread[j]
 		}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -12,8 +12,9 @@
 const (
 	// MaxCandidates bounds the candidates listed in a decision.
 	MaxCandidates = 5
-	// DefaultSlowdownBound is the slowdown above which a service counts as degraded.
-	DefaultSlowdownBound = 1.3
+	// DefaultSlowdownBound is the slowdown above which a service counts as degraded. In
+	// the evaluator a bound of 1.3 throttled a third of all batch work for little latency.
+	DefaultSlowdownBound = 2
 	// staleAfter is the age of a worker's figures above which it gets no new work: a
 	// worker that has been silent for this long is more likely lost than slow.
 	staleAfter = 10 * time.Second
@@ -30,6 +31,7 @@
 	estimator *estimator
 	failures  failureTracker
 	relief    reliefState
+	spare     spare
 	elsewhere map[string]configurator.Resources
 	reserved  []reservation
 	summaries []summary
@@ -102,6 +104,7 @@
 	if d := p.impossible(t, ws); d != nil {
 		return d
 	}
+	p.noteUrgent(&t, now)
 	p.refresh(ws, false)
 	if d := p.overQuota(t); d != nil {
 		return d
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -108,7 +108,7 @@
 	}
 	best := plans[0]
 	w := &ws[best.worker]
-	p.reserved = append(p.reserved, reservation{t.Name, w.Name, s.needOn(w.Capacity), now})
+	p.reserved = append(p.reserved, reservation{t.Name, w.Name, s.needOn(best.worker), now})
 	if len(best.victims) == 0 {
 		return Wait{Rule: RuleVictims, Reason: fmt.Sprintf("tasks on worker %s are stopping already", w.Name)}
 	}
@@ -143,7 +143,7 @@
 func (p *Placer) victims(s *search, index int, limit float64) (float64, bool) {
 	w := &s.ws[index]
 	free, _ := s.room(index)
-	need := s.needOn(w.Capacity)
+	need := s.needOn(index)
 	if p.baseline() {
 		free, need = w.Capacity.Sub(p.summaries[index].declared), s.t.Declared
 	}
--- a/internal/placer/relieve.go
+++ b/internal/placer/relieve.go
@@ -32,6 +32,14 @@
 	// memoryLimit is the share of a worker's memory in use above which a batch task is
 	// moved before the host runs out.
 	memoryLimit = 0.97
+	// minExplained is the share of a service's excess slowdown that its neighbours must
+	// explain by the estimate.
+	minExplained = 0.3
+	// After futileAfter actions that left more than futileShare of the excess slowdown,
+	// relief pauses until effortMemory has passed since the first of them.
+	futileAfter  = 5
+	futileShare  = 0.8
+	effortMemory = 5 * time.Minute
 	// maxRelieved bounds the tables of relieved tasks.
 	maxRelieved = 4096
 )
@@ -50,14 +58,22 @@
 	until  time.Time
 }
 
+// effort counts the actions on a worker since its service was first found degraded.
+type effort struct {
+	since    time.Time
+	slowdown float64 // then
+	count    int
+}
+
 type reliefState struct {
+	efforts map[string]effort    // by worker
 	workers map[string]time.Time // last action on the worker
 	tasks   map[string]*reliefTask
 	moved   map[string]movedTask
 }
 
 func newReliefState() reliefState {
-	return reliefState{workers: map[string]time.Time{}, tasks: map[string]*reliefTask{}, moved: map[string]movedTask{}}
+	return reliefState{efforts: map[string]effort{}, workers: map[string]time.Time{}, tasks: map[string]*reliefTask{}, moved: map[string]movedTask{}}
 }
 
 func (s *reliefState) movedFrom(task, worker string, now time.Time) bool {
@@ -73,6 +89,7 @@
 	for w, at := range s.workers {
 		if now.Sub(at) > time.Hour {
 			delete(s.workers, w)
+			delete(s.efforts, w)
 		}
 	}
 	for t, m := range s.moved {
@@ -122,6 +139,10 @@
 
 func (s *reliefState) acted(worker, task string, now time.Time) *reliefTask {
 	s.workers[worker] = now
+	if e, ok := s.efforts[worker]; ok {
+		e.count++
+		s.efforts[worker] = e
+	}
 	r := s.task(task)
 	r.actions = append(r.actions, now)
 	return r
@@ -196,9 +217,10 @@
 	price float64
 }
 
-// neighbours returns the batch tasks that probably harm a service, cheapest first, and
-// a task whose checkpoint did not complete, or -1.
-func (p *Placer) neighbours(w *Worker, service *Resident, now time.Time) (list []neighbour, stuck int) {
+// neighbours returns the batch tasks that may be acted upon to relieve a service, cheapest
+// first, a task whose checkpoint did not complete, or -1, and the slowdown that all batch
+// tasks together explain.
+func (p *Placer) neighbours(w *Worker, service *Resident, now time.Time) (list []neighbour, stuck int, explained float64) {
 	victim := p.estimator.index(service.Class)
 	stuck = -1
 	for i := range w.Residents {
@@ -206,14 +228,15 @@
 		if r.Kind != KindBatch {
 			continue
 		}
+		mean, _ := p.estimator.harm(victim, p.estimator.index(r.Class), now)
+		harm := mean * r.cores() / w.Capacity.Cores
+		explained += harm
 		if r.Stopping {
 			if t := p.relief.tasks[r.Name]; t != nil && !t.checkpoint.IsZero() && now.Sub(t.checkpoint) > checkpointTimeout {
 				stuck = i
 			}
 			continue
 		}
-		mean, _ := p.estimator.harm(victim, p.estimator.index(r.Class), now)
-		harm := mean * r.cores() / w.Capacity.Cores
 		if harm < minHarm || !p.relief.allowed(r.Name, now) {
 			continue
 		}
@@ -232,11 +255,14 @@
 		}
 		return 0
 	})
-	return list, stuck
+	return list, stuck, explained
 }
 
 func (p *Placer) relieve(w *Worker, service *Resident, now time.Time) Relief {
-	list, stuck := p.neighbours(w, service, now)
+	list, stuck, explained := p.neighbours(w, service, now)
+	if !p.worthwhile(w, service, explained, now) {
+		return nil
+	}
 	cause := fmt.Sprintf("slowdown %.2f, latency %s, target %s", service.Slowdown, service.Latency, service.LatencyTarget)
 	candidates := harmCandidates(w, list, now)
 	for _, n := range list {
@@ -265,6 +291,23 @@
 	return nil
 }
 
+// worthwhile reports whether relief can help: the neighbours explain a part of the excess,
+// and recent actions on the worker had an effect. A sick instance is not their fault.
+func (p *Placer) worthwhile(w *Worker, service *Resident, explained float64, now time.Time) bool {
+	if service.Slowdown > 0 && explained < minExplained*(service.Slowdown-1) {
+		return false
+	}
+	e := p.relief.efforts[w.Name]
+	if now.Sub(e.since) > effortMemory {
+		e = effort{since: now, slowdown: service.Slowdown}
+	}
+	if e.count >= futileAfter && service.Slowdown-1 > futileShare*(e.slowdown-1) {
+		return false
+	}
+	p.relief.efforts[w.Name] = e
+	return true
+}
+
 // throttle notes a throttle. One that follows soon on a release shows that the release
 // came too early.
 func (r *reliefTask) throttle(now time.Time) {
--- a/internal/placer/relieve_test.go
+++ b/internal/placer/relieve_test.go
@@ -68,7 +68,7 @@
 // without a newer report, and a move before throttling was tried.
 func TestRelieveOrder(t *testing.T) {
 	is := is.New(t)
-	p := newPlacer(Policy{})
+	p := newPlacer(Policy{SlowdownBound: 1.3})
 	now := reports(p, 300, rand.New(rand.NewPCG(5, 5))).Add(time.Minute)
 	h := newHost(now)
 	h.base = 8 // throttling alone is not enough
@@ -97,7 +97,7 @@
 		}
 		now = now.Add(time.Second)
 		h.report(now)
-		h.Residents[0].Slowdown = 3 // stays degraded
+		h.Residents[0].Slowdown = 1.5 // stays degraded
 	}
 	is.Equal(kinds, []string{"throttle", "throttle", "checkpoint", "checkpoint"})
 	is.True(stop > 0) // the checkpoints never complete
@@ -108,7 +108,7 @@
 // against oscillation while it stays.
 func TestRelieveRelease(t *testing.T) {
 	is := is.New(t)
-	p := newPlacer(Policy{})
+	p := newPlacer(Policy{SlowdownBound: 1.3})
 	now := reports(p, 300, rand.New(rand.NewPCG(5, 5)))
 	h := newHost(now)
 	actions, releases := 0, 0
--- a/internal/placer/search.go
+++ b/internal/placer/search.go
@@ -16,6 +16,7 @@
 	rejectSilent
 	rejectMoved
 	rejectRoom
+	rejectSpare
 	rejectReasons
 )
 
@@ -26,6 +27,7 @@
 	rejectSilent:     "without a recent report",
 	rejectMoved:      "relieved of this task recently",
 	rejectRoom:       "without room",
+	rejectSpare:      "kept free for urgent work",
 }
 
 // Weights of the score.
@@ -117,6 +119,7 @@
 		return s.bestFit()
 	}
 	s.rule = RuleInterference
+	spare := s.spareWorkers()
 	for i := range s.ws {
 		if reason := s.unavailable(i); reason >= 0 {
 			s.rejected[reason]++
@@ -127,6 +130,10 @@
 			s.rejected[rejectRoom]++
 			continue
 		}
+		if s.takesSpare(i, free, spare) {
+			s.rejected[rejectSpare]++
+			continue
+		}
 		if s.reserved != nil && s.reserved.worker == s.ws[i].Name {
 			s.rule = RuleReserved
 			s.count = 0
@@ -165,8 +172,7 @@
 	return -1
 }
 
-// room returns the free capacity of worker i and whether the task fits into it. A task
-// that is expected to outgrow the worker needs all of it.
+// room returns the free capacity of worker i and whether the task fits into it.
 func (s *search) room(i int) (configurator.Resources, bool) {
 	capacity := s.ws[i].Capacity
 	free := capacity.Sub(s.p.summaries[i].committed)
@@ -175,11 +181,14 @@
 			free = free.Sub(r.need)
 		}
 	}
-	return free, s.needOn(capacity).Fits(free)
+	return free, s.needOn(i).Fits(free)
 }
 
-func (s *search) needOn(capacity configurator.Resources) configurator.Resources {
-	return s.t.Declared.Max(smaller(s.need, capacity))
+// needOn returns the room that the task needs on worker i: its expected size, but no more
+// than the services there leave, because otherwise it would never start.
+func (s *search) needOn(i int) configurator.Resources {
+	left := s.ws[i].Capacity.Sub(s.p.summaries[i].services)
+	return s.t.Declared.Max(smaller(s.need, left))
 }
 
 // verified sums the residents of the chosen worker anew.
@@ -213,12 +222,13 @@
 		toBatch += harm * c.batch
 		own += s.suffer[c.class] * c.cores / w.Capacity.Cores
 	}
+	toBatch /= load // per share of cores that the task uses
 	weights := &s.p.weights
 	latency, throughput := toServices, toBatch
 	if s.t.Kind == KindService {
 		latency += own
 	} else {
-		throughput += own
+		throughput += 1 - 1/(1+own)
 	}
 	// A batch task that degrades a service is the one that relief evicts.
 	eviction := min(1, toServices/(s.p.policy.SlowdownBound-1))
--- a/internal/placer/summary.go
+++ b/internal/placer/summary.go
@@ -7,7 +7,7 @@
 	class    int
 	cores    float64 // cores in use
 	services float64 // service instances, weighted by how close they are to being degraded
-	batch    float64 // batch tasks
+	batch    float64 // share of the worker's cores used by batch tasks, weighted by how much progress a further slowdown costs
 }
 
 type teamUse struct {
@@ -28,6 +28,7 @@
 	rack, domain int32
 	committed    configurator.Resources
 	declared     configurator.Resources
+	services     configurator.Resources // part of committed held by service instances
 	classes      []classLoad
 	teams        []teamUse
 	spreads      []spreadUse
@@ -35,7 +36,7 @@
 
 // degradedWeight is how much more harm to an instance counts per unit of slowdown it
 // already has: latency rises faster than slowdown near saturation.
-const degradedWeight = 4
+const degradedWeight = 2
 
 // held returns the capacity that counts as taken by r. A task that has not been measured
 // counts with the size that tasks of its class usually reach.
@@ -83,7 +84,10 @@
 		held := p.held(r)
 		s.committed = s.committed.Add(held)
 		s.declared = s.declared.Add(r.Declared)
-		s.addClass(p.estimator.index(r.Class), r)
+		s.addClass(p.estimator.index(r.Class), r, w.Capacity.Cores)
+		if r.Kind == KindService {
+			s.services = s.services.Add(held)
+		}
 		if r.Kind == KindBatch {
 			if _, ok := p.policy.Quotas[r.Team]; ok {
 				s.addTeam(intern(p.teams, r.Team), held)
@@ -95,7 +99,7 @@
 	}
 }
 
-func (s *summary) addClass(class int, r *Resident) {
+func (s *summary) addClass(class int, r *Resident, capacity float64) {
 	j := 0
 	for j < len(s.classes) && s.classes[j].class != class {
 		j++
@@ -108,7 +112,10 @@
 	if r.Kind == KindService {
 		c.services += 1 + degradedWeight*max(0, r.Slowdown-1)
 	} else {
-		c.batch++
+		// Progress is the inverse of the slowdown, and this is its derivative: a task
+		// that is slowed already loses less by one more neighbour.
+		slow := max(1, r.Slowdown)
+		c.batch += r.cores() / (capacity * slow * slow)
 	}
 }
 
