Drive the real router, allocator and limiter in the evaluator

Change: entry hosts of the evaluator use internal/router with its allocator and internal/limiter; the request checks (guarantees 4, 5, 6, 8) run against them.

--- a/internal/evaluator/entry.go
+++ b/internal/evaluator/entry.go
@@ -1,223 +1,280 @@
 package evaluator
 
 import (
-	"math/rand/v2"
+	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"peridotpitch/internal/configurator"
+	"peridotpitch/internal/limiter"
+	"peridotpitch/internal/messenger"
+	"peridotpitch/internal/router"
 )
 
-// entry is an entry host. Its routing, queues and retries are a fake until the real router
-// and limiter are driven here.
+// entry is an entry host: the real router and limiter with a fake of what is around them.
 type entry struct {
-	w       *world
-	domain  int
-	index   int
-	name    string
-	alive   bool
-	random  *rand.Rand
-	queues  [][]*request
-	held    map[*instance]int
-	average map[*instance]float64 // seconds
-	next    int
-	known   []*instance // as of the last heartbeat
-	share   int         // slots of each instance that this host may use
-	fresh   float64     // retry budget
+	w           *world
+	domain      int
+	index       int
+	name        string
+	alive       bool
+	incarnation int
+	started     time.Time
+	sequence    uint64
+	router      *router.Router
+	limiter     *limiter.Limiter
+	waiting     map[string]*request
 }
 
+// flight is one attempt of a request.
+type flight struct {
+	q      *request
+	in     *instance
+	choice router.Instance
+	sent   time.Time
+	done   bool
+}
+
+// pumpInterval is how often waiting requests are looked at without another cause.
+const pumpInterval = 20 * time.Millisecond
+
 func newEntry(w *world, domain int, name string) *entry {
-	e := &entry{w: w, domain: domain, index: len(w.entries), name: name, alive: true}
-	e.random = source(w.seed, streamPolicy+stream(100+e.index))
-	e.reset()
+	e := &entry{w: w, domain: domain, index: len(w.entries), name: name}
+	e.start(time.Time{})
+	w.every(pumpInterval, func() {
+		if !e.alive {
+			return
+		}
+		for s := range w.firm.Services {
+			e.pump(s)
+		}
+	})
 	return e
 }
 
-func (e *entry) reset() {
-	e.queues = make([][]*request, len(e.w.firm.Services))
-	e.held, e.average = map[*instance]int{}, map[*instance]float64{}
+func (e *entry) start(holdUntil time.Time) {
+	e.alive = true
+	e.incarnation++
+	e.started = e.w.now
+	e.waiting = map[string]*request{}
+	e.router = router.New(router.Settings{Policy: e.w.policies.Routing, MaxRequestTimeout: requestTimeout, HoldUntil: holdUntil},
+		source(e.w.seed, streamPolicy+stream(100+e.index+1000*e.incarnation)))
+	e.limiter = limiter.New(limiter.Settings{Limits: e.w.policies.Limits, Retries: e.w.policies.Retries, Teams: teams})
 }
 
+// teams are the tenants that send requests.
+var teams = []configurator.Team{{Name: "directors", Share: 2}, {Name: "schools", Share: 1}, {Name: "mills", Share: 1}}
+
+// crash ends the process: its callers see their connections close.
 func (e *entry) crash() {
 	e.alive = false
-	for _, queue := range e.queues {
-		for _, q := range queue {
-			if !q.final {
-				e.w.finish(q, outcomeUnknown)
-			}
-		}
-	}
-	for _, in := range e.w.instances {
-		for _, q := range e.w.ordered(in.running) {
-			if in.running[q] == e.index && !q.final {
-				e.w.finish(q, outcomeUnknown)
-			}
+	for _, n := range slices.Sorted(maps.Keys(e.w.open)) {
+		q := e.w.open[n]
+		if q.entry == e && !q.final {
+			e.w.finish(q, outcomeUnknown)
 		}
 	}
-	e.reset()
 }
 
-func (e *entry) restart() { e.alive = true }
+// restart replaces the process. Requests of the one before may still run.
+func (e *entry) restart() { e.start(e.w.now.Add(requestTimeout)) }
 
-// exchange spreads the list of instances.
+// exchange spreads the instances and lends slots, as heartbeats do.
 func (w *world) exchange() {
-	for _, e := range w.entries {
-		hosts := 0
-		for _, o := range w.entries {
-			if o.domain == e.domain {
-				hosts++
+	for d, s := range w.shards {
+		var hosts []string
+		for _, e := range w.entries {
+			if e.domain == d {
+				hosts = append(hosts, e.name)
 			}
 		}
-		e.share = (slots + hosts - 1) / hosts
-		e.known = e.known[:0]
-		for _, in := range w.instances {
-			if in.domain == e.domain && in.ready && !in.draining {
-				e.known = append(e.known, in)
+		endpoints := w.endpoints(d)
+		if s.allocator == nil {
+			s.allocator = router.NewAllocator(1, requestTimeout, w.now)
+		}
+		s.allocator.Update(endpoints, hosts, w.now)
+		for _, e := range w.entries {
+			if e.domain == d && e.alive {
+				e.heartbeat(s.allocator, endpoints, len(hosts))
 			}
 		}
 	}
 }
 
-// offer takes a caller's request.
-func (e *entry) offer(q *request) {
-	e.fresh = min(e.fresh+0.1, 100)
-	e.queues[q.service] = append(e.queues[q.service], q)
-	e.w.after(q.deadline.Sub(e.w.now), func() {
-		if !q.final {
-			if q.ran > 0 || q.instance != nil {
-				e.w.finish(q, outcomeUnknown)
-			} else {
-				e.w.finish(q, outcomeNotRun)
-			}
+func (w *world) endpoints(domain int) []messenger.Endpoint {
+	var out []messenger.Endpoint
+	for _, in := range w.instances {
+		if in.domain == domain && in.ready {
+			out = append(out, messenger.Endpoint{
+				Instance: in.name, Service: w.firm.Services[in.service], FailureDomain: w.firm.Domains[domain],
+				Slots: slots, Connections: conns, Draining: in.draining, Slowdown: in.reported,
+			})
 		}
+	}
+	return out
+}
+
+func (e *entry) heartbeat(a *router.Allocator, endpoints []messenger.Endpoint, hosts int) {
+	const owner = "owner"
+	sent := e.w.now
+	e.router.Update(endpoints, router.Membership{Hosts: hosts, Settled: true}, sent)
+	demand := e.router.Demand(owner, sent)
+	e.sequence++
+	report := router.Report{
+		Host: e.name, Incarnation: strconv.Itoa(e.incarnation), Sequence: e.sequence,
+		RunningFor: sent.Sub(e.started), Demand: demand,
+	}
+	incarnation := e.incarnation
+	e.w.after(networkDelay/2, func() {
+		grants := a.Step(report, e.w.now)
+		e.w.after(networkDelay/2, func() {
+			if !e.alive || e.incarnation != incarnation {
+				return
+			}
+			for _, g := range grants {
+				e.router.Grant(owner, g, sent, e.w.now)
+			}
+		})
 	})
-	e.pump(q.service)
 }
 
-func (e *entry) pump(service int) {
-	for len(e.queues[service]) > 0 && e.alive {
-		q := e.queues[service][0]
-		if q.final {
-			e.queues[service] = e.queues[service][1:]
-			continue
-		}
-		in := e.pick(q)
-		if in == nil {
-			return
-		}
-		e.queues[service] = e.queues[service][1:]
-		e.send(q, in)
+// offer takes a caller's request.
+func (e *entry) offer(q *request) {
+	q.entry = e
+	q.limited = limiter.Request{
+		ID: strconv.Itoa(q.number), Service: e.w.firm.Services[q.service], Tenant: teams[q.number%len(teams)].Name,
+		Urgent: q.number%10 == 0, Deadline: q.deadline,
 	}
+	e.w.open[q.number] = q
+	e.waiting[q.limited.ID] = q
+	e.w.after(q.deadline.Sub(e.w.now), func() { e.expire(q) })
+	e.apply(e.limiter.Offer(q.limited, e.w.now))
+	e.pump(q.service)
 }
 
-func (e *entry) send(q *request, in *instance) {
-	e.held[in]++
-	q.instance = in
-	q.attempts++
-	e.w.after(networkDelay/2, func() {
-		if !q.final {
-			e.w.runRequest(in, q, e)
-		}
-	})
+// expire gives a request its final outcome at its deadline.
+func (e *entry) expire(q *request) {
+	if q.final {
+		return
+	}
+	f := q.flight
+	if f == nil {
+		e.limiter.Cancel(q.limited, e.w.now)
+		delete(e.waiting, q.limited.ID)
+		e.w.finish(q, outcomeNotRun)
+		return
+	}
+	e.end(f, router.Outcome{Kind: router.OutcomeAbandoned, SlotsUsed: -1})
+	e.limiter.Release(q.limited, e.w.now.Sub(f.sent), true, e.w.now)
+	e.w.finish(q, outcomeUnknown)
+	e.pump(q.service)
 }
 
-func (e *entry) pick(q *request) *instance {
-	var free []*instance
-	for _, in := range e.known {
-		if in.service == q.service && e.held[in] < e.share && !slices.Contains(q.tried, in.name) {
-			free = append(free, in)
-		}
+func (e *entry) pump(service int) {
+	name := e.w.firm.Services[service]
+	if e.limiter.Queued(name) > 0 {
+		e.apply(e.limiter.Next(name, e.router.Free(name, e.w.now), e.w.now))
 	}
-	if len(free) == 0 {
-		return nil
-	}
-	switch e.w.policies.Routing {
-	case configurator.RoutingRoundRobin:
-		e.next++
-		return free[e.next%len(free)]
-	case configurator.RoutingLeastRequests:
-		best := free[e.random.IntN(len(free))]
-		for _, in := range free {
-			if e.held[in] < e.held[best] {
-				best = in
+	e.router.Want(name, e.limiter.Queued(name), e.w.now)
+}
+
+func (e *entry) apply(actions []limiter.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case limiter.Drop:
+			if q := e.waiting[a.Request.ID]; q != nil {
+				delete(e.waiting, a.Request.ID)
+				e.w.finish(q, outcomeNotRun)
+			}
+		case limiter.Start:
+			q := e.waiting[a.Request.ID]
+			delete(e.waiting, a.Request.ID)
+			if q == nil || q.final {
+				e.limiter.Release(a.Request, 0, false, e.w.now)
+				continue
+			}
+			if !e.send(q) {
+				e.limiter.Release(a.Request, 0, false, e.w.now)
+				e.w.finish(q, outcomeNotRun)
 			}
-		}
-		return best
-	}
-	best := free[e.random.IntN(len(free))]
-	for range 3 {
-		if o := free[e.random.IntN(len(free))]; e.cost(o) < e.cost(best) {
-			best = o
 		}
 	}
-	return best
 }
 
-func (e *entry) cost(in *instance) float64 {
-	a := e.average[in]
-	if a == 0 {
-		a = serviceMean.Seconds()
+// send starts an attempt, if an instance is free.
+func (e *entry) send(q *request) bool {
+	c, ok := e.router.Pick(router.Request{ID: q.limited.ID, Service: q.limited.Service, Deadline: q.deadline, Exclude: q.tried}, e.w.now).(router.Instance)
+	if !ok {
+		return false
 	}
-	return a * float64(1+e.held[in])
+	e.fly(q, c)
+	return true
 }
 
-func (e *entry) release(q *request, in *instance) {
-	if e.held[in] > 0 {
-		e.held[in]--
+func (e *entry) fly(q *request, c router.Instance) {
+	f := &flight{q: q, in: e.w.byName[c.Name], choice: c, sent: e.w.now}
+	q.flight = f
+	e.w.after(networkDelay/2, func() { e.w.runRequest(f, e) })
+}
+
+func (e *entry) end(f *flight, o router.Outcome) {
+	f.done = true
+	if e.alive {
+		e.router.Done(f.choice, o, e.w.now)
 	}
-	q.instance = nil
-	e.pump(q.service)
 }
 
-func (e *entry) answered(q *request, in *instance) {
-	if !e.alive {
+func (e *entry) answered(f *flight, used int) {
+	if f.done || f.q.final {
 		return
 	}
-	taken := e.w.now.Sub(q.arrived).Seconds()
-	e.average[in] += 0.2 * (taken - e.average[in])
-	if !q.final {
-		e.w.finish(q, outcomeAnswered)
-	}
-	e.release(q, in)
+	took := e.w.now.Sub(f.sent)
+	e.end(f, router.Outcome{Kind: router.OutcomeAnswered, Latency: took, SlotsUsed: used})
+	e.limiter.Release(f.q.limited, took, true, e.w.now)
+	e.w.finish(f.q, outcomeAnswered)
+	e.pump(f.q.service)
 }
 
 // rejected handles an instance's "not run".
-func (e *entry) rejected(q *request, in *instance) {
-	if !e.alive {
+func (e *entry) rejected(f *flight, used int) {
+	if f.done || f.q.final {
 		return
 	}
-	e.release(q, in)
-	e.retry(q, in, outcomeNotRun)
+	e.end(f, router.Outcome{Kind: router.OutcomeNotRun, Latency: e.w.now.Sub(f.sent), SlotsUsed: used})
+	e.again(f, outcomeNotRun)
 }
 
 // unanswered handles a connection that closed without an answer.
-func (e *entry) unanswered(q *request, in *instance) {
-	e.release(q, in)
-	if !q.repeatable {
-		e.w.finish(q, outcomeUnknown)
+func (e *entry) unanswered(f *flight) {
+	if f.done || f.q.final {
 		return
 	}
-	e.retry(q, in, outcomeUnknown)
+	e.end(f, router.Outcome{Kind: router.OutcomeAbandoned, Latency: e.w.now.Sub(f.sent), SlotsUsed: -1})
+	f.q.started = true
+	e.again(f, outcomeUnknown)
 }
 
-func (e *entry) retry(q *request, in *instance, otherwise outcome) {
-	if q.final {
-		return
+// again retries where that is allowed: always safe after "not run", else only for requests
+// that may be repeated.
+func (e *entry) again(f *flight, otherwise outcome) {
+	q := f.q
+	if q.started {
+		otherwise = outcomeUnknown
 	}
-	allowed := q.attempts <= 3
-	if e.w.policies.Retries != configurator.RetryImmediate3 {
-		allowed = e.fresh >= 1
-		e.fresh = max(0, e.fresh-1)
-	}
-	if !allowed {
-		if q.ran > 0 {
-			otherwise = outcomeUnknown
+	if !q.started || q.repeatable {
+		q.tried = append(q.tried, f.choice.Name)
+		c, ok := e.router.Pick(router.Request{ID: q.limited.ID, Service: q.limited.Service, Deadline: q.deadline, Exclude: q.tried}, e.w.now).(router.Instance)
+		if ok && e.limiter.RetryAllowed(q.limited.Service, len(q.tried), e.w.now) {
+			e.w.count(&e.w.result.Retries)
+			e.fly(q, c)
+			return
+		}
+		if ok {
+			e.router.Done(c, router.Outcome{Kind: router.OutcomeUnused, SlotsUsed: -1}, e.w.now)
 		}
-		e.w.finish(q, otherwise)
-		return
 	}
-	e.w.count(&e.w.result.Retries)
-	q.tried = append(q.tried, in.name)
-	e.queues[q.service] = slices.Insert(e.queues[q.service], 0, q)
-	e.w.after(time.Millisecond, func() { e.pump(q.service) })
+	e.limiter.Release(q.limited, e.w.now.Sub(f.sent), q.started, e.w.now)
+	e.w.finish(q, otherwise)
+	e.pump(q.service)
 }
--- a/internal/evaluator/request.go
+++ b/internal/evaluator/request.go
@@ -1,11 +1,12 @@
 package evaluator
 
 import (
-	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
+	"peridotpitch/internal/limiter"
 	"peridotpitch/internal/placer"
 )
 
@@ -24,8 +25,9 @@
 	draining bool
 	busy     int
 	slow     float64
-	epoch    int // increases when the process dies, so that late events are ignored
-	running  map[*request]int
+	epoch    int             // increases when the process dies, so that late events are ignored
+	running  map[int]*flight // by request number
+	reported float64         // slowdown as last reported
 }
 
 type request struct {
@@ -35,17 +37,20 @@
 	deadline   time.Time
 	work       time.Duration
 	repeatable bool
-	attempts   int
 	ran        int
+	started    bool // may have run
 	final      bool
-	instance   *instance
-	tried      []string
+	flight     *flight
+	tried      []string // instances
+	entry      *entry
+	limited    limiter.Request
 }
 
 func (w *world) newInstance(domain, service int) {
-	in := &instance{domain: domain, service: service, slow: 1, running: map[*request]int{}}
+	in := &instance{domain: domain, service: service, slow: 1, running: map[int]*flight{}}
 	in.name = fmt.Sprintf("%s-%s-%d", w.firm.Services[service], w.firm.Domains[domain], len(w.instances))
 	w.instances = append(w.instances, in)
+	w.byName[in.name] = in
 	w.startInstance(in)
 }
 
@@ -73,25 +78,15 @@
 	in.epoch++
 	in.busy = 0
 	running := in.running
-	in.running = map[*request]int{}
-	for _, q := range w.ordered(running) {
-		if e := w.entries[running[q]]; !q.final && e.alive {
-			e.unanswered(q, in)
+	in.running = map[int]*flight{}
+	// In order, because map order would make runs differ.
+	for _, n := range slices.Sorted(maps.Keys(running)) {
+		if e := running[n].q.entry; e.alive {
+			e.unanswered(running[n])
 		}
 	}
 }
 
-// ordered returns the requests in the order of their arrival, because map order would make
-// runs differ.
-func (w *world) ordered(m map[*request]int) []*request {
-	out := make([]*request, 0, len(m))
-	for q := range m {
-		out = append(out, q)
-	}
-	slices.SortFunc(out, func(a, b *request) int { return cmp.Compare(a.number, b.number) })
-	return out
-}
-
 // instanceEnded asks for a replacement.
 func (w *world) instanceEnded(in *instance, why ending) {
 	if in.task == nil {
@@ -177,6 +172,7 @@
 		return
 	}
 	q.final = true
+	delete(w.open, q.number)
 	if o == outcomeNotRun && q.ran > 0 {
 		w.broken(5, "told not-run after it ran")
 	}
@@ -206,15 +202,22 @@
 	}
 }
 
-// run is the backend server's side of one attempt. It answers through the entry host.
-func (w *world) runRequest(in *instance, q *request, e *entry) {
-	if !in.ready || in.draining || in.busy >= slots {
-		w.after(networkDelay/2, func() { e.rejected(q, in) })
+// runRequest is the backend server's side of one attempt.
+func (w *world) runRequest(f *flight, e *entry) {
+	in, q := f.in, f.q
+	if !in.ready {
+		// Nothing accepts the connection, so nothing was sent.
+		w.after(networkDelay/2, func() { e.rejected(f, -1) })
+		return
+	}
+	if in.draining || in.busy >= slots {
+		used := in.busy
+		w.after(networkDelay/2, func() { e.rejected(f, used) })
 		return
 	}
 	in.busy++
 	q.ran++
-	in.running[q] = e.index
+	in.running[q.number] = f
 	epoch := in.epoch
 	slowdown := 1.0
 	if in.task != nil && in.task.slowdown > 0 {
@@ -224,8 +227,9 @@
 		if in.epoch != epoch {
 			return
 		}
+		used := in.busy
 		in.busy--
-		delete(in.running, q)
-		w.after(networkDelay/2, func() { e.answered(q, in) })
+		delete(in.running, q.number)
+		w.after(networkDelay/2, func() { e.answered(f, used) })
 	})
 }
--- a/internal/evaluator/scenario.go
+++ b/internal/evaluator/scenario.go
@@ -96,8 +96,8 @@
 			noisy(w, l)
 			loseHosts(w, l)
 		}},
-		{"capacity", "requests at the capacity of the slots", func(w *world) { w.load(0.5, 0.5) }, nothing},
-		{"overload", "requests at twice the load of capacity", func(w *world) { w.load(1, 1) }, nothing},
+		{"capacity", "requests at the capacity of the slots", func(w *world) { w.load(0.7, 0.7) }, nothing},
+		{"overload", "requests at twice the load of capacity", func(w *world) { w.load(1.4, 1.4) }, nothing},
 	}
 }
 
--- a/internal/evaluator/shard.go
+++ b/internal/evaluator/shard.go
@@ -7,6 +7,7 @@
 
 	"peridotpitch/internal/configurator"
 	"peridotpitch/internal/placer"
+	"peridotpitch/internal/router"
 )
 
 // job is a batch job.
@@ -25,15 +26,16 @@
 // shard stands for the owner of a failure domain's workers: it keeps the view that the
 // placer decides on.
 type shard struct {
-	w       *world
-	domain  int
-	p       *placer.Placer
-	view    []placer.Worker
-	hosts   map[string]*host
-	tasks   map[string]*task // by name, of the view's residents
-	pending []*task
-	version uint64
-	up      bool // its entry hosts live
+	w         *world
+	domain    int
+	p         *placer.Placer
+	view      []placer.Worker
+	hosts     map[string]*host
+	tasks     map[string]*task // by name, of the view's residents
+	pending   []*task
+	version   uint64
+	up        bool // its entry hosts live
+	allocator *router.Allocator
 }
 
 func newShard(w *world, domain int) *shard {
@@ -81,6 +83,11 @@
 			}
 		}
 	}
+	for _, r := range r.Residents {
+		if t := s.tasks[r.Name]; t != nil && t.instance != nil {
+			t.instance.reported = r.Slowdown
+		}
+	}
 	s.touch(v)
 }
 
--- a/internal/evaluator/world.go
+++ b/internal/evaluator/world.go
@@ -62,6 +62,8 @@
 	base    []float64
 
 	instances []*instance
+	byName    map[string]*instance
+	open      map[int]*request // without a final outcome, by number
 	storeUp   bool
 	held      []func() // submissions made while the store was down
 	bursting  bool
@@ -80,6 +82,7 @@
 func Run(c Config) Result {
 	w := &world{
 		firm: c.Firm, policies: c.Policies, seed: c.Seed,
+		byName: map[string]*instance{}, open: map[int]*request{},
 		start: time.Unix(1_800_000_000, 0), storeUp: true, declare: 1,
 		latency:    hdrhistogram.New(1, int64(10*requestTimeout/time.Microsecond), 3),
 		arrivalRnd: source(c.Seed, streamArrivals), serviceRnd: source(c.Seed, streamService),
