--- a/internal/administrator/backend.go
+++ b/internal/administrator/backend.go
@@ -38,11 +38,21 @@
 
 func (e *Error) Error() string { return fmt.Sprintf("%s: %s", e.Code, e.Message) }
 
-// ConfigurationView is the configuration in effect on the answering entry host.
+// ConfigurationView is the configuration in effect on the answering entry host, and
+// what it last heard of the generations on all entry hosts.
 type ConfigurationView struct {
 	Host        string
 	Record      configurator.Record
 	InEffectFor time.Duration
+	Hosts       []HostGeneration // sorted by name
+}
+
+// HostGeneration says which generation is in effect on an entry host.
+type HostGeneration struct {
+	Host        string
+	Generation  uint64
+	InEffectFor time.Duration
+	HeardAgo    time.Duration // age of this information; 0 for the answering host
 }
 
 // JobFilter selects jobs. Empty fields select all.
--- a/internal/commandline/config.go
+++ b/internal/commandline/config.go
@@ -201,6 +201,11 @@
 			row(w, "Applied at", formatTime(r.AppliedAt))
 			row(w, "Key", r.Key)
 			row(w, "In effect", fmt.Sprintf("%s on %s", formatAge(v.InEffectFor), v.Host))
+			_, _ = fmt.Fprintln(w)
+			row(w, "HOST", "GENERATION", "IN EFFECT FOR", "HEARD AGO")
+			for _, h := range v.Hosts {
+				row(w, h.Host, h.Generation, formatAge(h.InEffectFor), formatAge(h.HeardAgo))
+			}
 			_, _ = fmt.Fprintf(w, "\n%s", r.Text)
 		})
 	}
--- a/internal/commandline/run_test.go
+++ b/internal/commandline/run_test.go
@@ -164,7 +164,10 @@
 	if err != nil {
 		return administrator.ConfigurationView{}, err
 	}
-	return administrator.ConfigurationView{Host: "sampaloc-1", Record: rs[0], InEffectFor: 90 * time.Second}, nil
+	return administrator.ConfigurationView{Host: "sampaloc-1", Record: rs[0], InEffectFor: 90 * time.Second, Hosts: []administrator.HostGeneration{
+		{Host: "sampaloc-1", Generation: rs[0].Generation, InEffectFor: 90 * time.Second},
+		{Host: "sampaloc-2", Generation: rs[0].Generation - 1, InEffectFor: time.Hour, HeardAgo: 20 * time.Second},
+	}}, nil
 }
 func (b *backend) ConfigurationHistory(ctx context.Context, limit int) ([]configurator.Record, error) {
 	return b.publisher.History(ctx, limit)
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -33,7 +34,15 @@
 	if a == nil {
 		return administrator.ConfigurationView{}, &administrator.Error{Code: administrator.CodeNotFound, Message: errNoConfiguration.Error()}
 	}
-	return administrator.ConfigurationView{Host: b.h.settings.Name, Record: a.record, InEffectFor: time.Since(a.since)}, nil
+	now := time.Now()
+	v := administrator.ConfigurationView{Host: b.h.settings.Name, Record: a.record, InEffectFor: now.Sub(a.since)}
+	v.Hosts = append(v.Hosts, administrator.HostGeneration{Host: v.Host, Generation: a.record.Generation, InEffectFor: v.InEffectFor})
+	for _, p := range b.h.members.Peers(now) {
+		ago := now.Sub(p.HeardAt)
+		v.Hosts = append(v.Hosts, administrator.HostGeneration{Host: p.Host, Generation: p.Generation, InEffectFor: p.InEffectFor + ago, HeardAgo: ago})
+	}
+	slices.SortFunc(v.Hosts, func(a, b administrator.HostGeneration) int { return cmp.Compare(a.Host, b.Host) })
+	return v, nil
 }
 
 func (b operatorBackend) ConfigurationHistory(ctx context.Context, limit int) ([]configurator.Record, error) {
@@ -211,6 +220,12 @@
 	as := append([]messenger.ExplainAnswer{b.h.explainHere(id)},
 		gather(ctx, b.h, func(ctx context.Context, l *link) (messenger.ExplainAnswer, error) { return l.client.Explain(ctx, id) })...)
 	as = slices.DeleteFunc(as, func(a messenger.ExplainAnswer) bool { return len(a.Records) == 0 })
+	// The journal keeps a job's last decision when the host that made it is gone.
+	if j, err := b.ShowJob(ctx, id); err == nil && j.Decision != "" {
+		as = append(as, messenger.ExplainAnswer{Host: "journal of shard " + j.Shard, Records: []string{
+			fmt.Sprintf("state=%s attempt=%d evictions=%d decision=%q", j.State, j.Attempt, j.Evictions, j.Decision),
+		}})
+	}
 	if len(as) == 0 {
 		return nil, notFound("decision record of", id)
 	}
