--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -12,9 +12,13 @@
 const (
 	// MaxCandidates bounds the candidates listed in a decision.
 	MaxCandidates = 5
-	// DefaultSlowdownBound is the slowdown above which a service counts as degraded. In
-	// the evaluator a bound of 1.3 throttled a third of all batch work for little latency.
-	DefaultSlowdownBound = 2
+	// The slowdown above which a service counts as degraded lies between minSlowdownBound
+	// and maxSlowdownBound, unless the policy sets it: the more throughput weighs against
+	// latency, the higher. In the evaluator a bound of 1.3 throttled a third of all batch
+	// work for little latency, and one of 2 left p99 under noisy bursts at 0.8 of the best
+	// baseline.
+	minSlowdownBound = 1.5
+	maxSlowdownBound = 2.5
 	// staleAfter is the age of a worker's figures above which it gets no new work: a
 	// worker that has been silent for this long is more likely lost than slow.
 	staleAfter = 10 * time.Second
@@ -46,11 +50,8 @@
 
 // New returns a Placer with policy p and the operator's measures m.
 func New(p Policy, m configurator.Measures, rnd *rand.Rand) *Placer {
-	if p.SlowdownBound <= 1 {
-		p.SlowdownBound = DefaultSlowdownBound
-	}
 	return &Placer{
-		policy:    p,
+		policy:    p.withDefaults(m),
 		weights:   normalise(m),
 		rnd:       rnd,
 		estimator: newEstimator(),
@@ -62,6 +63,18 @@
 	}
 }
 
+func (p Policy) withDefaults(m configurator.Measures) Policy {
+	if p.SlowdownBound <= 1 {
+		w := normalise(m)
+		share := 0.5
+		if w.Latency+w.Throughput > 0 {
+			share = w.Throughput / (w.Latency + w.Throughput)
+		}
+		p.SlowdownBound = minSlowdownBound + (maxSlowdownBound-minSlowdownBound)*share
+	}
+	return p
+}
+
 func normalise(m configurator.Measures) configurator.Measures {
 	sum := m.Latency + m.Evictions + m.Throughput
 	if sum <= 0 {
@@ -73,10 +86,7 @@
 // Configure replaces the policy and the measures after a new configuration generation.
 // What the placer has learned stays.
 func (p *Placer) Configure(policy Policy, m configurator.Measures) {
-	if policy.SlowdownBound <= 1 {
-		policy.SlowdownBound = DefaultSlowdownBound
-	}
-	p.policy = policy
+	p.policy = policy.withDefaults(m)
 	p.weights = normalise(m)
 	p.summaries = nil // they hold sums for the teams of the earlier policy
 }
--- a/internal/placer/spare.go
+++ b/internal/placer/spare.go
@@ -40,8 +40,11 @@
 	if s.t.Urgent || s.t.Kind == KindService || p.spare.size.Cores == 0 {
 		return math.MaxInt
 	}
-	share := spareShare * p.weights.Evictions / max(p.weights.Evictions+p.weights.Throughput, 1e-9)
-	n := -int(math.Round(share * float64(len(s.ws))))
+	wanted := spareShare * float64(len(s.ws)) * p.weights.Evictions / max(p.weights.Evictions+p.weights.Throughput, 1e-9)
+	if p.weights.Evictions > p.weights.Throughput {
+		wanted = math.Ceil(wanted) // small shards keep room as well
+	}
+	n := -int(math.Round(wanted))
 	if n == 0 {
 		return math.MaxInt
 	}
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -68,8 +68,8 @@
 	// Fleet lists the distinct capacities of the workers of all shards. A task that fits
 	// one of them but no worker of this shard waits with WaitElsewhere.
 	Fleet []configurator.Resources
-	// SlowdownBound is the slowdown above which a service counts as degraded; 0 is
-	// DefaultSlowdownBound.
+	// SlowdownBound is the slowdown above which a service counts as degraded; 0 derives it
+	// from the measures.
 	SlowdownBound float64
 }
 
