--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -68,8 +68,8 @@
 	// Fleet lists the distinct capacities of the workers of all shards. A task that fits
 	// one of them but no worker of this shard waits with WaitElsewhere.
 	Fleet []configurator.Resources
-	// SlowdownBound is the slowdown above which a service counts as degraded; 0 is
-	// DefaultSlowdownBound.
+	// SlowdownBound is the slowdown above which a service counts as degraded; 0 derives it
+	// from the measures.
 	SlowdownBound float64
 }
 
@@ -187,9 +187,10 @@
 func (Checkpoint) relief() {}
 func (Stop) relief()       {}
 
-// margins of Commit: usage may grow by this share until the next report arrives.
+// Margins of Commit: usage may grow by this share until the next report arrives. Too few
+// cores slow tasks down, too little memory ends them, so memory has the larger margin.
 const (
-	coreMargin   = 0.10
+	coreMargin   = 0.05
 	memoryMargin = 0.10
 )
 
