--- /dev/null
+++ b/cmd/peridotpitch/main.go
@@ -0,0 +1,36 @@
+// Command peridotpitch is the entry host and the operators' command line.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"peridotpitch/internal/commandline"
+	"peridotpitch/internal/loader"
+	"peridotpitch/internal/server"
+)
+
+// version is set by the linker.
+var version = "development"
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return commandline.Run(ctx, os.Args[1:], commandline.Environment{
+		Stdout:  os.Stdout,
+		Stderr:  os.Stderr,
+		Getenv:  os.Getenv,
+		Serve:   serve,
+		Version: version,
+	})
+}
+
+func serve(ctx context.Context, s loader.Settings) error {
+	return server.Run(ctx, s, version)
+}
