Add a command that measures capacity

Change: cmd/measure and internal/surveyor measure journals, a shard's second, placements, reports, heartbeats, slot grants, configurations, requests, records, tables in memory and store calls at three sizes or more, fit a line to each, and print what an entry host and the store need with 12 and 24 entry hosts, the figures over a limit, the multiple of the size at which each limit breaks, and what eight changes of the program would bring.

--- /dev/null
+++ b/internal/surveyor/measure.go
@@ -0,0 +1,567 @@
+package surveyor
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sync/errgroup"
+
+	"peridotpitch/internal/commander"
+	"peridotpitch/internal/configurator"
+	"peridotpitch/internal/limiter"
+	"peridotpitch/internal/messenger"
+	"peridotpitch/internal/placer"
+	"peridotpitch/internal/recorder"
+	"peridotpitch/internal/registrar"
+	"peridotpitch/internal/router"
+	"peridotpitch/internal/scheduler"
+	"peridotpitch/internal/storer"
+)
+
+// Names of the series that the estimate uses.
+const (
+	journalByJobs        = "Journal encode"
+	journalByInstances   = "Journal encode, instances"
+	journalDecode        = "Journal decode"
+	envelopeEncode       = "Store call, JSON and base64: encode"
+	envelopeDecode       = "Store call, JSON and base64: decode"
+	shardByWorkers       = "Shard, one second without starts"
+	shardByStarts        = "Shard of 50 workers, one second with starts"
+	placeByWorkers       = "placer.Place"
+	placeByTasks         = "placer.Place on 50 workers"
+	reportByTasks        = "Worker report, JSON decode"
+	reportStepByTasks    = "Worker report, scheduler.Step"
+	reportCallByTasks    = "Worker report over HTTP, both ends"
+	commandsByCount      = "Message with renewals, JSON encode, bytes with the answer"
+	heartbeatByShards    = "Heartbeat"
+	heartbeatByNotices   = "Heartbeat, notices"
+	demandByInstances    = "Slot demand in a heartbeat"
+	grantsByInstances    = "Endpoints and grants in a heartbeat's answer"
+	grantsOnly           = "Grants in a heartbeat's answer, without endpoints"
+	noticesHeld          = "Notices of hosts that have restarted and are live"
+	configByWorkers      = "Configuration: parse, verify and adopt"
+	configByTeams        = "Configuration: parse, verify and adopt, 990 workers"
+	configPrint          = "Configuration: print"
+	pickByInstances      = "router.Pick and Done"
+	offerByInstances     = "limiter.Offer, Next and Release"
+	offerByTeams         = "limiter.Offer, Next and Release, queue of all teams"
+	recordByCandidates   = "recorder.Add with its log line"
+	listByJobs           = "Operators' list of jobs, JSON encode"
+	shardHeapByWorkers   = "Heap of a shard"
+	journalHeapByJobs    = "Heap of a decoded journal"
+	configHeapByWorkers  = "Heap of a parsed configuration"
+	routerHeapByInstance = "Heap of the router"
+	recorderHeap         = "Heap of the recorder"
+)
+
+// Tasks of one worker at the size of section 1.6, rounded.
+const (
+	batchPerWorker     = 16
+	instancesPerWorker = 3
+)
+
+// survey holds what the measurements share.
+type survey struct {
+	meter
+	seed uint64
+}
+
+func (s survey) random() *rand.Rand { return rand.New(rand.NewPCG(s.seed, 0)) }
+
+// series measures f at each size.
+func series(name, per, bytes string, sizes []int, f func(size int) Sample) Series {
+	out := Series{Name: name, Per: per, Bytes: bytes}
+	for _, n := range sizes {
+		m := f(n)
+		m.Size = float64(n)
+		out.Samples = append(out.Samples, m)
+	}
+	return out
+}
+
+func (s survey) journals() []Series {
+	const workers = 50
+	encode := func(jobs, instances int) Sample {
+		j := journal(jobs, instances, workers)
+		var value []byte
+		m := s.cost(func() { value, _ = j.Encode() })
+		m.Bytes = float64(len(value))
+		return m
+	}
+	decode := func(jobs int) Sample {
+		j := journal(jobs, 0, workers)
+		value, _ := j.Encode()
+		return s.cost(func() { _, _ = scheduler.DecodeJournal(j.Shard, value) })
+	}
+	type body struct{ Value []byte }
+	value := func(size int) []byte { return bytes.Repeat([]byte{'x'}, size) }
+	encodeCall := func(size int) Sample {
+		v := body{value(size)}
+		var text []byte
+		m := s.cost(func() { text, _ = json.Marshal(v) })
+		m.Bytes = float64(len(text))
+		return m
+	}
+	decodeCall := func(size int) Sample {
+		text, _ := json.Marshal(body{value(size)})
+		return s.cost(func() {
+			var b body
+			_ = json.Unmarshal(text, &b)
+		})
+	}
+	sizes := []int{64 << 10, 256 << 10, 900 << 10}
+	return []Series{
+		series(journalByJobs, "jobs", "bytes", []int{250, 800, 1600}, func(n int) Sample { return encode(n, 0) }),
+		series(journalByInstances, "instances", "bytes", []int{50, 155, 500}, func(n int) Sample { return encode(0, n) }),
+		series(journalDecode, "jobs", "", []int{250, 800, 1600}, decode),
+		series(envelopeEncode, "bytes of the value", "bytes sent", sizes, encodeCall),
+		series(envelopeDecode, "bytes of the value", "", sizes, decodeCall),
+	}
+}
+
+func (s survey) shards() []Series {
+	byWorkers := secondsOf(shardByWorkers, "workers, 16 batch tasks and 3 instances each")
+	for _, n := range []int{20, 50, 165} {
+		byWorkers.add(n, s.second(n, 0))
+	}
+	byStarts := secondsOf(shardByStarts, "starts per second")
+	for _, n := range []int{0, 5, 10, 25} {
+		byStarts.add(n, s.second(50, n))
+	}
+	return slices.Concat(byWorkers.series(), byStarts.series())
+}
+
+func (s survey) placing() []Series {
+	place := func(workers, batch int) Sample {
+		p := placer.New(placer.Policy{Placement: configurator.PlacementInterference, Quotas: quotas(200)}, configurator.Measures{Latency: 10, Throughput: 3, Evictions: 1}, s.random())
+		ws := fleet(workers, batch, s.seed)
+		t := placer.Task{Name: "new", Class: className(3), Team: teamName(3), Kind: placer.KindBatch, Declared: jobSize, Attempt: 1}
+		i := 0
+		return s.cost(func() { // one worker has changed since the last call, as in a shard
+			ws[i%workers].Version += uint64(workers)
+			i++
+			p.Place(t, ws, epoch)
+		})
+	}
+	return []Series{
+		series(placeByWorkers, "workers, 16 batch tasks and 3 instances each", "", []int{20, 50, 165, 990}, func(n int) Sample { return place(n, batchPerWorker) }),
+		series(placeByTasks, "batch tasks per worker", "", []int{8, 16, 32}, func(n int) Sample { return place(50, n) }),
+	}
+}
+
+// seconds are the series of one drive.
+type seconds struct{ time, messages, commands, records Series }
+
+// Endings of the names of the series of a drive.
+const (
+	messagesOf = ": messages with commands"
+	commandsOf = ": commands"
+	recordsOf  = ": decision records"
+)
+
+func secondsOf(name, per string) *seconds {
+	return &seconds{
+		time:     Series{Name: name, Per: per, Bytes: "bytes of a journal write", Counted: "journal writes per second"},
+		messages: Series{Name: name + messagesOf, Per: per, Counted: "messages per second"},
+		commands: Series{Name: name + commandsOf, Per: per, Counted: "commands per second"},
+		records:  Series{Name: name + recordsOf, Per: per, Counted: "records per second"},
+	}
+}
+
+func (s *seconds) add(size int, m drivenSecond) {
+	add := func(to *Series, m Sample) {
+		m.Size = float64(size)
+		to.Samples = append(to.Samples, m)
+	}
+	add(&s.time, Sample{Time: m.time, Bytes: m.writeBytes, Count: m.writes})
+	add(&s.messages, Sample{Count: m.messages})
+	add(&s.commands, Sample{Count: m.commands})
+	add(&s.records, Sample{Count: m.records})
+}
+
+func (s *seconds) series() []Series { return []Series{s.time, s.messages, s.commands, s.records} }
+
+// drivenSecond is one second of a shard.
+type drivenSecond struct{ time, writes, writeBytes, messages, commands, records float64 }
+
+// second measures a shard's processor time and actions in a second of virtual time, with
+// a number of starts. The time includes the stand-in workers' copying of their reports.
+func (s survey) second(workers, rate int) drivenSecond {
+	d := newDrive(workers, batchPerWorker, instancesPerWorker, s.seed)
+	d.run(2*time.Second, rate)
+	before := d.tally
+	const span = 5 // renewals of leases recur every 5 s
+	var times []float64
+	for range s.repetitions {
+		began := processorTime()
+		d.run(span*time.Second, rate)
+		times = append(times, float64(processorTime()-began)/float64(time.Microsecond)/span)
+	}
+	per := func(a, b int) float64 { return float64(a-b) / float64(span*s.repetitions) }
+	return drivenSecond{
+		time: median(times), writes: per(d.writes, before.writes), writeBytes: float64(d.bytes-before.bytes) / float64(d.writes-before.writes),
+		messages: per(d.messages, before.messages), commands: per(d.commands, before.commands), records: per(d.notes, before.notes),
+	}
+}
+
+func (s survey) reports() []Series {
+	sizes := []int{5, 19, 40}
+	decode := func(tasks int) Sample {
+		text, _ := json.Marshal(report(tasks, s.random()))
+		m := s.cost(func() {
+			var r commander.Report
+			_ = json.Unmarshal(text, &r)
+		})
+		m.Bytes = float64(len(text))
+		return m
+	}
+	step := func(tasks int) Sample {
+		d := newDrive(4, tasks, 0, s.seed)
+		return s.cost(func() {
+			e := scheduler.ReportArrived{Worker: workerName(0), Report: d.report(workerName(0)), SentAt: d.now, ReceivedAt: d.now}
+			d.shard.Step(e, d.now)
+		})
+	}
+	commands := func(count int) Sample {
+		var cs []commander.Command
+		for i := range count {
+			cs = append(cs, commander.Command{Verb: commander.VerbRenew, Task: jobName(i), Attempt: 1, Kind: commander.KindBatch, Class: className(i), LeaseEnd: 123456789012, NotAfter: 123456789012})
+		}
+		var text []byte
+		m := s.cost(func() { text, _ = json.Marshal(cs) })
+		answer, _ := json.Marshal(make([]commander.Result, count))
+		m.Bytes = float64(len(text) + len(answer))
+		return m
+	}
+	return []Series{
+		series(reportByTasks, "tasks of the worker", "bytes of JSON", sizes, decode),
+		series(reportStepByTasks, "tasks of the worker", "", sizes, step),
+		series(reportCallByTasks, "tasks of the worker", "", sizes, s.reportCall),
+		series(commandsByCount, "renewals", "bytes of JSON", []int{1, 16, 64}, commands),
+	}
+}
+
+// reportCall measures whole calls over the loopback interface to a server that sends a
+// fixed report. The processor time of both ends counts.
+func (s survey) reportCall(tasks int) Sample {
+	text, _ := json.Marshal(report(tasks, s.random()))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Sample{} // printed as not measured
+	}
+	server := &fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) {
+		c.SetContentType("application/json")
+		c.SetBody(text)
+	}}
+	var g errgroup.Group
+	g.Go(func() error { return server.Serve(l) })
+	c, closeClient := commander.NewClient(commander.Options{})
+	at := netip.MustParseAddrPort(l.Addr().String())
+	m := s.cost(func() { _, _ = c.Report(context.Background(), at) })
+	closeClient()
+	_ = server.Shutdown()
+	_ = g.Wait() // nil after Shutdown
+	return m
+}
+
+func (s survey) heartbeats() []Series {
+	now := epoch
+	// handle measures encoding, decoding and handling of m.
+	handle := func(m messenger.Heartbeat) Sample {
+		r := registrar.New()
+		var text []byte
+		out := s.cost(func() {
+			text, _ = msgpack.Marshal(m)
+			var in messenger.Heartbeat
+			_ = msgpack.Unmarshal(text, &in)
+			r.Heard(in.Identity, now)
+		})
+		out.Bytes = float64(len(text))
+		return out
+	}
+	return []Series{
+		series(heartbeatByShards, "shards of the sender", "bytes of msgpack", []int{0, 1, 4, 8}, func(n int) Sample { return handle(heartbeat(n, 0, 0)) }),
+		series(heartbeatByNotices, "notices of leaving hosts", "bytes of msgpack", []int{0, 10, 200, 990}, func(n int) Sample { return handle(heartbeat(0, 0, n)) }),
+		heldNotices(),
+		series(demandByInstances, "instances of the receiver", "bytes of msgpack", []int{20, 130, 500}, func(n int) Sample { return handle(heartbeat(0, n, 0)) }),
+		series(grantsByInstances, "instances of the answering host", "bytes of msgpack", []int{20, 130, 500}, func(n int) Sample { return s.grants(n, true) }),
+		series(grantsOnly, "instances of the answering host", "bytes of msgpack", []int{20, 130, 500}, func(n int) Sample { return s.grants(n, false) }),
+	}
+}
+
+// heldNotices counts the notices that heartbeats carry after the platform's list has
+// called hosts leaving and then live for longer than the registrar's settling time.
+func heldNotices() Series {
+	out := Series{Name: noticesHeld, Per: "hosts restarted", Counted: "notices in each heartbeat"}
+	for _, n := range []int{11, 380, 990} {
+		out.Samples = append(out.Samples, Sample{Size: float64(n), Count: float64(len(restarted(n)))})
+	}
+	return out
+}
+
+// restarted returns the notices after a number of hosts have restarted.
+func restarted(hosts int) []messenger.HostNotice {
+	r := registrar.New()
+	list := func(state storer.HostState) storer.HostList {
+		var l storer.HostList
+		for i := range hosts {
+			l.Hosts = append(l.Hosts, storer.Host{Name: workerName(i), FailureDomain: domain, State: state})
+		}
+		return l
+	}
+	now := epoch
+	r.PlatformList(list(storer.HostLeaving), now)
+	for range 2 {
+		now = now.Add(registrar.ListSettleTime)
+		r.PlatformList(list(storer.HostLive), now)
+	}
+	return r.Notices()
+}
+
+// grants measures the granter's decision, the answer's encoding and decoding, and the
+// router's taking of the grants.
+func (s survey) grants(instances int, listed bool) Sample {
+	es := endpoints(instances, 20)
+	now := epoch
+	a := router.NewAllocator(1, configurator.DefaultMaxRequestTimeout, now)
+	a.Update(es, []string{hostName(0), hostName(1)}, now)
+	r := router.New(router.Settings{Policy: configurator.RoutingAdaptive, MaxRequestTimeout: configurator.DefaultMaxRequestTimeout}, s.random())
+	r.Update(es, router.Membership{Hosts: 2, Settled: true}, now)
+	sequence := uint64(0)
+	var sent []messenger.Endpoint
+	if listed {
+		sent = es
+	}
+	var text []byte
+	m := s.cost(func() {
+		sequence++
+		now = now.Add(500 * time.Millisecond)
+		demand := r.Demand(hostName(0), now)
+		answer := messenger.HeartbeatAnswer{
+			Identity: identity(0), Endpoints: sent,
+			Grants: a.Step(router.Report{Host: hostName(1), Incarnation: "1", Sequence: sequence, RunningFor: time.Hour, Demand: demand}, now),
+		}
+		text, _ = msgpack.Marshal(answer)
+		var in messenger.HeartbeatAnswer
+		_ = msgpack.Unmarshal(text, &in)
+		for _, g := range in.Grants {
+			r.Grant(hostName(0), g, now, now)
+		}
+		if listed {
+			r.Update(in.Endpoints, router.Membership{Hosts: 2, Settled: true}, now)
+		}
+	})
+	m.Bytes = float64(len(text))
+	return m
+}
+
+func (s survey) configurations() ([]Series, error) {
+	public, private, err := ed25519.GenerateKey(seedReader{s.random()})
+	if err != nil {
+		return nil, err
+	}
+	var first error
+	build := func(workers, teams int) (*configurator.Configuration, configurator.Record) {
+		const domains = 6
+		c := configuration(shape{domains: domains, hosts: 4, workers: workers / domains, shards: 4, services: 20, instances: workers * instancesPerWorker / domains, teams: teams})
+		text := configurator.Print(c)
+		if _, err := configurator.Parse(text); err != nil && first == nil {
+			first = fmt.Errorf("generated configuration of %d workers: %w", workers, err)
+		}
+		return c, configurator.Record{Generation: 1, Text: string(text), Signature: configurator.Sign(text, private), Key: "owner"}
+	}
+	adopt := func(workers, teams int) Sample {
+		_, record := build(workers, teams)
+		m := s.cost(func() { _, _ = configurator.NewAdopter(configurator.Keys{"owner": public}).Offer(record) })
+		m.Bytes = float64(len(record.Text))
+		return m
+	}
+	sizes := []int{252, 498, 990}
+	out := []Series{
+		series(configByWorkers, "workers, 200 teams", "bytes of text", sizes, func(n int) Sample { return adopt(n, 200) }),
+		series(configByTeams, "teams", "bytes of text", []int{50, 100, 200}, func(n int) Sample { return adopt(990, n) }),
+		series(configPrint, "workers, 200 teams", "", sizes, func(n int) Sample {
+			c, _ := build(n, 200)
+			return s.cost(func() { configurator.Print(c) })
+		}),
+		series(configHeapByWorkers, "workers, 200 teams", "bytes of heap", sizes, func(n int) Sample {
+			_, record := build(n, 200)
+			return Sample{Bytes: heap(func() any {
+				c, _ := configurator.Parse([]byte(record.Text))
+				return c
+			})}
+		}),
+	}
+	return out, first
+}
+
+// seedReader makes a key from a seeded source. It signs measured texts only.
+type seedReader struct{ random *rand.Rand }
+
+func (r seedReader) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = byte(r.random.Uint32())
+	}
+	return len(b), nil
+}
+
+func newRouter(instances, services int, random *rand.Rand) *router.Router {
+	r := router.New(router.Settings{Policy: configurator.RoutingAdaptive, MaxRequestTimeout: configurator.DefaultMaxRequestTimeout}, random)
+	r.Update(endpoints(instances, services), router.Membership{Hosts: 2, Settled: true}, epoch)
+	return r
+}
+
+func (s survey) requests() []Series {
+	pick := func(instances int) Sample {
+		r := newRouter(instances, 1, s.random())
+		now := epoch
+		return s.cost(func() {
+			now = now.Add(time.Millisecond)
+			c, ok := r.Pick(router.Request{ID: "1", Service: serviceName(0), Deadline: now.Add(time.Second)}, now).(router.Instance)
+			if ok {
+				r.Done(c, router.Outcome{Kind: router.OutcomeAnswered, Latency: 5 * time.Millisecond, SlotsUsed: -1}, now)
+			}
+		})
+	}
+	return []Series{
+		series(pickByInstances, "instances of the service", "", []int{26, 130, 517}, pick),
+		series(offerByInstances, "instances in use", "", []int{26, 130, 517}, func(n int) Sample { return s.offer(n, 10, 0) }),
+		series(offerByTeams, "teams with waiting requests", "", []int{50, 100, 200}, func(n int) Sample { return s.offer(26, n, n) }),
+	}
+}
+
+// offer measures one request through the limiter, while running requests hold the slots
+// and one request of each of the first waiting teams is queued.
+func (s survey) offer(running, teams, waiting int) Sample {
+	var ts []configurator.Team
+	for i := range teams {
+		ts = append(ts, configurator.Team{Name: teamName(i), Share: 1})
+	}
+	l := limiter.New(limiter.Settings{Limits: configurator.LimitFair, Retries: configurator.RetryBudget, Teams: ts})
+	now, n := epoch, 0
+	request := func() limiter.Request {
+		n++
+		return limiter.Request{ID: fmt.Sprint(n), Service: serviceName(0), Tenant: teamName(n % teams), Deadline: now.Add(30 * time.Second)}
+	}
+	for range running {
+		l.Offer(request(), now)
+		l.Next(serviceName(0), 1, now)
+	}
+	for range waiting {
+		l.Offer(request(), now)
+	}
+	return s.cost(func() {
+		now = now.Add(time.Millisecond)
+		l.Offer(request(), now)
+		for _, a := range l.Next(serviceName(0), 1, now) {
+			if a, ok := a.(limiter.Start); ok {
+				l.Release(a.Request, 5*time.Millisecond, true, now)
+			}
+		}
+	})
+}
+
+// discard is a log's writer. Unlike io.Discard it makes the handler format the line.
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+func newRecorder() (*recorder.Recorder, error) {
+	r, _, err := recorder.New(recorder.Options{}, slog.New(slog.NewTextHandler(discard{}, nil)), prometheus.NewRegistry())
+	return r, err
+}
+
+func decision(i, candidates int) recorder.Record {
+	d := recorder.Record{Time: epoch, Kind: recorder.KindPlace, Job: jobName(i), Worker: workerName(i % 990), Cause: "pending", Rule: "LeastInterference", Outcome: "placed on " + workerName(i%990), Generation: 299300, SignedBy: "owner"}
+	for k := range candidates {
+		d.Candidates = append(d.Candidates, recorder.Candidate{Name: workerName(k), Figures: []recorder.Figure{{Name: "FreeCores", Value: 4.5}, {Name: "Score", Value: 1.25}, {Name: "Interference", Value: 0.5}}, Age: time.Second})
+	}
+	return d
+}
+
+func (s survey) records() ([]Series, error) {
+	var first error
+	add := func(candidates int) Sample {
+		r, err := newRecorder()
+		if err != nil {
+			first = err
+			return Sample{}
+		}
+		i := 0
+		m := s.cost(func() {
+			r.Add(decision(i, candidates))
+			i++
+		})
+		n, bytes := r.Len()
+		m.Bytes = float64(bytes) / float64(n)
+		return m
+	}
+	list := func(jobs int) Sample {
+		js := make([]scheduler.JobStatus, 0, jobs)
+		for _, e := range journal(jobs, 0, 50).Jobs {
+			js = append(js, scheduler.JobStatus{Spec: e.Spec, State: e.State, Shard: domain + "/0", Worker: e.Worker, Attempt: 1, Submitted: e.Submitted, Started: e.Started, Decision: e.Decision})
+		}
+		var text []byte
+		m := s.cost(func() { text, _ = json.Marshal(js) })
+		m.Bytes = float64(len(text))
+		return m
+	}
+	out := []Series{
+		series(recordByCandidates, "candidates", "bytes of a record", []int{0, 2, 5}, add),
+		series(listByJobs, "jobs", "bytes of JSON", []int{250, 1000, 4000}, list),
+	}
+	return out, first
+}
+
+func (s survey) heaps() []Series {
+	return []Series{
+		series(shardHeapByWorkers, "workers, 16 batch tasks and 3 instances each", "bytes of heap", []int{20, 50, 165}, func(n int) Sample {
+			return Sample{Bytes: heap(func() any { return newDrive(n, batchPerWorker, instancesPerWorker, s.seed).shard })}
+		}),
+		series(journalHeapByJobs, "jobs", "bytes of heap", []int{250, 800, 1600}, func(n int) Sample {
+			j := journal(n, 0, 50)
+			value, _ := j.Encode()
+			return Sample{Bytes: heap(func() any {
+				d, _ := scheduler.DecodeJournal(j.Shard, value)
+				return d
+			})}
+		}),
+		series(routerHeapByInstance, "instances of 20 services", "bytes of heap", []int{130, 517, 1034}, func(n int) Sample {
+			return Sample{Bytes: heap(func() any { return newRouter(n, 20, s.random()) })}
+		}),
+		series(recorderHeap, "records", "bytes of heap", []int{2000, 5000, 10000}, func(n int) Sample {
+			return Sample{Bytes: heap(func() any {
+				r, _ := newRecorder()
+				for i := range n {
+					r.Add(decision(i, 5))
+				}
+				return r
+			})}
+		}),
+	}
+}
+
+// all measures everything that needs no running process.
+func (s survey) all() ([]Series, error) {
+	configurations, err := s.configurations()
+	if err != nil {
+		return nil, err
+	}
+	records, err := s.records()
+	if err != nil {
+		return nil, err
+	}
+	return slices.Concat(s.journals(), s.shards(), s.placing(), s.reports(), s.heartbeats(), configurations, s.requests(), records, s.heaps()), nil
+}
--- /dev/null
+++ b/internal/surveyor/series.go
@@ -0,0 +1,177 @@
+package surveyor
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// Sample is one measurement.
+type Sample struct {
+	Size   float64
+	Time   float64 // processor time of one operation, microseconds; 0 if not measured
+	Bytes  float64 // encoded size, heap in use or bytes sent, as the series says
+	Allocs float64 // heap allocations of one operation
+	Count  float64 // of what the series counts
+}
+
+// Series is a measurement at several sizes.
+type Series struct {
+	Name    string
+	Per     string // what Size counts
+	Bytes   string // what Bytes counts, empty if nothing
+	Counted string // what Count counts, empty if nothing
+	Samples []Sample
+}
+
+// Line is a straight line.
+type Line struct{ Base, Slope float64 }
+
+// At returns the line's value at a size.
+func (l Line) At(size float64) float64 { return l.Base + l.Slope*size }
+
+// Fit returns the least squares line through a field of the samples.
+func (s Series) Fit(field func(Sample) float64) Line {
+	n := float64(len(s.Samples))
+	var sx, sy, sxx, sxy float64
+	for _, m := range s.Samples {
+		x, y := m.Size, field(m)
+		sx, sy, sxx, sxy = sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	d := n*sxx - sx*sx
+	if d == 0 {
+		return Line{Base: sy / max(1, n)}
+	}
+	slope := (n*sxy - sx*sy) / d
+	return Line{Base: (sy - slope*sx) / n, Slope: slope}
+}
+
+// Fields of Sample for Fit.
+func timeOf(s Sample) float64   { return s.Time }
+func bytesOf(s Sample) float64  { return s.Bytes }
+func allocsOf(s Sample) float64 { return s.Allocs }
+func countOf(s Sample) float64  { return s.Count }
+
+// column is one printed field of a series.
+type column struct {
+	name  string
+	field func(Sample) float64
+}
+
+func (s Series) columns() []column {
+	var cs []column
+	for _, c := range []column{{"time/us", timeOf}, {"allocations", allocsOf}, {s.Bytes, bytesOf}, {s.Counted, countOf}} {
+		measured := slices.ContainsFunc(s.Samples, func(m Sample) bool { return c.field(m) != 0 })
+		if c.name != "" && measured {
+			cs = append(cs, c)
+		}
+	}
+	return cs
+}
+
+// print writes the series as a Markdown table: one row for each field, one column for
+// each size, then the line through them.
+func (s Series) print(w *bytes.Buffer) {
+	fmt.Fprintf(w, "\n%s, by %s\n\n| figure |", s.Name, s.Per)
+	for _, m := range s.Samples {
+		fmt.Fprintf(w, " %s |", number(m.Size))
+	}
+	fmt.Fprintf(w, " at 0 | per unit |\n|---|")
+	for range len(s.Samples) + 2 {
+		fmt.Fprint(w, "---:|")
+	}
+	fmt.Fprintln(w)
+	for _, c := range s.columns() {
+		fmt.Fprintf(w, "| %s |", c.name)
+		for _, m := range s.Samples {
+			fmt.Fprintf(w, " %s |", number(c.field(m)))
+		}
+		l := s.Fit(c.field)
+		fmt.Fprintf(w, " %s | %s |\n", number(l.Base), number(l.Slope))
+	}
+}
+
+// number prints three significant digits without an exponent.
+func number(x float64) string {
+	if x == 0 {
+		return "0"
+	}
+	digits := 2 - int(math.Floor(math.Log10(math.Abs(x))))
+	if digits > 0 {
+		return fmt.Sprintf("%.*f", min(digits, 6), x)
+	}
+	unit := math.Pow10(-digits)
+	return fmt.Sprintf("%.0f", math.Round(x/unit)*unit)
+}
+
+// processorTime returns the processor time that the process has used. Other processes of
+// the machine disturb it less than the wall clock.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0 // unreachable: the arguments are valid
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// meter measures operations.
+type meter struct {
+	budget      time.Duration // processor time of one repetition
+	repetitions int           // of which the median is taken
+}
+
+// cost returns processor time (us) and allocations of one call of f.
+func (m meter) cost(f func()) Sample {
+	f() // fills caches and tables
+	n := 1
+	for {
+		began := processorTime()
+		for range n {
+			f()
+		}
+		if took := processorTime() - began; took >= m.budget/4 || n >= 1<<22 {
+			n = max(1, int(float64(n)*float64(m.budget)/float64(max(took, time.Microsecond))))
+			break
+		}
+		n *= 2
+	}
+	var times, allocs []float64
+	for range m.repetitions {
+		runtime.GC()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		began := processorTime()
+		for range n {
+			f()
+		}
+		took := processorTime() - began
+		runtime.ReadMemStats(&after)
+		times = append(times, float64(took)/float64(time.Microsecond)/float64(n))
+		allocs = append(allocs, float64(after.Mallocs-before.Mallocs)/float64(n))
+	}
+	return Sample{Time: median(times), Allocs: median(allocs)}
+}
+
+func median(xs []float64) float64 {
+	slices.Sort(xs)
+	return xs[len(xs)/2]
+}
+
+// heap returns the bytes of heap that the value built by f keeps in use.
+func heap(f func() any) float64 {
+	runtime.GC()
+	runtime.GC() // the first one leaves the pools' victims
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	v := f()
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(v)
+	runtime.KeepAlive(f) // what it uses was there before
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
