Follow the allocator's interface

Cause: Allocator.Update takes whether the number of entry hosts is settled. Change: internal/server passes it; the evaluator and the surveyor pass true, as their number of hosts never changes.

--- a/internal/evaluator/entry.go
+++ b/internal/evaluator/entry.go
@@ -93,7 +93,7 @@
 		if s.allocator == nil {
 			s.allocator = router.NewAllocator(1, requestTimeout, w.now)
 		}
-		s.allocator.Update(endpoints, hosts, w.now)
+		s.allocator.Update(endpoints, hosts, true, w.now)
 		for _, e := range w.entries {
 			if e.domain == d && e.alive {
 				e.heartbeat(s.allocator, endpoints, len(hosts))
--- a/internal/server/endpoints_test.go
+++ b/internal/server/endpoints_test.go
@@ -42,7 +42,7 @@
 	es := []messenger.Endpoint{{Instance: "q1", Shard: "A/1", Slots: 8, Connections: 64}}
 	left := time.Second
 	shards := []proprietor.ShardStatus{{Shard: "A/1", Owner: "e1", Epoch: 1, Placing: now.Add(left)}}
-	g.update(shards, es, []string{"e1"}, 0, now)
+	g.update(shards, es, []string{"e1"}, true, 0, now)
 	report := router.Report{Host: "e1", Incarnation: "a", Sequence: 1, RunningFor: time.Hour, Demand: []messenger.SlotDemand{{Instance: "q1", Wanted: 8}}}
 	grants := g.step(report, now)
 	is.Equal(len(grants), 1)
@@ -51,7 +51,7 @@
 	report.Sequence++
 	is.Equal(len(g.step(report, now.Add(left))), 0) // no tenure, no grant
 	shards[0].Owner = "e2"
-	g.update(shards, es, []string{"e1"}, 0, now)
+	g.update(shards, es, []string{"e1"}, true, 0, now)
 	report.Sequence++
 	is.Equal(len(g.step(report, now)), 0) // not the owner any more
 }
--- a/internal/server/granter.go
+++ b/internal/server/granter.go
@@ -27,7 +27,7 @@
 }
 
 // update follows which shards this host owns and which instances they have.
-func (g *granter) update(shards []proprietor.ShardStatus, es []messenger.Endpoint, hosts []string, maxTimeout time.Duration, now time.Time) {
+func (g *granter) update(shards []proprietor.ShardStatus, es []messenger.Endpoint, hosts []string, settled bool, maxTimeout time.Duration, now time.Time) {
 	byShard := make(map[string][]messenger.Endpoint)
 	for _, e := range es {
 		byShard[e.Shard] = append(byShard[e.Shard], e)
@@ -46,7 +46,7 @@
 			g.shards[s.Shard] = a
 		}
 		a.until = s.Placing
-		a.allocator.Update(byShard[s.Shard], hosts, now)
+		a.allocator.Update(byShard[s.Shard], hosts, settled, now)
 	}
 	for name := range g.shards {
 		if !owned[name] {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -327,8 +327,8 @@
 		return
 	}
 	hosts := entryHosts(a.parsed, h.settings.FailureDomain)
-	h.grants.update(shards, h.owner.Endpoints(), hosts, a.parsed.Policy.MaxRequestTimeout, now)
-	settled := a.record.Generation == 1 || time.Since(a.record.AppliedAt) > router.ConfigurationDelay+a.parsed.Policy.MaxRequestTimeout
+	settled := a.record.Generation == 1 || time.Since(a.record.AppliedAt) > router.ShareDelay(a.parsed.Policy.MaxRequestTimeout)
+	h.grants.update(shards, h.owner.Endpoints(), hosts, settled, a.parsed.Policy.MaxRequestTimeout, now)
 	h.dispatcher.Update(all, router.Membership{Hosts: len(hosts), Settled: settled})
 	own := h.dispatcher.Demand(h.settings.Name)
 	g := h.grants.step(router.Report{Host: h.settings.Name, Incarnation: h.incarnation, Sequence: h.sequence.Add(1), RunningFor: now.Sub(h.started), Demand: own}, now)
--- a/internal/surveyor/measure.go
+++ b/internal/surveyor/measure.go
@@ -336,7 +336,7 @@
 	es := endpoints(instances, 20)
 	now := epoch
 	a := router.NewAllocator(1, configurator.DefaultMaxRequestTimeout, now)
-	a.Update(es, []string{hostName(0), hostName(1)}, now)
+	a.Update(es, []string{hostName(0), hostName(1)}, true, now)
 	r := router.New(router.Settings{Policy: configurator.RoutingAdaptive, MaxRequestTimeout: configurator.DefaultMaxRequestTimeout}, s.random())
 	r.Update(es, router.Membership{Hosts: 2, Settled: true}, now)
 	sequence := uint64(0)
