Tune adaptive routing against the baselines

Random differences between latency estimates outweighed the load; an instance that failed once was never tried again while others were idle; probed instances returned slowly. The model found one more fault in the allocator: a host removed after a change of owner did not count for the early start, so its slots were lent twice (10 requests in 8 slots). Change: instances within twice the lower quartile count as equally fast, 5 instances are compared, ejection begins at 4 times, probes weigh 0.5, small penalties are forgotten. The allocator's early start needs the reports of all hosts configured since it began.

--- a/internal/router/allocator.go
+++ b/internal/router/allocator.go
@@ -29,7 +29,7 @@
 	started   time.Time
 	settled   bool // the number of hosts is that of an earlier owner, too
 	counts    hostCounts
-	hosts     []string
+	hosts     map[string]bool // every host that an earlier owner may have lent to
 	endpoints []messenger.Endpoint
 	loans     map[string]map[borrower]*loan // by instance
 	sequences map[borrower]uint64
@@ -64,6 +64,7 @@
 		loans:     make(map[string]map[borrower]*loan),
 		sequences: make(map[borrower]uint64),
 		heard:     make(map[borrower]time.Time),
+		hosts:     make(map[string]bool),
 	}
 }
 
@@ -73,7 +74,12 @@
 func (a *Allocator) Update(endpoints []messenger.Endpoint, hosts []string, settled bool, now time.Time) {
 	a.settled = a.settled || settled
 	a.counts.set(len(hosts), now)
-	a.hosts = hosts
+	// A host that was removed since may still use what an earlier owner lent it.
+	if now.Sub(a.started) < a.lending {
+		for _, h := range hosts {
+			a.hosts[h] = true
+		}
+	}
 	a.endpoints = endpoints
 	a.forget(now)
 }
@@ -176,7 +182,7 @@
 			known[b.host] = true
 		}
 	}
-	for _, h := range a.hosts {
+	for h := range a.hosts {
 		if !known[h] {
 			return false
 		}
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -12,16 +12,18 @@
 // Constants of the adaptive policy.
 const (
 	// choices is the number of instances compared for each request. Each host compares
-	// a different random subset, so that hosts that share a hint do not all follow it.
-	// With 2, one slow instance in 50 still wins against an equally bad one; 3 made
-	// that rare, and larger subsets send more hosts to the same instance.
-	choices = 3
+	// a different random subset, so that hosts that share a hint do not all follow it:
+	// at most choices/n of the requests can go to one of n instances.
+	choices = 5
 	// assessInterval bounds how often the pool is sorted to find slow instances.
 	assessInterval = 50 * time.Millisecond
 	// ejectRatio is the ratio to the typical latency above which an instance counts as
 	// slow, and returnRatio that below which it counts as recovered.
-	ejectRatio  = 3.0
+	ejectRatio  = 4.0
 	returnRatio = 2.0
+	// noise is the ratio to the typical latency up to which instances count as equally
+	// fast. Without it, random differences between estimates outweighed the load.
+	noise = 2.0
 	// failureLimit is the number of not-run outcomes in a row that eject an instance.
 	failureLimit = 3
 	// probeShare bounds probes of slow instances to a part of the requests, so that
@@ -35,6 +37,9 @@
 	failureCost = 2.0
 	// failureMemory is the time in which a not-run outcome loses half of its weight.
 	failureMemory = time.Second
+	// minPenalty is the penalty below which a not-run outcome is forgotten. Otherwise an
+	// instance that failed once would never be chosen again while all others are idle.
+	minPenalty = 0.1
 	// defaultLatency is assumed before any sample.
 	defaultLatency = 20 * time.Millisecond
 )
@@ -115,9 +120,10 @@
 		others = w*float64(in.hint.others) + (1-w)*others
 	}
 	load := (own + 1 + others) / float64(max(1, in.endpoint.Slots))
-	cost := in.estimate(p.typical, now).Seconds() * (1 + load)
-	if in.failures > 0 {
-		cost *= 1 + failureCost*float64(in.failures)*halfLife(now.Sub(in.failedAt), failureMemory)
+	slowness := max(1, float64(in.estimate(p.typical, now))/float64(p.typical)/noise)
+	cost := p.typical.Seconds() * slowness * (1 + load)
+	if penalty := failureCost * float64(in.failures) * halfLife(now.Sub(in.failedAt), failureMemory); penalty > minPenalty {
+		cost *= 1 + penalty
 	}
 	return cost
 }
@@ -162,7 +168,8 @@
 	}
 }
 
-// typicalLatency is the median of the measured latencies.
+// typicalLatency is the lower quartile of the measured latencies. The median would be
+// that of slow instances when half of the pool is slow.
 func typicalLatency(p *pool, now time.Time) time.Duration {
 	measured := make([]time.Duration, 0, len(p.instances))
 	for _, in := range p.instances {
@@ -174,7 +181,7 @@
 		return defaultLatency
 	}
 	slices.Sort(measured)
-	return max(measured[(len(measured)-1)/2], time.Microsecond)
+	return max(measured[(len(measured)-1)/4], time.Microsecond)
 }
 
 // probe returns the ejected instance that is due for a request, or nil.
--- a/internal/router/instance.go
+++ b/internal/router/instance.go
@@ -11,6 +11,9 @@
 const (
 	// latencyGain is the weight of a new sample.
 	latencyGain = 0.2
+	// probeGain is the weight of a sample of an ejected instance. Its samples are rare,
+	// and with latencyGain it took 11 of them to return from 20 times the typical latency.
+	probeGain = 0.5
 	// latencyMemory is the time in which an estimate loses half of its weight
 	// against the pool's typical latency, so that old measurements stop counting.
 	latencyMemory = 20 * time.Second
@@ -90,11 +93,14 @@
 }
 
 func (in *instance) observe(latency time.Duration, now time.Time) {
-	if in.sampledAt.IsZero() {
-		in.latency = latency
-	} else {
-		in.latency += time.Duration(latencyGain * float64(latency-in.latency))
+	gain := latencyGain
+	switch {
+	case in.sampledAt.IsZero():
+		gain = 1
+	case in.ejected:
+		gain = probeGain
 	}
+	in.latency += time.Duration(gain * float64(latency-in.latency))
 	in.sampledAt = now
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -31,7 +31,7 @@
 	instances   []*instance // sorted by name
 	next        int         // position of RoundRobin
 	waiting     int
-	typical     time.Duration // median of the latency estimates
+	typical     time.Duration // lower quartile of the latency estimates
 	assessed    time.Time     // when typical and the ejections were computed
 	probeCredit float64
 }
--- a/internal/router/share_test.go
+++ b/internal/router/share_test.go
@@ -151,6 +151,11 @@
 	a.Step(report("host-1", 2, 3, 3), epoch)
 	is.Equal(lent(a.Step(report("host-0", 3, 3, 8), epoch)), 2) // all hosts have reported
 
+	a = start(true)
+	a.Update(one, names(1), false, epoch) // host-1 is removed and may not report any more
+	a.Step(report("host-0", 1, 3, 8), epoch)
+	is.Equal(lent(a.Step(report("host-0", 2, 3, 8), epoch)), 0)
+
 	a = start(true)
 	is.Equal(lent(a.Step(report("host-0", 1, 3, 8), epoch.Add(GrantDuration+longest))), 0)
 	is.Equal(lent(a.Step(report("host-0", 2, 3, 8), epoch.Add(GrantDuration+longest+time.Second))), 2)
