--- a/internal/proprietor/claim.go
+++ b/internal/proprietor/claim.go
@@ -166,7 +166,7 @@
 func (p *Proprietor) claimable(now time.Time) []string {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.config == nil {
+	if p.config == nil || p.stopping {
 		return nil
 	}
 	var names []string
--- a/internal/proprietor/proprietor.go
+++ b/internal/proprietor/proprietor.go
@@ -133,6 +133,7 @@
 	holdings map[string]*holding
 	known    map[string]*knownShard
 	heard    map[string]heardOwner
+	stopping bool // claims nothing any more
 }
 
 // knownShard is what was last read of a shard's journal.
@@ -527,8 +528,11 @@
 }
 
 // Release gives up all owned shards in writing, so that successors need not wait for
-// the end of the tenure.
+// the end of the tenure. This process claims nothing afterwards.
 func (p *Proprietor) Release(ctx context.Context) error {
+	p.mutex.Lock()
+	p.stopping = true
+	p.mutex.Unlock()
 	for _, h := range p.owned() {
 		h.step(scheduler.Released{})
 	}
--- a/internal/proprietor/proprietor_test.go
+++ b/internal/proprietor/proprietor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"peridotpitch/internal/messenger"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,8 @@
 	"github.com/matryer/is"
 )
 
+var all = messenger.ListRequest{}
+
 // check fails the test for each violated invariant.
 func check(t *testing.T, w *world) {
 	t.Helper()
@@ -36,6 +39,7 @@
 		}
 		time.Sleep(60 * time.Second)
 		is.Equal(w.count(), 40)
+		is.Equal(w.unlisted, 0) // each assignment was in the journal before its start
 		check(t, w)
 	})
 }
