--- a/internal/proprietor/proprietor_test.go
+++ b/internal/proprietor/proprietor_test.go
@@ -1,8 +1,11 @@
 package proprietor_test
 
 import (
+	"context"
 	"fmt"
 	"peridotpitch/internal/messenger"
+	"peridotpitch/internal/proprietor"
+	"peridotpitch/internal/scheduler"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,3 +46,16 @@
 		check(t, w)
 	})
 }
+
+func ExampleNew() {
+	w := newWorld(configuration(2, 2, 1))
+	h := w.start("a0")
+	defer h.stop()
+	_, err := h.p.Submit(context.Background(), scheduler.JobSpec{Name: "dent-repair-12", Class: "repair"})
+	fmt.Println(err) // nothing is claimed within the first TTL
+	_, _, err = proprietor.New(proprietor.Settings{Host: "a0"})
+	fmt.Println(err)
+	// Output:
+	// shard a/0 is owned by "", not by this host
+	// proprietor: Host, FailureDomain, Incarnation, Store, Workers and Random are required
+}
--- a/internal/scheduler/writing.go
+++ b/internal/scheduler/writing.go
@@ -17,6 +17,9 @@
 	renewWithin = time.Second
 	// sizeOfNewJob is the room that a submission needs in the journal, in bytes.
 	sizeOfNewJob = 1024
+	// maxDecision bounds the journaled text of a decision, in bytes: it may quote a
+	// worker's reason of any length.
+	maxDecision = 300
 	// maxMovedJobs bounds the names kept of jobs that another shard took over.
 	maxMovedJobs = 2000
 )
@@ -78,7 +81,9 @@
 		t := s.tasks[name]
 		switch {
 		case t.kind == commander.KindBatch:
-			j.Jobs = append(j.Jobs, t.JobEntry)
+			b := t.JobEntry
+			b.Decision = b.Decision[:min(len(b.Decision), maxDecision)]
+			j.Jobs = append(j.Jobs, b)
 		case t.Worker != "":
 			j.Instances = append(j.Instances, InstanceEntry{
 				Task: name, Service: t.service, Index: t.index, Attempt: t.Attempt, Worker: t.Worker, Retiring: t.retiring,
