--- a/internal/proprietor/claim.go
+++ b/internal/proprietor/claim.go
@@ -116,22 +116,16 @@
 	if e.Revision < k.revision && !e.Deleted {
 		return // read before a later value
 	}
-	var j scheduler.Journal
+	j, revision := scheduler.Journal{Shard: shard}, uint64(0)
 	if !e.Deleted {
 		var err error
 		if j, err = scheduler.DecodeJournal(shard, e.Value); err != nil {
 			p.rejectLocked(k, shard, err)
 			return
 		}
-		k.revision = e.Revision
-	} else {
-		k.revision = 0
+		revision = e.Revision
 	}
-	k.journal, k.rejected = j, false
-	v := keeper.Version{Epoch: j.Epoch, Renewal: j.Renewal, Writer: j.Writer, Sequence: j.Sequence}
-	now := time.Now()
-	p.placing.Seen(shard, v, now)
-	p.running.Seen(shard, v, now)
+	p.seenLocked(k, &j, revision, time.Now())
 }
 
 // reject logs once that a journal cannot be decoded. The value is left as it is.
@@ -238,14 +232,32 @@
 	p.placing.Claiming(shard)
 	p.mutex.Unlock()
 	revision, won, sentAt := p.swap(ctx, &j, expect)
-	p.mutex.Lock()
-	p.placing.Resolved(shard)
-	p.mutex.Unlock()
+	p.resolved(&j, revision, won)
 	if won {
 		p.own(j, before, records.Value, revision, sentAt)
 	}
 }
 
+// resolved ends a claim. A journal that was written counts as read at once, because this
+// host must not promise anything to the earlier owner any more.
+func (p *Proprietor) resolved(j *scheduler.Journal, revision uint64, won bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if won {
+		p.seenLocked(p.known[j.Shard], j, revision, time.Now())
+	}
+	p.placing.Resolved(j.Shard)
+	p.running.Resolved(j.Shard)
+}
+
+// seenLocked takes a version of a journal into account.
+func (p *Proprietor) seenLocked(k *knownShard, j *scheduler.Journal, revision uint64, now time.Time) {
+	k.journal, k.revision, k.rejected = *j, revision, false
+	v := keeper.Version{Epoch: j.Epoch, Renewal: j.Renewal, Writer: j.Writer, Sequence: j.Sequence}
+	p.placing.Seen(j.Shard, v, now)
+	p.running.Seen(j.Shard, v, now)
+}
+
 func (p *Proprietor) free(shard string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -384,10 +396,8 @@
 		j.MovedTo, j.Owner, j.Writer = target.name, "", p.settings.Incarnation
 		j.Epoch++
 		j.Sequence++
-		_, won, _ := p.swap(ctx, &j, expect)
-		p.mutex.Lock()
-		p.running.Resolved(j.Shard)
-		p.mutex.Unlock()
+		revision, won, _ := p.swap(ctx, &j, expect)
+		p.resolved(&j, revision, won)
 		if !won {
 			return
 		}
--- a/internal/proprietor/mechanism_test.go
+++ b/internal/proprietor/mechanism_test.go
@@ -163,3 +163,25 @@
 		s.is.Equal(s.hosts[s.other].p.Owner("a/0"), s.owner)
 	})
 }
+
+// Guards against a promise that a host gives to the owner of a shard whose jobs it has
+// just moved: with the promises of its peers, the old owner would start them again.
+func TestMovedShardGetsNoPromise(t *testing.T) {
+	stage(t, 40, 40*time.Second, func(s *scene) {
+		s.set(func() { s.unseen = true })
+		s.isolate([]string{"a0", "a1", "wa0", "wa1"}, "a", true)
+		for _, a := range []string{"a0", "a1"} { // both queues begin with the same jobs
+			s.cutOff(a, true, "wa0", "wa1")
+		}
+		for len(s.hosts["b0"].p.List(all))+len(s.hosts["b1"].p.List(all)) == 0 {
+			time.Sleep(20 * time.Millisecond)
+		}
+		for _, b := range []string{"b0", "b1"} {
+			s.cutOff(b, false, "a0", "a1")
+		}
+		for _, a := range []string{"a0", "a1"} {
+			s.cutOff(a, false, "wa0", "wa1")
+		}
+		time.Sleep(60 * time.Second)
+	})
+}
