--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 
+	"peridotpitch/internal/commander"
+	"peridotpitch/internal/emulator"
 	"peridotpitch/internal/relayer"
 	"peridotpitch/internal/storer"
 )
@@ -91,8 +95,8 @@
 	c.startWorkers()
 	c.addHosts()
 	c.key = c.Command("config", "keygen", "-name", "operator", "-out", c.file("operator.key"))
-	for i := range c.Hosts {
-		c.StartHost(i)
+	for _, h := range c.Hosts {
+		c.StartHost(h)
 	}
 	// All entry hosts stop at the same time, before the first one is waited for.
 	t.Cleanup(func() {
@@ -145,9 +149,8 @@
 }
 
 // StartHost starts an entry host, or starts it again after its process ended.
-func (c *Cluster) StartHost(i int) {
+func (c *Cluster) StartHost(h *Host) {
 	c.t.Helper()
-	h := c.Hosts[i]
 	var s strings.Builder
 	fmt.Fprintf(&s, "[EntryHost]\nName = %s\nFailureDomain = %s\nCallerAddress = %s\nMessageAddress = %s\nAdminAddress = %s\n\n[Store]\nAddress = %s\n\n",
 		h.Name, h.Domain, h.Caller, h.Message, h.Admin, h.store)
@@ -266,6 +269,61 @@
 	return resp.StatusCode
 }
 
+// Owner waits until a running entry host of the failure domain says that another or the
+// same one owns the domain's shard, and returns the owner. Hosts in not are no answer.
+func (c *Cluster) Owner(domain string, not ...*Host) *Host {
+	c.t.Helper()
+	var owner *Host
+	WaitFor(c.t, "shard of "+domain+" has an owner", func() bool {
+		for _, asked := range c.Hosts {
+			if asked.Domain != domain || !asked.Running() || slices.Contains(not, asked) {
+				continue
+			}
+			name := shardOwner(asked.Admin, domain+"/1")
+			for _, h := range c.Hosts {
+				if h.Name == name && !slices.Contains(not, h) {
+					owner = h
+				}
+			}
+		}
+		return owner != nil
+	})
+	return owner
+}
+
+// shardOwner returns the owner's name as the entry host at admin sees it, or "".
+func shardOwner(admin netip.AddrPort, shard string) string {
+	resp, err := client.Get("http://" + admin.String() + "/admin/status")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var status struct {
+		Shards []struct{ Name, Owner string }
+	}
+	if json.NewDecoder(resp.Body).Decode(&status) != nil {
+		return ""
+	}
+	for _, s := range status.Shards {
+		if s.Name == shard {
+			return s.Owner
+		}
+	}
+	return ""
+}
+
+// WaitForBatch waits until a batch task runs on a worker.
+func (c *Cluster) WaitForBatch(w *Worker) {
+	c.t.Helper()
+	WaitFor(c.t, "batch task runs on "+w.Name, func() bool {
+		var runs []emulator.Run
+		Get(c.t, w.Address, "/runs", &runs)
+		return slices.ContainsFunc(runs, func(r emulator.Run) bool {
+			return r.Kind == commander.KindBatch && r.Ended.IsZero()
+		})
+	})
+}
+
 // Callers returns the caller addresses of the running entry hosts.
 func (c *Cluster) Callers() []netip.AddrPort {
 	return c.addresses(func(h *Host) netip.AddrPort { return h.Caller })
@@ -297,15 +355,16 @@
 	return as
 }
 
-// CutPeers cuts the messages that other entry hosts send to a host: Forward holds back
-// what they send, Backward what the host answers. It needs relays.
-func (c *Cluster) CutPeers(h *Host, cut relayer.Cut) {
-	c.t.Helper()
-	SetCut(c.t, h.peersCut, cut)
-}
-
-// CutStore cuts a host from the store. It needs relays.
-func (c *Cluster) CutStore(h *Host, cut relayer.Cut) {
+// CutOff cuts a host from the store, and all messages to the entry hosts of its failure
+// domain, so that the domain's hosts do not hear of each other. A relay cannot tell who
+// sends, so the messages from other failure domains to this one are cut too; those that
+// the domain's hosts send to other domains are not. It needs relays.
+func (c *Cluster) CutOff(h *Host, cut relayer.Cut) {
 	c.t.Helper()
 	SetCut(c.t, h.storeCut, cut)
+	for _, o := range c.Hosts {
+		if o.Domain == h.Domain {
+			SetCut(c.t, o.peersCut, cut)
+		}
+	}
 }
