Count teams in the measured configuration's size

Cause: the multiple at which a limit breaks was searched with 200 teams at every size, so that the configuration's text did not shrink with the size.

Change: the text follows the measured slope by teams.

--- a/internal/surveyor/estimate.go
+++ b/internal/surveyor/estimate.go
@@ -166,6 +166,9 @@
 // percent converts microseconds per second to a share of a core.
 func percent(microseconds float64) float64 { return microseconds / 1e6 * 100 }
 
+// measuredTeams is the number of teams in the configurations measured by workers.
+const measuredTeams = 200
+
 // layout is how workers and hosts are divided.
 type layout struct {
 	hosts, shards               float64
@@ -203,7 +206,8 @@
 	}
 	traffic := m.journalTraffic(l, journal, writes)
 	d := demand{Hosts: hosts, Shards: int(l.shards), Peak: peak, JournalSize: journal, StartsPerShard: l.starts}
-	d.ConfigSize = m.bytes(configByWorkers, float64(m.size.Workers))
+	d.ConfigSize = m.bytes(configByWorkers, float64(m.size.Workers)) +
+		m.get(configByTeams).Fit(bytesOf).Slope*float64(m.size.Teams-measuredTeams)
 	owning := m.owning(l, journal, traffic)
 	heartbeats, size := m.heartbeats(l)
 	slots, answer := m.slots(l)
