Measure the heap of registrar, allocator and limiter

Cause: the estimate took the encoded size of notices and grants for their memory.

Change: the heaps of the three tables are measured at three sizes each, and the memory of heartbeats, slot grants and requests follows from them.

--- a/internal/surveyor/estimate.go
+++ b/internal/surveyor/estimate.go
@@ -350,8 +350,8 @@
 	// A host begins as many exchanges as it answers. Both messages of an exchange have
 	// about the same size: promises answer claims.
 	return usage{
-		Role: "membership heartbeats", State: (l.hosts - 1) * size, Calls: 2 * begun, Bytes: 4 * begun * size,
-		Core: percent(2 * begun * took), Heap: (l.hosts - 1) * size,
+		Role: "membership heartbeats", State: size, Calls: 2 * begun, Bytes: 4 * begun * size,
+		Core: percent(2 * begun * took), Heap: m.bytes(registrarHeap, notices),
 	}, size
 }
 
@@ -369,7 +369,7 @@
 	took := m.time(name, each) + m.get(demandByInstances).Fit(timeOf).Slope*each
 	return usage{
 		Role: "slot grants", State: l.nearPeers * answer, Bytes: 2 * begun * (demandSize + answer),
-		Core: percent(begun * took), Heap: l.nearPeers * answer,
+		Core: percent(begun * took), Heap: m.bytes(allocatorHeap, each),
 	}, answer
 }
 
@@ -419,7 +419,8 @@
 func (m model) requests() usage {
 	domain := float64(m.size.Instances) / float64(m.size.Domains)
 	service := domain / float64(m.size.Services)
-	heap := m.bytes(routerHeapByInstance, domain)
+	// A second's requests wait at the most.
+	heap := m.bytes(routerHeapByInstance, domain) + m.bytes(limiterHeap, m.size.RequestsPerHost)
 	return usage{
 		Role: "receiving and routing requests", State: heap, Calls: 2 * m.size.RequestsPerHost,
 		Core: percent(m.size.RequestsPerHost * (m.time(pickByInstances, service) + m.time(offerByInstances, service))), Heap: heap,
--- a/internal/surveyor/measure.go
+++ b/internal/surveyor/measure.go
@@ -63,6 +63,9 @@
 	journalHeapByJobs    = "Heap of a decoded journal"
 	configHeapByWorkers  = "Heap of a parsed configuration"
 	routerHeapByInstance = "Heap of the router"
+	registrarHeap        = "Heap of the registrar"
+	allocatorHeap        = "Heap of the allocator, with the heartbeats of 4 entry hosts"
+	limiterHeap          = "Heap of the limiter"
 	recorderHeap         = "Heap of the recorder"
 )
 
@@ -312,7 +315,9 @@
 }
 
 // restarted returns the notices after a number of hosts have restarted.
-func restarted(hosts int) []messenger.HostNotice {
+func restarted(hosts int) []messenger.HostNotice { return restartedRegistrar(hosts).Notices() }
+
+func restartedRegistrar(hosts int) *registrar.Registrar {
 	r := registrar.New()
 	list := func(state storer.HostState) storer.HostList {
 		var l storer.HostList
@@ -327,7 +332,7 @@
 		now = now.Add(registrar.ListSettleTime)
 		r.PlatformList(list(storer.HostLive), now)
 	}
-	return r.Notices()
+	return r
 }
 
 // grants measures the granter's decision, the answer's encoding and decoding, and the
@@ -525,6 +530,39 @@
 	return out, first
 }
 
+// usedAllocator returns an allocator to which four entry hosts have sent their demand.
+func usedAllocator(instances int) *router.Allocator {
+	const hosts = 4
+	now := epoch
+	a := router.NewAllocator(1, configurator.DefaultMaxRequestTimeout, now)
+	var names []string
+	for i := range hosts {
+		names = append(names, hostName(i))
+	}
+	a.Update(endpoints(instances, 20), names, now)
+	for sequence := range uint64(200) { // longer than what an earlier owner lent
+		now = now.Add(500 * time.Millisecond)
+		for _, h := range names {
+			a.Step(router.Report{Host: h, Incarnation: "1", Sequence: sequence + 1, RunningFor: time.Hour, Demand: heartbeat(0, instances, 0).Demand}, now)
+		}
+	}
+	return a
+}
+
+// waitingLimiter returns a limiter with requests that wait.
+func waitingLimiter(requests int) *limiter.Limiter {
+	const teams = 200
+	var ts []configurator.Team
+	for i := range teams {
+		ts = append(ts, configurator.Team{Name: teamName(i), Share: 1})
+	}
+	l := limiter.New(limiter.Settings{Limits: configurator.LimitFair, Retries: configurator.RetryBudget, Teams: ts})
+	for i := range requests {
+		l.Offer(limiter.Request{ID: fmt.Sprint(i), Service: serviceName(i % 20), Tenant: teamName(i % teams), Deadline: epoch.Add(30 * time.Second)}, epoch)
+	}
+	return l
+}
+
 func (s survey) heaps() []Series {
 	return []Series{
 		series(shardHeapByWorkers, "workers, 16 batch tasks and 3 instances each", "bytes of heap", []int{20, 50, 165}, func(n int) Sample {
@@ -541,6 +579,15 @@
 		series(routerHeapByInstance, "instances of 20 services", "bytes of heap", []int{130, 517, 1034}, func(n int) Sample {
 			return Sample{Bytes: heap(func() any { return newRouter(n, 20, s.random()) })}
 		}),
+		series(registrarHeap, "notices", "bytes of heap", []int{200, 500, 990}, func(n int) Sample {
+			return Sample{Bytes: heap(func() any { return restartedRegistrar(n) })}
+		}),
+		series(allocatorHeap, "instances that it lends", "bytes of heap", []int{130, 260, 517}, func(n int) Sample {
+			return Sample{Bytes: heap(func() any { return usedAllocator(n) })}
+		}),
+		series(limiterHeap, "waiting requests of 200 teams", "bytes of heap", []int{200, 1000, 4000}, func(n int) Sample {
+			return Sample{Bytes: heap(func() any { return waitingLimiter(n) })}
+		}),
 		series(recorderHeap, "records", "bytes of heap", []int{2000, 5000, 10000}, func(n int) Sample {
 			return Sample{Bytes: heap(func() any {
 				r, _ := newRecorder()
