--- a/internal/surveyor/estimate.go
+++ b/internal/surveyor/estimate.go
@@ -166,6 +166,9 @@
 // percent converts microseconds per second to a share of a core.
 func percent(microseconds float64) float64 { return microseconds / 1e6 * 100 }
 
+// measuredTeams is the number of teams in the configurations measured by workers.
+const measuredTeams = 200
+
 // layout is how workers and hosts are divided.
 type layout struct {
 	hosts, shards               float64
@@ -203,7 +206,8 @@
 	}
 	traffic := m.journalTraffic(l, journal, writes)
 	d := demand{Hosts: hosts, Shards: int(l.shards), Peak: peak, JournalSize: journal, StartsPerShard: l.starts}
-	d.ConfigSize = m.bytes(configByWorkers, float64(m.size.Workers))
+	d.ConfigSize = m.bytes(configByWorkers, float64(m.size.Workers)) +
+		m.get(configByTeams).Fit(bytesOf).Slope*float64(m.size.Teams-measuredTeams)
 	owning := m.owning(l, journal, traffic)
 	heartbeats, size := m.heartbeats(l)
 	slots, answer := m.slots(l)
@@ -346,8 +350,8 @@
 	// A host begins as many exchanges as it answers. Both messages of an exchange have
 	// about the same size: promises answer claims.
 	return usage{
-		Role: "membership heartbeats", State: (l.hosts - 1) * size, Calls: 2 * begun, Bytes: 4 * begun * size,
-		Core: percent(2 * begun * took), Heap: (l.hosts - 1) * size,
+		Role: "membership heartbeats", State: size, Calls: 2 * begun, Bytes: 4 * begun * size,
+		Core: percent(2 * begun * took), Heap: m.bytes(registrarHeap, notices),
 	}, size
 }
 
@@ -365,7 +369,7 @@
 	took := m.time(name, each) + m.get(demandByInstances).Fit(timeOf).Slope*each
 	return usage{
 		Role: "slot grants", State: l.nearPeers * answer, Bytes: 2 * begun * (demandSize + answer),
-		Core: percent(begun * took), Heap: l.nearPeers * answer,
+		Core: percent(begun * took), Heap: m.bytes(allocatorHeap, each),
 	}, answer
 }
 
@@ -415,7 +419,8 @@
 func (m model) requests() usage {
 	domain := float64(m.size.Instances) / float64(m.size.Domains)
 	service := domain / float64(m.size.Services)
-	heap := m.bytes(routerHeapByInstance, domain)
+	// A second's requests wait at the most.
+	heap := m.bytes(routerHeapByInstance, domain) + m.bytes(limiterHeap, m.size.RequestsPerHost)
 	return usage{
 		Role: "receiving and routing requests", State: heap, Calls: 2 * m.size.RequestsPerHost,
 		Core: percent(m.size.RequestsPerHost * (m.time(pickByInstances, service) + m.time(offerByInstances, service))), Heap: heap,
