Exchange notices of leaving hosts only when views differ

Cause: every heartbeat carried a notice of each host that ever restarted. Change: heartbeats carry a digest of the notices that say leaving, and the notices only if the peer's digest differs. Of withdrawn notices the last 100 are kept; a forgotten one is not taken back from a peer. Ruled out: dropping withdrawn notices by time, because hosts that drop at different times hand them back to each other.

--- a/internal/messenger/message.go
+++ b/internal/messenger/message.go
@@ -29,6 +29,7 @@
 	Generation    uint64        // of the configuration in effect
 	InEffectFor   time.Duration
 	Leaving       bool
+	NoticeDigest  uint64       // of the notices that say leaving; hosts with equal digests exchange none
 	Notices       []HostNotice // what the sender knows of leaving hosts
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"peridotpitch/internal/messenger"
 	"peridotpitch/internal/storer"
 )
@@ -20,6 +23,9 @@
 	ListSettleTime = 60 * time.Second
 	// maxNotices bounds the notices kept, about twice the hosts expected in two years.
 	maxNotices = 4096
+	// maxWithdrawn bounds the notices kept of hosts that are live again: a day's 380
+	// restarts alone filled heartbeats with 25 KB of them.
+	maxWithdrawn = 100
 )
 
 type noticeKey struct {
@@ -39,6 +45,7 @@
 	notices   map[noticeKey]messenger.HostNotice
 	liveSince map[string]time.Time // hosts that the list calls live again
 	listed    map[string]bool      // hosts that the last list called leaving
+	withdrawn []noticeKey          // withdrawn notices, oldest first
 }
 
 // New returns a Registrar that has heard of nobody.
@@ -146,6 +153,10 @@
 
 func (r *Registrar) merge(n messenger.HostNotice) {
 	old, ok := r.notices[noticeKey{n.Host, n.Source}]
+	// A forgotten withdrawal must not come back from a peer that has yet to forget it.
+	if !ok && !n.Leaving {
+		return
+	}
 	if ok && (n.Version < old.Version || n.Version == old.Version && old.Leaving) {
 		return
 	}
@@ -160,18 +171,19 @@
 func (r *Registrar) store(n messenger.HostNotice) {
 	key := noticeKey{n.Host, n.Source}
 	if _, ok := r.notices[key]; !ok && len(r.notices) >= maxNotices {
-		r.dropOneWithdrawn()
+		return
 	}
 	r.notices[key] = n
-}
-
-// dropOneWithdrawn forgets a notice that no longer says leaving. A notice that says
-// leaving is never dropped: its host would get new work.
-func (r *Registrar) dropOneWithdrawn() {
-	for k, n := range r.notices {
-		if !n.Leaving {
-			delete(r.notices, k)
-			return
+	if n.Leaving {
+		return
+	}
+	r.withdrawn = append(r.withdrawn, key)
+	for len(r.withdrawn) > maxWithdrawn {
+		oldest := r.withdrawn[0]
+		r.withdrawn = r.withdrawn[1:]
+		// A notice that says leaving again is kept: its host would get new work.
+		if !r.notices[oldest].Leaving && !slices.Contains(r.withdrawn, oldest) {
+			delete(r.notices, oldest)
 		}
 	}
 }
@@ -210,10 +222,43 @@
 	return hosts
 }
 
-// Notices returns what heartbeats carry, sorted by host and source.
+// Notices returns all notices, sorted by host and source.
 func (r *Registrar) Notices() []messenger.HostNotice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.sorted()
+}
+
+// Exchange returns the digest of the notices that say leaving, and the notices that a
+// message to the peer carries: none if the peer's last message had the same digest.
+func (r *Registrar) Exchange(peer string) (uint64, []messenger.HostNotice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	notices := r.sorted()
+	digest := digestOf(notices)
+	if p, ok := r.peers[peer]; ok && p.identity.NoticeDigest == digest {
+		return digest, nil
+	}
+	return digest, notices
+}
+
+// digestOf is 0 if no notice says leaving.
+func digestOf(notices []messenger.HostNotice) uint64 {
+	d := xxhash.New()
+	leaving := false
+	for _, n := range notices {
+		if n.Leaving {
+			leaving = true
+			_, _ = fmt.Fprintf(d, "%s\x00%s\x00%d\x00", n.Host, n.Source, n.Version) // never fails, as xxhash documents
+		}
+	}
+	if !leaving {
+		return 0
+	}
+	return d.Sum64()
+}
+
+func (r *Registrar) sorted() []messenger.HostNotice {
 	notices := make([]messenger.HostNotice, 0, len(r.notices))
 	for _, n := range r.notices {
 		notices = append(notices, n)
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -9,11 +9,12 @@
 	"peridotpitch/internal/router"
 )
 
-// identity is what this host says about itself in heartbeats and their answers.
-func (h *host) identity() messenger.Identity {
+// identity is what this host says about itself in a heartbeat or its answer to a peer.
+func (h *host) identity(peer string) messenger.Identity {
+	digest, notices := h.members.Exchange(peer)
 	id := messenger.Identity{
 		Host: h.settings.Name, FailureDomain: h.settings.FailureDomain, Incarnation: h.incarnation, RunningFor: time.Since(h.started),
-		Leaving: h.leaving.Load(), Notices: h.members.Notices(),
+		Leaving: h.leaving.Load(), NoticeDigest: digest, Notices: notices,
 	}
 	if a := h.configuration.Load(); a != nil {
 		id.Generation = a.record.Generation
@@ -25,7 +26,7 @@
 // heartbeat exchanges one heartbeat with a peer.
 func (h *host) heartbeat(ctx context.Context, l *link) {
 	near := l.domain == h.settings.FailureDomain
-	m := messenger.Heartbeat{Identity: h.identity(), Sequence: h.sequence.Add(1), Claims: h.owner.Claims()}
+	m := messenger.Heartbeat{Identity: h.identity(l.name), Sequence: h.sequence.Add(1), Claims: h.owner.Claims()}
 	if near {
 		m.Demand = h.dispatcher.Demand(l.name)
 	}
@@ -59,7 +60,7 @@
 	now := time.Now()
 	h.heard(m.Identity, now)
 	h.endpoints.setClaims(m.Host, m.Claims)
-	a := messenger.HeartbeatAnswer{Identity: h.identity(), Promises: h.owner.Promise(m)}
+	a := messenger.HeartbeatAnswer{Identity: h.identity(m.Host), Promises: h.owner.Promise(m)}
 	if m.FailureDomain == h.settings.FailureDomain {
 		a.Endpoints = h.owner.Endpoints()
 		a.Grants = h.grants.step(router.Report{Host: m.Host, Incarnation: m.Incarnation, Sequence: m.Sequence, RunningFor: m.RunningFor, Demand: m.Demand}, now)
--- a/internal/surveyor/measure.go
+++ b/internal/surveyor/measure.go
@@ -314,8 +314,15 @@
 	return out
 }
 
-// restarted returns the notices after a number of hosts have restarted.
-func restarted(hosts int) []messenger.HostNotice { return restartedRegistrar(hosts).Notices() }
+// restarted returns the notices of a heartbeat after a number of hosts have restarted,
+// between two entry hosts that have both followed the platform's list.
+func restarted(hosts int) []messenger.HostNotice {
+	r, peer := restartedRegistrar(hosts), restartedRegistrar(hosts)
+	digest, _ := peer.Exchange("self")
+	r.Heard(messenger.Identity{Host: "peer", Incarnation: "a", NoticeDigest: digest}, epoch)
+	_, notices := r.Exchange("peer")
+	return notices
+}
 
 func restartedRegistrar(hosts int) *registrar.Registrar {
 	r := registrar.New()
@@ -539,7 +546,7 @@
 	for i := range hosts {
 		names = append(names, hostName(i))
 	}
-	a.Update(endpoints(instances, 20), names, now)
+	a.Update(endpoints(instances, 20), names, true, now)
 	for sequence := range uint64(200) { // longer than what an earlier owner lent
 		now = now.Add(500 * time.Millisecond)
 		for _, h := range names {
