Test the guarantees 4 to 6 over real connections

Cause: they were tested for the forwarder and the dispatcher, but not for the whole path. Change: TestWholePathWithFaults sends 200 requests through receiver, dispatcher and forwarder to 16 backend servers that close, answer late, for another request, in part, or reject. The docs state the lock orders as they are.

--- a/internal/dispatcher/path_test.go
+++ b/internal/dispatcher/path_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,20 +26,12 @@
 	"peridotpitch/internal/router"
 )
 
-// Guards against a break between the parts: requests pass from a caller's connection
-// through all of them to backend servers, and each caller gets its own response.
-func TestWholePath(t *testing.T) {
-	is := is.New(t)
-	var ran atomic.Int64
+// path is a whole request path: a receiver's address and the backend servers behind it.
+func path(t *testing.T, instances int, retries configurator.RetryPolicy, backend http.HandlerFunc) string {
+	t.Helper()
 	var endpoints []messenger.Endpoint
-	for i := range 3 {
-		b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-			ran.Add(1)
-			body, _ := io.ReadAll(q.Body)
-			w.Header().Set("Peridot-Request", q.Header.Get("Peridot-Request"))
-			w.Header().Set("Peridot-Attempt", q.Header.Get("Peridot-Attempt"))
-			_, _ = fmt.Fprintf(w, "%s %s", q.URL.Path, body)
-		}))
+	for i := range instances {
+		b := httptest.NewServer(backend)
 		t.Cleanup(b.Close)
 		endpoints = append(endpoints, messenger.Endpoint{
 			Instance: fmt.Sprint("quotes-", i), Service: "quotes", Slots: 8, Connections: 64,
@@ -48,37 +42,148 @@
 	t.Cleanup(closeSender)
 	d, stop := dispatcher.New(dispatcher.Settings{
 		Router:  router.New(router.Settings{Policy: configurator.RoutingAdaptive}, rand.New(rand.NewPCG(1, 1))),
-		Limiter: limiter.New(limiter.Settings{Limits: configurator.LimitFair, Retries: configurator.RetryBudget}),
+		Limiter: limiter.New(limiter.Settings{Limits: configurator.LimitFair, Retries: retries}),
 		Sender:  sender,
 	})
 	t.Cleanup(stop)
 	d.Update(endpoints, router.Membership{Hosts: 1, Settled: true})
 	r, err := receiver.New(receiver.Settings{Handler: d})
-	is.NoErr(err)
+	if err != nil {
+		t.Fatal(err)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
+	if err != nil {
+		t.Fatal(err)
+	}
 	served := make(chan error, 1)
 	go func() { served <- r.Serve(l) }()
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		if err := errors.Join(r.Shutdown(context.Background()), <-served); err != nil {
+			t.Error(err)
+		}
+	})
+	return "http://" + l.Addr().String() + "/services/quotes"
+}
+
+// answer is a caller's view of a response.
+type answer struct{ outcome, reason, body string }
+
+func post(t *testing.T, url, body string, repeatable bool, timeout string) answer {
+	q, err := http.NewRequest("POST", url, strings.NewReader(body))
+	if err != nil {
+		t.Error(err)
+		return answer{}
+	}
+	q.Header.Set("Peridot-Repeatable", strconv.FormatBool(repeatable))
+	q.Header.Set("Peridot-Timeout", timeout)
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Error(err)
+		return answer{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	return answer{resp.Header.Get("Peridot-Outcome"), resp.Header.Get("Peridot-Reason"), string(got)}
+}
 
+// echo answers as a backend server does, with the request's path and body.
+func echo(w http.ResponseWriter, q *http.Request) {
+	body, _ := io.ReadAll(q.Body)
+	w.Header().Set("Peridot-Request", q.Header.Get("Peridot-Request"))
+	w.Header().Set("Peridot-Attempt", q.Header.Get("Peridot-Attempt"))
+	_, _ = fmt.Fprintf(w, "%s %s", q.URL.Path, body)
+}
+
+// Guards against a break between the parts: requests pass from a caller's connection
+// through all of them to backend servers, and each caller gets its own response.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	var ran atomic.Int64
+	url := path(t, 3, configurator.RetryBudget, func(w http.ResponseWriter, q *http.Request) {
+		ran.Add(1)
+		echo(w, q)
+	})
 	var group sync.WaitGroup
 	for i := range 60 {
 		group.Go(func() {
-			body := fmt.Sprint("coil ", i)
-			resp, err := http.Post(fmt.Sprintf("http://%v/services/quotes/order/%d", l.Addr(), i), "text/plain", strings.NewReader(body))
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			defer func() { _ = resp.Body.Close() }()
-			got, _ := io.ReadAll(resp.Body)
-			if want := fmt.Sprintf("/order/%d %s", i, body); string(got) != want || resp.Header.Get("Peridot-Outcome") != "answered" {
-				t.Errorf("got %d %q (%s), want %q", resp.StatusCode, got, resp.Header.Get("Peridot-Reason"), want)
+			order := fmt.Sprint("/order/", i)
+			if got := post(t, url+order, "coil", false, "20s"); got != (answer{"answered", "", order + " coil"}) {
+				t.Errorf("%s: %+v", order, got)
 			}
 		})
 	}
 	group.Wait()
 	is.Equal(ran.Load(), int64(60))
-	http.DefaultClient.CloseIdleConnections()
-	is.NoErr(r.Shutdown(context.Background()))
-	is.NoErr(<-served)
+}
+
+// Guards the guarantees 4 to 6 over real connections, with backend servers that close,
+// answer late, for another request, in part, or reject.
+func TestWholePathWithFaults(t *testing.T) {
+	var mutex sync.Mutex
+	ran := make(map[string]int)
+	url := path(t, 16, configurator.RetryImmediate3, func(w http.ResponseWriter, q *http.Request) {
+		kind, _ := strconv.Atoi(q.URL.Path[len(q.URL.Path)-1:])
+		attempt, _ := strconv.Atoi(q.Header.Get("Peridot-Attempt"))
+		reject := kind == 4 && attempt == 1
+		if !reject {
+			mutex.Lock()
+			ran[q.URL.Path]++
+			mutex.Unlock()
+		}
+		switch {
+		case reject:
+			w.Header().Set("Peridot-Not-Run", "true")
+			w.Header().Set("Peridot-Request", q.Header.Get("Peridot-Request"))
+			w.Header().Set("Peridot-Attempt", q.Header.Get("Peridot-Attempt"))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case kind == 0 && attempt == 1: // runs and closes
+			panic(http.ErrAbortHandler)
+		case kind == 1: // the answer to another request
+			q.Header.Set("Peridot-Request", "other")
+			q.URL.Path = "/order/other"
+			echo(w, q)
+		case kind == 2: // a part of the body
+			w.Header().Set("Content-Length", "1000")
+			echo(w, q)
+			panic(http.ErrAbortHandler)
+		case kind == 3: // late: the given-up connection is closed first
+			_, _ = io.Copy(io.Discard, q.Body)
+			<-q.Context().Done()
+			echo(w, q)
+		default:
+			echo(w, q)
+		}
+	})
+	counts := make(map[string]int)
+	var group sync.WaitGroup
+	for i := range 200 {
+		group.Go(func() {
+			order, repeatable, timeout := fmt.Sprint("/order/", i), i%20 >= 10, "1s"
+			if i%10 == 3 {
+				timeout = "50ms"
+			}
+			got := post(t, url+order, "coil", repeatable, timeout)
+			mutex.Lock()
+			defer mutex.Unlock()
+			counts[got.outcome]++
+			switch {
+			case got.outcome == "answered" && got.body != order+" coil":
+				t.Errorf("%s got another response: %q", order, got.body)
+			case got.outcome == "not-run" && ran[order] > 0:
+				t.Errorf("%s is not run but ran %d times", order, ran[order])
+			case !repeatable && ran[order] > 1:
+				t.Errorf("%s may not be repeated but ran %d times", order, ran[order])
+			}
+		})
+	}
+	group.Wait()
+	for _, outcome := range []string{"answered", "not-run", "unknown"} {
+		if counts[outcome] == 0 {
+			t.Errorf("no request ended as %s: %v", outcome, counts)
+		}
+	}
 }
--- a/internal/forwarder/doc.go
+++ b/internal/forwarder/doc.go
@@ -2,5 +2,6 @@
 // call, and tells whether a request may have run. It makes no decisions and retries
 // nothing.
 //
-// Lock order: Forwarder.mutex, then pool.mutex, then fasthttp's connection lock.
+// Lock order: Forwarder.mutex, then fasthttp's lock of a host client's connections, then
+// connection.mutex.
 package forwarder
