Record changes of owner as decisions and tell new workers that they are leaving

Claims, losses and moves were only logged; they can now be queried like other decisions. A worker that a configuration added while it was already leaving got work.

--- a/internal/proprietor/claim.go
+++ b/internal/proprietor/claim.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -316,7 +317,7 @@
 
 // lose ends the ownership of a shard that another host has written.
 func (p *Proprietor) lose(h *holding, j scheduler.Journal) {
-	p.settings.Logger.Warn("lost", "Shard", h.name, "Epoch", h.epoch, "Owner", cmp.Or(j.Owner, j.MovedTo))
+	p.recordClaim(h.name, "ClaimedByOther", fmt.Sprintf("epoch %d is over, owner is now %q", h.epoch, cmp.Or(j.Owner, j.MovedTo)))
 	h.mutex.Lock()
 	h.lost = true
 	h.mutex.Unlock()
@@ -401,7 +402,7 @@
 		if !won {
 			return
 		}
-		p.settings.Logger.Warn("moved", "Shard", j.Shard, "To", target.name, "Jobs", len(j.Jobs))
+		p.recordClaim(j.Shard, "MovedToSuccessor", fmt.Sprintf("failure domain does not respond; %d jobs go to %s", len(j.Jobs), target.name))
 	}
 	target.step(scheduler.JobsImported{From: j.Shard, Jobs: j.Jobs})
 }
--- a/internal/proprietor/holding.go
+++ b/internal/proprietor/holding.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -78,7 +79,7 @@
 		Shard: j.Shard, FailureDomain: p.settings.FailureDomain, Host: p.settings.Host,
 		Writer: p.settings.Incarnation, Placer: newPlacer(j.Shard),
 	})
-	p.settings.Logger.Info("claimed", "Shard", j.Shard, "Epoch", j.Epoch, "Jobs", len(j.Jobs))
+	p.recordClaim(j.Shard, "TenureEnded", fmt.Sprintf("epoch %d, last owner %q, %d jobs", j.Epoch, earlier.Owner, len(j.Jobs)))
 	h.step(scheduler.ConfigurationChanged{Configuration: c})
 	h.step(scheduler.Claimed{Journal: j, Records: recordsValue})
 	for w := range leaving {
@@ -95,6 +96,11 @@
 	p.background(h.run)
 }
 
+// recordClaim records a change of owner.
+func (p *Proprietor) recordClaim(shard, rule, cause string) {
+	p.settings.Record(recorder.Record{Time: time.Now(), Kind: recorder.KindClaim, Subject: shard, Rule: rule, Cause: cause, Outcome: p.settings.Host})
+}
+
 // run sends ticks until the shard is lost.
 func (h *holding) run(context.Context) {
 	for sleep(h.context, scheduler.TickInterval) {
--- a/internal/proprietor/proprietor.go
+++ b/internal/proprietor/proprietor.go
@@ -241,10 +241,13 @@
 		p.running = keeper.NewSuccessor(p.recovery, p.start)
 	}
 	p.config = c
-	hs := p.sortedHoldings()
+	hs, leaving := p.sortedHoldings(), p.leaving
 	p.mutex.Unlock()
 	for _, h := range hs {
 		h.step(scheduler.ConfigurationChanged{Configuration: c})
+		for w := range leaving { // it may be a worker that the configuration added
+			h.step(scheduler.HostLeaving{Worker: w, Leaving: true})
+		}
 		h.setSuccessors(p.successors(c))
 	}
 }
