Test that instances outlive their owner during a store outage

Any entry host of the failure domain renews their leases; measured over 15 minutes of virtual time with the owner dead and the store unavailable.

--- a/internal/proprietor/scene_test.go
+++ b/internal/proprietor/scene_test.go
@@ -243,3 +243,28 @@
 		s.is.Equal(s.count(), 4)
 	})
 }
+
+// Guards against instances whose leases (10 min) end because their owner died and the
+// store is unavailable: any entry host of the failure domain renews them.
+func TestInstancesOutliveTheirOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := configuration(2, 2, 1)
+		c.Services = []configurator.Service{{Name: "quotes", Class: "web", Instances: map[string]int{"a": 2}, Size: configurator.Resources{Cores: 1, Memory: 1 << 30}}}
+		w := newWorld(c)
+		defer w.stopAll()
+		for _, h := range c.EntryHosts {
+			w.start(h.Name)
+		}
+		time.Sleep(15 * time.Second)
+		is.Equal(w.active("", commander.KindService), 2)
+		for _, h := range c.EntryHosts {
+			w.partition(h.Name, "store", true)
+		}
+		w.kill(w.hosts["a0"].p.Owner("a/0"))
+		time.Sleep(15 * time.Minute)
+		is.Equal(w.active("", commander.KindService), 2)
+		is.Equal(w.started(""), 2) // the same two
+		check(t, w)
+	})
+}
