--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -28,6 +28,8 @@
     done
     if kill -0 "$pid" 2>/dev/null; then
       echo "demo: ${names[i]} did not stop within 20 s, killing it" >&2
+      kill -QUIT "$pid" 2>/dev/null # writes its goroutines to the log; DEMO_KEEP=1 keeps it
+      sleep 1
       kill -KILL "$pid" 2>/dev/null
       failed=1
     elif ! wait "$pid"; then
