Write one log line for each decision

Cause: the dispatcher and the recorder both logged a refusal, a retry and a forward, and routing wrote a line for each request; log keys had three spellings.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"maps"
 	"slices"
 	"sync"
@@ -42,7 +41,6 @@
 	Sender   Sender
 	Overflow Overflow // nil: nothing is forwarded
 	Recorder Recorder // nil: decisions are only logged
-	Logger   *slog.Logger
 }
 
 // Dispatcher implements receiver.Handler. It is safe for concurrent use.
@@ -72,9 +70,6 @@
 
 // New returns a dispatcher and a function that stops its goroutine.
 func New(s Settings) (*Dispatcher, func()) {
-	if s.Logger == nil {
-		s.Logger = slog.New(slog.DiscardHandler)
-	}
 	d := &Dispatcher{
 		settings: s,
 		waiting:  make(map[string]*waiter),
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -119,12 +119,12 @@
 	s := &Server{handler: h, log: log, cancel: cancel, ended: make(chan struct{})}
 	d := drpcserver.NewWithOptions(s, drpcserver.Options{
 		Manager: managerOptions(),
-		Log:     func(err error) { log.Debug("connection of an entry host ended", "cause", err) },
+		Log:     func(err error) { log.Debug("connection of an entry host ended", "Cause", err) },
 	})
 	go func() {
 		defer close(s.ended)
 		if err := d.Serve(ctx, l); err != nil {
-			log.Error("server for entry hosts stopped", "address", l.Addr(), "cause", err)
+			log.Error("server for entry hosts stopped", "Address", l.Addr(), "Cause", err)
 		}
 	}()
 	return s, s.close
@@ -183,7 +183,7 @@
 	start := time.Now()
 	err := f(stream.Context(), s.handler, stream)
 	if err != nil {
-		s.log.Debug("call of an entry host failed", "method", rpc, "took", time.Since(start), "cause", err)
+		s.log.Debug("call of an entry host failed", "Method", rpc, "Took", time.Since(start), "Cause", err)
 		if errors.Is(err, context.Canceled) {
 			return err
 		}
--- a/internal/publisher/follower.go
+++ b/internal/publisher/follower.go
@@ -156,7 +156,7 @@
 	var refused *configurator.RefusedError
 	now := err == nil || errors.As(err, &corrupt) || errors.As(err, &refused)
 	if before && !now {
-		f.options.Log.Warn("store unavailable, configuration is followed through peers", "error", err)
+		f.options.Log.Warn("store unavailable, configuration is followed through peers", "Error", err)
 	} else if !before && now {
 		f.options.Log.Info("store available")
 	}
@@ -270,8 +270,8 @@
 	f.state.Lock()
 	f.record, f.parsed = r, c
 	f.state.Unlock()
-	f.options.Log.Info("configuration adopted", "generation", r.Generation, "source", source,
-		"applied_by", r.AppliedBy, "key", r.Key)
+	f.options.Log.Info("configuration adopted", "Generation", r.Generation, "Source", source,
+		"AppliedBy", r.AppliedBy, "Key", r.Key)
 	f.options.Adopted(r, c)
 }
 
@@ -293,7 +293,7 @@
 		clear(f.logged)
 	}
 	f.logged[id] = true
-	f.options.Log.Warn(message, "source", source, "generation", generation, "in_effect", f.adopter.Generation(), "error", err)
+	f.options.Log.Warn(message, "Source", source, "Generation", generation, "InEffect", f.adopter.Generation(), "Error", err)
 }
 
 // askPeers asks all peers of the failure domain, and those whose heartbeats carry a
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -227,7 +227,7 @@
 		defer cancel()
 		defer func() {
 			if p := recover(); p != nil {
-				r.settings.Logger.Error("request handler panicked", "request", q.ID, "panic", p)
+				r.settings.Logger.Error("request handler panicked", "Request", q.ID, "Panic", p)
 				outcomes <- Unknown{Reason: "internal error"}
 			}
 		}()
@@ -239,7 +239,7 @@
 	case o := <-outcomes:
 		return o
 	case <-late.C:
-		r.settings.Logger.Error("request handler did not return after the deadline", "request", q.ID)
+		r.settings.Logger.Error("request handler did not return after the deadline", "Request", q.ID)
 		return Unknown{Reason: "deadline"}
 	}
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -36,6 +36,7 @@
 	KindDrain      Kind = "drain"
 	KindCancel     Kind = "cancel"
 	KindEject      Kind = "eject"
+	KindForward    Kind = "forward"
 )
 
 // kinds lists the values of the counter's kind label.
@@ -43,7 +44,7 @@
 	KindPlace: true, KindWait: true, KindNever: true, KindPreempt: true, KindEvict: true,
 	KindThrottle: true, KindRelease: true, KindMove: true, KindStop: true, KindRefuse: true,
 	KindRetry: true, KindRoute: true, KindClaim: true, KindAdopt: true, KindQuarantine: true,
-	KindProbe: true, KindReturn: true, KindDrain: true, KindCancel: true, KindEject: true,
+	KindProbe: true, KindReturn: true, KindDrain: true, KindCancel: true, KindEject: true, KindForward: true,
 }
 
 // Figure is one number known at the time of a decision.
@@ -162,8 +163,12 @@
 		kind = otherReason
 	}
 	r.counter.WithLabelValues(kind, reason).Inc()
-	if r.log.Enabled(context.Background(), slog.LevelInfo) {
-		r.log.LogAttrs(context.Background(), slog.LevelInfo, "decision", attributes(&d)...)
+	level := slog.LevelInfo
+	if d.Kind == KindRoute { // at least one for each request
+		level = slog.LevelDebug
+	}
+	if r.log.Enabled(context.Background(), level) {
+		r.log.LogAttrs(context.Background(), level, "decision", attributes(&d)...)
 	}
 	return d.ID
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -147,7 +147,6 @@
 		Sender:   h.forwarder,
 		Overflow: h,
 		Recorder: requestRecorder{h},
-		Logger:   log,
 	})
 	closers = append(closers, closeDispatcher)
 
@@ -165,7 +164,6 @@
 	h.owner.Configure(c)
 	h.dispatcher.Configure(c)
 	h.refresh(time.Now())
-	h.log.Info("configuration in effect", "Generation", r.Generation, "Key", r.Key, "AppliedBy", r.AppliedBy)
 }
 
 func (h *host) run(ctx context.Context) error {
