Test sick instances, spare room and repeated preemption

Change: TestRelieveSick, TestSpare, TestPreemptAgain; TestPreempt no longer passes by the spare room alone; the model test includes leaving workers; the warm-up of a run is settable; quarantined workers that left the shard no longer count.

--- a/internal/evaluator/table.go
+++ b/internal/evaluator/table.go
@@ -27,7 +27,7 @@
 			for _, seed := range seeds {
 				for _, p := range policies {
 					rows = append(rows, Row{Firm: f.Name, Scenario: s.Name, Policies: p.Name, Seed: seed})
-					configs = append(configs, Config{f, s, p, seed, length})
+					configs = append(configs, Config{Firm: f, Scenario: s, Policies: p, Seed: seed, Length: length})
 				}
 			}
 		}
--- a/internal/evaluator/world.go
+++ b/internal/evaluator/world.go
@@ -20,6 +20,7 @@
 	Policies Policies
 	Seed     uint64
 	Length   time.Duration // of the measured part, in virtual time
+	WarmUp   time.Duration // simulated before measuring starts, to fill the fleet; 0 is DefaultWarmUp
 }
 
 // Result is what one run measured. Latencies include requests that were dropped, refused or
@@ -75,8 +76,8 @@
 	arrivalRnd, serviceRnd, jobRnd, reportRnd, faultRnd *rand.Rand
 }
 
-// warmUp is simulated before measuring starts, to fill the fleet.
-const warmUp = 2 * time.Minute
+// DefaultWarmUp suffices to fill the fleet and to learn interference.
+const DefaultWarmUp = 2 * time.Minute
 
 // Run simulates one configuration.
 func Run(c Config) Result {
@@ -88,15 +89,18 @@
 		arrivalRnd: source(c.Seed, streamArrivals), serviceRnd: source(c.Seed, streamService),
 		jobRnd: source(c.Seed, streamJobs), reportRnd: source(c.Seed, streamReports), faultRnd: source(c.Seed, streamFaults),
 	}
+	if c.WarmUp <= 0 {
+		c.WarmUp = DefaultWarmUp
+	}
 	w.now = w.start
-	w.warm = w.start.Add(warmUp)
+	w.warm = w.start.Add(c.WarmUp)
 	w.end = w.warm.Add(c.Length)
 	w.truth = newTruth(c.Firm.Services, source(c.Seed, streamTruth))
 	w.result.Broken, w.result.Example = map[int]int{}, map[int]string{}
 	w.build()
 	c.Scenario.prepare(w)
 	w.startLoad()
-	w.after(warmUp, func() { c.Scenario.disturb(w, c.Length) })
+	w.after(c.WarmUp, func() { c.Scenario.disturb(w, c.Length) })
 	w.run(w.end)
 	w.result.P50 = w.quantile(50)
 	w.result.P99 = w.quantile(99)
--- a/internal/placer/failures.go
+++ b/internal/placer/failures.go
@@ -14,6 +14,9 @@
 	maxQuarantine   = 10 * time.Minute
 	// probeTimeout ends a probe whose task never reported an end.
 	probeTimeout = 10 * time.Minute
+	// forgetQuarantine is how long after its end a quarantine without a probe still counts
+	// as one of the shard's.
+	forgetQuarantine = time.Hour
 	// failureWindow is the time in which the weight of a past failure falls to nothing.
 	failureWindow = 10 * time.Minute
 	// rateInertia is the number of successes that a worker without history counts as
@@ -39,7 +42,6 @@
 	suspects map[string]string // job: first worker on which it failed
 	order    []string          // suspects, oldest first
 	fleet    int               // workers of the shard, 0 if not known
-	held     int               // workers in quarantine
 }
 
 func newFailureTracker() failureTracker {
@@ -75,15 +77,26 @@
 	}
 	// If half of the shard fails its tasks, the tasks or a common service are the
 	// likelier cause, and a quarantine would stop all work.
-	if f.fleet > 0 && f.held >= max(1, f.fleet/2) {
+	if f.fleet > 0 && f.held(now) >= max(1, f.fleet/2) {
 		return
 	}
-	f.held++
 	h.pause = firstQuarantine
 	h.until = now.Add(h.pause)
 	h.jobs = h.jobs[:0]
 }
 
+// held returns the number of workers in quarantine. One whose probe has been due for long
+// no longer belongs to the shard.
+func (f *failureTracker) held(now time.Time) int {
+	n := 0
+	for _, h := range f.workers {
+		if !h.until.IsZero() && now.Sub(h.until) < forgetQuarantine {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *failureTracker) probeEnded(h *health, failed bool, now time.Time) {
 	h.probe = ""
 	if failed {
@@ -91,7 +104,6 @@
 		h.until = now.Add(h.pause)
 		return
 	}
-	f.held--
 	h.until = time.Time{}
 	h.pause = 0
 }
--- a/internal/placer/model_test.go
+++ b/internal/placer/model_test.go
@@ -243,6 +243,11 @@
 			"end":     func(*rapid.T) { m.end() },
 			"lose":    func(*rapid.T) { m.lose() },
 			"relieve": func(*rapid.T) { m.relieve() },
+			"leave": func(t *rapid.T) {
+				w := &m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
+				w.Leaving = !w.Leaving
+				m.touch(w)
+			},
 			"wait": func(t *rapid.T) {
 				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
 			},
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -239,6 +239,7 @@
 	is.Equal(d.Worker, "w0")
 	ws[0].Residents = ws[0].Residents[1:]
 	ws[0].Version++
+	p.spare = spare{} // only the reservation keeps the room
 	_, ok = p.Place(batch("thief", 2), ws, start.Add(3*time.Second)).(Wait)
 	is.True(ok)
 	a, ok := p.Place(urgent, ws, start.Add(3*time.Second)).(Assign)
@@ -246,6 +247,64 @@
 	is.Equal(a.Rule, RuleReserved)
 }
 
+// TestSpare guards against batch work that takes the last room for urgent work although
+// evictions weigh more than throughput.
+func TestSpare(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(Policy{})
+	ws := fleet(8, size8)
+	urgent := batch("urgent", 2)
+	urgent.Urgent = true
+	fill := func() {
+		for i := range 100 {
+			b := batch(fmt.Sprint("b", i), 1)
+			name, err := assigned(p.Place(b, ws, start))
+			if err != nil {
+				return
+			}
+			for j := range ws {
+				if ws[j].Name == name {
+					add(&ws[j], b)
+				}
+			}
+		}
+		t.Error("the fleet never filled up")
+	}
+	_, err := assigned(p.Place(urgent, ws, start))
+	is.NoErr(err)
+	fill()
+	_, err = assigned(p.Place(urgent, ws, start))
+	is.NoErr(err)
+	is.True(p.spare.size.Cores == 2)
+	p.Configure(Policy{}, configurator.Measures{Latency: 5, Throughput: 1})
+	fill() // without weight of evictions the room is used
+	_, ok := p.Place(urgent, ws, start).(Preempt)
+	is.True(ok)
+}
+
+// TestPreemptAgain guards against urgent work that waits for victims that have ended while
+// the other tasks on the worker grew into the room.
+func TestPreemptAgain(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(Policy{})
+	ws := fleet(1, size8)
+	for i := range 4 {
+		add(&ws[0], batch(fmt.Sprint("b", i), 2))
+	}
+	urgent := batch("urgent", 2)
+	urgent.Urgent = true
+	_, ok := p.Place(urgent, ws, start).(Preempt)
+	is.True(ok)
+	_, ok = p.Place(urgent, ws, start.Add(time.Second)).(Wait)
+	is.True(ok) // the victim is still there, even if the caller did not mark it
+	ws[0].Residents = ws[0].Residents[1:]
+	ws[0].Residents[0].Committed.Cores = 3
+	ws[0].Version++
+	d, ok := p.Place(urgent, ws, start.Add(time.Second)).(Preempt)
+	is.True(ok)
+	is.Equal(len(d.Victims), 1)
+}
+
 // TestUrgentStart guards against urgent work that starts later than 6.1 s while batch fills
 // the fleet. Victims take PreemptGrace to stop, and every fifth worker never stops its tasks; the rest of
 // the path (journal write, command) is not the placer's and is counted as 400 ms.
--- a/internal/placer/relieve_test.go
+++ b/internal/placer/relieve_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -104,6 +105,33 @@
 	is.True(stop <= 2*maxActionsPerHour)
 }
 
+// TestRelieveSick guards against neighbours that are throttled and evicted because an
+// instance is slow for a reason of its own.
+func TestRelieveSick(t *testing.T) {
+	is := is.New(t)
+	p := newPlacer(Policy{})
+	now := reports(p, 300, rand.New(rand.NewPCG(5, 5)))
+	h := newHost(now)
+	for i := range 12 {
+		b := batch(fmt.Sprint("more", i), 0.5)
+		b.Class = "noisy"
+		add(&h.Worker, b)
+	}
+	actions := 0
+	for range 300 {
+		now = now.Add(2 * time.Second)
+		h.report(now)
+		h.Residents[0].Slowdown = 8
+		p.Observe(h.Worker, now)
+		out := p.Relieve([]Worker{h.Worker}, now.Add(time.Second))
+		h.apply(out, now.Add(time.Second))
+		actions += len(out)
+	}
+	is.True(actions <= 2*futileAfter) // 10 minutes hold two periods of effort
+	mean, _ := p.Estimate("quotes", "quiet", now)
+	is.True(mean < 8)
+}
+
 // TestRelieveRelease guards against throttles that stay after the pressure is gone, and
 // against oscillation while it stays.
 func TestRelieveRelease(t *testing.T) {
