--- a/cmd/evaluate/main.go
+++ b/cmd/evaluate/main.go
@@ -52,7 +52,7 @@
 		return fmt.Errorf("no firm %q, no scenario %q or minutes %g not above 0", firm, scenario, minutes)
 	}
 	policies := append([]evaluator.Policies{evaluator.Product}, evaluator.Baselines()...)
-	rows := evaluator.Evaluate(firms, scenarios, policies, seeds, time.Duration(minutes*float64(time.Minute)))
+	rows := evaluator.Evaluate(firms, scenarios, policies, seeds, time.Duration(minutes*float64(time.Minute)), 0)
 	if err := evaluator.Print(os.Stdout, rows); err != nil {
 		return err
 	}
--- a/internal/evaluator/table.go
+++ b/internal/evaluator/table.go
@@ -18,8 +18,8 @@
 }
 
 // Evaluate runs every combination in parallel and returns the rows in the order of the
-// arguments. Runs are independent, so their number at once does not change the results.
-func Evaluate(firms []Firm, scenarios []Scenario, policies []Policies, seeds []uint64, length time.Duration) []Row {
+// arguments. Length and warmUp are those of Config. Runs are independent, so their number at once does not change the results.
+func Evaluate(firms []Firm, scenarios []Scenario, policies []Policies, seeds []uint64, length, warmUp time.Duration) []Row {
 	var rows []Row
 	var configs []Config
 	for _, f := range firms {
@@ -27,7 +27,7 @@
 			for _, seed := range seeds {
 				for _, p := range policies {
 					rows = append(rows, Row{Firm: f.Name, Scenario: s.Name, Policies: p.Name, Seed: seed})
-					configs = append(configs, Config{Firm: f, Scenario: s, Policies: p, Seed: seed, Length: length})
+					configs = append(configs, Config{Firm: f, Scenario: s, Policies: p, Seed: seed, Length: length, WarmUp: warmUp})
 				}
 			}
 		}
