Hold a restarted entry host's slots while requests of its dead process may run

Cause: a host that restarts after a crash used its base share at once, on top of the requests that its dead process had left at the instances, so that the sum over all entry hosts could exceed an instance's slots by one base share. Change: heartbeats say whether a process has drained; a peer of the failure domain tells a new process how long requests of its predecessor may run, and until then the host uses no slot and is not ready. A new process waits 2 s for that answer. A host that drained is not held back. Result: TestRequestsLeftBehind; without the check of Drained it fails. Not covered: no peer of the failure domain knew the dead process.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -204,6 +204,14 @@
 	d.startAll(now)
 }
 
+// Hold sends nothing to this failure domain's instances until the given time: requests
+// that an earlier process of this host left behind may use its slots.
+func (d *Dispatcher) Hold(until time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.settings.Router.Hold(until)
+}
+
 // Free returns the number of free slots by service, for heartbeats to other failure domains.
 func (d *Dispatcher) Free() map[string]int {
 	d.mutex.Lock()
--- a/internal/messenger/message.go
+++ b/internal/messenger/message.go
@@ -29,6 +29,7 @@
 	Generation    uint64        // of the configuration in effect
 	InEffectFor   time.Duration
 	Leaving       bool
+	Drained       bool         // the host has answered all its requests and takes no more
 	NoticeDigest  uint64       // of the notices that say leaving; hosts with equal digests exchange none
 	Notices       []HostNotice // what the sender knows of leaving hosts
 }
@@ -107,6 +108,9 @@
 // HeartbeatAnswer answers a Heartbeat.
 type HeartbeatAnswer struct {
 	Identity
+	// HoldFor is how long requests of an earlier process of the asking host may still
+	// run at backend servers: it died with requests in flight.
+	HoldFor   time.Duration
 	Promises  []Promise
 	Grants    []SlotGrant
 	Endpoints []Endpoint // of the shards that the answering host owns; only within a failure domain
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -36,6 +36,8 @@
 type peer struct {
 	identity messenger.Identity
 	heard    time.Time
+	// died is when an earlier process was last heard that had not drained; zero if none.
+	died time.Time
 }
 
 // Registrar is safe for concurrent use.
@@ -64,10 +66,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	previous, known := r.peers[m.Host]
+	died := previous.died
 	if known && previous.identity.Incarnation != m.Incarnation {
 		r.clearOwnNotice(m.Host)
+		if !previous.identity.Drained {
+			died = previous.heard
+		}
 	}
-	r.peers[m.Host] = peer{identity: m, heard: now}
+	r.peers[m.Host] = peer{identity: m, heard: now, died: died}
 	var added []string
 	if m.Leaving && r.set(m.Host, messenger.SourceHost, true) {
 		added = append(added, m.Host)
@@ -277,6 +283,18 @@
 	return ok && now.Sub(p.heard) < SilenceLimit
 }
 
+// LeftBehind returns how much longer requests of an earlier process of the host may run,
+// if each request ends within limit after that process was last heard.
+func (r *Registrar) LeftBehind(host string, limit time.Duration, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.peers[host]
+	if p.died.IsZero() {
+		return 0
+	}
+	return max(0, limit-now.Sub(p.died))
+}
+
 // Peer is the last thing an entry host said about itself.
 type Peer struct {
 	messenger.Identity
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -129,3 +129,20 @@
 	_, notices := b.Exchange("a")
 	is.Equal(len(notices), 0) // equal views exchange nothing
 }
+
+// Guards against a restarted entry host that adds its requests to those which its dead
+// process left at backend servers.
+func TestRequestsLeftBehind(t *testing.T) {
+	is := is.New(t)
+	r, now := New(), time.Unix(0, 0)
+	r.Heard(messenger.Identity{Host: "e1", Incarnation: "a"}, now)
+	is.Equal(r.LeftBehind("e1", time.Minute, now), time.Duration(0))
+	now = now.Add(10 * time.Second)
+	r.Heard(messenger.Identity{Host: "e1", Incarnation: "b"}, now)
+	is.Equal(r.LeftBehind("e1", time.Minute, now), 50*time.Second)
+	now = now.Add(time.Second)
+	r.Heard(messenger.Identity{Host: "e1", Incarnation: "b", Drained: true}, now)
+	r.Heard(messenger.Identity{Host: "e1", Incarnation: "c"}, now)
+	is.Equal(r.LeftBehind("e1", time.Minute, now), 49*time.Second) // b drained, a did not
+	is.Equal(r.LeftBehind("e1", time.Minute, now.Add(time.Minute)), time.Duration(0))
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,15 @@
 // SetPolicy changes the routing policy from the next Pick on.
 func (r *Router) SetPolicy(p configurator.RoutingPolicy) { r.settings.Policy = p }
 
+// Hold keeps this host's use of all instances at zero until the given time, if that is
+// later than what holds already.
+func (r *Router) Hold(until time.Time) {
+	if until.After(r.holdUntil) {
+		r.holdUntil = until
+		r.settings.HoldUntil = until
+	}
+}
+
 // Update replaces the list of instances and the number of entry hosts that share them.
 // Slots in use at an instance that is no longer listed stay in use until Done.
 func (r *Router) Update(endpoints []messenger.Endpoint, m Membership, now time.Time) {
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"peridotpitch/internal/configurator"
 	"peridotpitch/internal/messenger"
 	"peridotpitch/internal/router"
 )
@@ -14,7 +15,7 @@
 	digest, notices := h.members.Exchange(peer)
 	id := messenger.Identity{
 		Host: h.settings.Name, FailureDomain: h.settings.FailureDomain, Incarnation: h.incarnation, RunningFor: time.Since(h.started),
-		Leaving: h.leaving.Load(), NoticeDigest: digest, Notices: notices,
+		Leaving: h.leaving.Load(), Drained: h.drained.Load(), NoticeDigest: digest, Notices: notices,
 	}
 	if a := h.configuration.Load(); a != nil {
 		id.Generation = a.record.Generation
@@ -42,11 +43,31 @@
 	h.owner.Answered(sentAt, a)
 	h.endpoints.setFree(l.name, a.Free, now)
 	if near {
+		h.hold(now.Add(a.HoldFor))
 		h.endpoints.set(l.name, a.Endpoints, now)
 		h.dispatcher.Granted(l.name, a.Grants, sentAt)
 	}
 }
 
+// leftBehindMargin covers what a process did after its last heartbeat before it died,
+// and the way of the deadline to the backend server.
+const leftBehindMargin = 2 * time.Second
+
+// hold keeps this host from using slots until the given time.
+func (h *host) hold(until time.Time) {
+	if until.UnixNano() > h.holdUntil.Load() {
+		h.holdUntil.Store(until.UnixNano())
+		h.dispatcher.Hold(until)
+	}
+}
+
+func (h *host) maxRequestTimeout() time.Duration {
+	if a := h.configuration.Load(); a != nil {
+		return a.parsed.Policy.MaxRequestTimeout
+	}
+	return configurator.DefaultMaxRequestTimeout
+}
+
 // heard takes in what a peer says about itself.
 func (h *host) heard(id messenger.Identity, now time.Time) {
 	for _, name := range h.members.Heard(id, now) {
@@ -62,6 +83,7 @@
 	h.endpoints.setClaims(m.Host, m.Claims)
 	a := messenger.HeartbeatAnswer{Identity: h.identity(m.Host), Promises: h.owner.Promise(m)}
 	if m.FailureDomain == h.settings.FailureDomain {
+		a.HoldFor = h.members.LeftBehind(m.Host, h.maxRequestTimeout()+leftBehindMargin, now)
 		a.Endpoints = h.owner.Endpoints()
 		a.Grants = h.grants.step(router.Report{Host: m.Host, Incarnation: m.Incarnation, Sequence: m.Sequence, RunningFor: m.RunningFor, Demand: m.Demand}, now)
 	} else if len(h.notReady()) == 0 {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,9 @@
 	// balancerDelay is how long a leaving host goes on accepting requests, so that the
 	// balancer sees that it is not ready and stops sending.
 	balancerDelay = 3 * time.Second
+	// firstHold is how long a new process uses no slot, so that a peer can say whether an
+	// earlier process of this host left requests behind: two heartbeats and a dial.
+	firstHold = 2 * time.Second
 )
 
 // host is one running entry host.
@@ -71,6 +75,8 @@
 
 	configuration atomic.Pointer[adopted]
 	leaving       atomic.Bool
+	drained       atomic.Bool
+	holdUntil     atomic.Int64 // Unix time in nanoseconds until which no slot is used
 	storeDown     atomic.Bool
 	requests      atomic.Uint64
 	sequence      atomic.Uint64
@@ -149,6 +155,7 @@
 		Recorder: requestRecorder{h},
 	})
 	closers = append(closers, closeDispatcher)
+	h.hold(h.started.Add(firstHold))
 
 	h.follower = publisher.NewFollower(publisher.FollowerOptions{
 		Store: h.store, Keys: s.OperatorKeys, Peers: h.peers.configurationPeers,
@@ -221,12 +228,26 @@
 	if err != nil {
 		err = merry.Prependf(err, "requests were still in flight after %s", h.settings.Limits.DrainTimeout)
 	}
+	// A process that follows under the same name need not wait for requests of this one.
+	h.drained.Store(err == nil)
+	h.tellNeighbours(ctx)
 	if e := h.owner.Release(ctx); e != nil {
 		h.log.Warn("shards were not released", "Error", e)
 	}
 	return errors.Join(err, m.Shutdown(ctx))
 }
 
+// tellNeighbours sends a heartbeat to each peer of the failure domain at once.
+func (h *host) tellNeighbours(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, l := range h.peers.all() {
+		if l.domain == h.settings.FailureDomain {
+			wg.Go(func() { h.heartbeat(ctx, l) })
+		}
+	}
+	wg.Wait()
+}
+
 type listeners struct {
 	caller, message, operator net.Listener
 }
@@ -259,6 +280,9 @@
 	if h.leaving.Load() || h.members.Leaving(h.settings.Name) {
 		reasons = append(reasons, "the host is leaving")
 	}
+	if time.Now().UnixNano() < h.holdUntil.Load() {
+		reasons = append(reasons, "requests of an earlier process may still use the host's slots")
+	}
 	return reasons
 }
 
