--- a/internal/harness/cluster_test.go
+++ b/internal/harness/cluster_test.go
@@ -210,3 +210,23 @@
 	_, jobs := w.end()
 	is.Equal(jobs.Jobs().Finished, jobs.Jobs().Submitted)
 }
+
+// Guards against a host that is leaving and claims the shard that another leaving host
+// released: it then waited for the whole DrainTimeout and did not hand the shard over.
+func TestAllEntryHostsTerminated(t *testing.T) {
+	t.Parallel()
+	c := harness.StartCluster(t, harness.ClusterOptions{})
+	for _, h := range c.Hosts {
+		h.Terminate()
+	}
+	for _, h := range c.Hosts {
+		if code := h.Wait(); code != 0 {
+			t.Errorf("%s ended with status %d", h.Name, code)
+		}
+		for _, l := range h.Lines() {
+			if strings.Contains(l, "shards were not released") {
+				t.Errorf("%s: %s", h.Name, l)
+			}
+		}
+	}
+}
