Address commands to one process of a worker

Cause: a restarted worker has forgotten its epoch and its clock starts anew, so a start that was delayed past the restart passed both checks and a job could run twice. Change: each command names the worker's incarnation; another process refuses it. Result: TestRestartedWorkerRefusesOldCommands; with the field not set, TestStartsCarryTenureInWorkerClock fails at its check of Incarnation.

--- a/internal/commander/message.go
+++ b/internal/commander/message.go
@@ -84,20 +84,24 @@
 
 // Command asks a worker to do something with one task.
 type Command struct {
-	Verb       Verb
-	Task       string
-	Attempt    int
-	Kind       TaskKind
-	Class      string
-	Service    string
-	Declared   configurator.Resources
-	Slots      int           // of a service instance
-	Duration   time.Duration // of work; used by the stand-in worker only
-	Checkpoint string        // to resume from
-	LeaseEnd   WorkerTime
-	NotAfter   WorkerTime // the worker refuses the command after this reading of its clock
-	Limit      float64    // share of declared cores, for Throttle
-	Grace      time.Duration
+	Verb    Verb
+	Task    string
+	Attempt int
+	// Incarnation is the worker process that the command is for; another one refuses it.
+	// A restarted worker has forgotten its epoch, and its clock starts anew, so neither
+	// would stop a delayed start.
+	Incarnation string
+	Kind        TaskKind
+	Class       string
+	Service     string
+	Declared    configurator.Resources
+	Slots       int           // of a service instance
+	Duration    time.Duration // of work; used by the stand-in worker only
+	Checkpoint  string        // to resume from
+	LeaseEnd    WorkerTime
+	NotAfter    WorkerTime // the worker refuses the command after this reading of its clock
+	Limit       float64    // share of declared cores, for Throttle
+	Grace       time.Duration
 }
 
 // Result is the outcome of one command.
--- a/internal/emulator/machine.go
+++ b/internal/emulator/machine.go
@@ -62,6 +62,7 @@
 	LeasesEnded                        int // tasks stopped because their lease ended
 	RefusedEpochs                      int // calls with an epoch lower than accepted
 	RefusedLate                        int // commands after NotAfter
+	RefusedIncarnations                int // commands for another process of the worker
 	RepeatedStarts                     int // Start of an attempt that is listed: answered without effect
 
 	Overcommits    int // starts after which declared sizes exceed the capacity
@@ -231,6 +232,10 @@
 
 // applyLocked executes one command and returns why it did not, or "".
 func (m *Machine) applyLocked(c commander.Command) string {
+	if c.Incarnation != "" && c.Incarnation != m.options.Incarnation {
+		m.counts.RefusedIncarnations++
+		return fmt.Sprintf("meant for incarnation %s", c.Incarnation)
+	}
 	if c.NotAfter > 0 && m.clock > c.NotAfter {
 		m.counts.RefusedLate++
 		return fmt.Sprintf("arrived %s after NotAfter", m.clock-c.NotAfter)
--- a/internal/emulator/machine_test.go
+++ b/internal/emulator/machine_test.go
@@ -104,6 +104,24 @@
 	})
 }
 
+// Guards against a start that was delayed past a restart of its worker: the new process
+// has neither the epoch nor the clock that would refuse it.
+func TestRestartedWorkerRefusesOldCommands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		old := NewMachine(MachineOptions{Name: "w1", Capacity: small})
+		is.True(old.Fence(5, "e2").Accepted)
+		c := startCommand("j", 1, time.Second, time.Minute)
+		c.NotAfter, c.Incarnation = 10*time.Second, old.Report().Incarnation
+		time.Sleep(time.Second)
+		restarted := NewMachine(MachineOptions{Name: "w1", Capacity: small})
+		is.True(!restarted.Apply(5, "e2", []commander.Command{c}).Results[0].Done)
+		is.Equal(restarted.Counts().RefusedIncarnations, 1)
+		is.Equal(len(restarted.Report().Tasks), 0)
+		is.True(old.Apply(5, "e2", []commander.Command{c}).Results[0].Done)
+	})
+}
+
 // Guards against a usage report without lag, and against neighbours without effect.
 func TestInterferenceIsReportedWithLag(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/scheduler/command.go
+++ b/internal/scheduler/command.go
@@ -51,7 +51,8 @@
 	if len(cs) == 0 {
 		return
 	}
-	for _, c := range cs {
+	for i, c := range cs {
+		cs[i].Incarnation = w.report.Incarnation
 		if c.Verb != commander.VerbRenew {
 			until = earlierOf(until, s.placing)
 		}
--- a/internal/scheduler/shard_test.go
+++ b/internal/scheduler/shard_test.go
@@ -109,6 +109,7 @@
 	is.Equal(len(d.commands), 2) // x and y fill the worker, although neither is acknowledged
 	c := d.commands[0]
 	is.Equal(c.Verb, commander.VerbStart)
+	is.Equal(c.Incarnation, "1") // a restarted worker refuses it
 	clock := d.now.Sub(start) + ahead
 	is.True(c.LeaseEnd <= clock+15*time.Second) // the running tenure, less than a lease
 	is.True(c.LeaseEnd > clock+14*time.Second)
