Test a rolling restart and a worker's drain on whole processes

Cause: guarantees 7 and 8 were shown for one entry host only. Change: TestRollingRestart restarts all four entry hosts one after the other under load; TestWorkerDrained drains a worker that runs batch work and instances.

--- a/internal/harness/cluster_test.go
+++ b/internal/harness/cluster_test.go
@@ -230,3 +230,66 @@
 		}
 	}
 }
+
+// Guards against a rolling restart of all entry hosts that interrupts a request or loses
+// a job.
+func TestRollingRestart(t *testing.T) {
+	is := is.New(t)
+	t.Parallel()
+	c := harness.StartCluster(t, harness.ClusterOptions{})
+	w := begin(t, c, 45, 60)
+	restarted := 0
+	for _, h := range c.Hosts {
+		h.Terminate()
+		is.Equal(h.Wait(), 0)
+		c.StartHost(h)
+		c.WaitReady()
+		restarted++
+	}
+	is.Equal(restarted, 4)
+	select {
+	case r := <-w.requests:
+		t.Fatalf("the load ended before the last restart: %v", r)
+	default:
+	}
+	requests, jobs := w.end()
+	is.Equal(requests.Count(generator.Failed), 0)
+	is.Equal(requests.Count(generator.Unknown), 0)
+	is.Equal(jobs.Jobs().Finished, jobs.Jobs().Submitted)
+}
+
+// leavingLimit is guarantee 7: a host that is leaving gets no new work 5 s after the
+// operator said so.
+const leavingLimit = 5 * time.Second
+
+// Guards against new work on a worker that an operator drains, and against a drain that
+// interrupts requests or loses jobs.
+func TestWorkerDrained(t *testing.T) {
+	is := is.New(t)
+	t.Parallel()
+	c := harness.StartCluster(t, harness.ClusterOptions{})
+	w := begin(t, c, 14, 40)
+	time.Sleep(2 * time.Second)
+	drained := c.Workers[0]
+	c.WaitForBatch(drained)
+	c.Command("host", "drain", "-address", c.Admins()[0].String(), drained.Name)
+	limit := time.Now().Add(leavingLimit)
+	requests, jobs := w.end()
+	late := 0
+	for _, r := range harness.Runs(t, drained.Address) {
+		if r.Started.After(limit) {
+			late++
+		}
+	}
+	is.Equal(late, 0)
+	is.Equal(requests.Count(generator.Failed)+requests.Count(generator.Unknown), 0)
+	is.Equal(jobs.Jobs().Finished, jobs.Jobs().Submitted)
+	harness.WaitFor(t, "the drained worker to be empty", func() bool {
+		for _, r := range harness.Runs(t, drained.Address) {
+			if r.Ended.IsZero() {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/harness/control.go
+++ b/internal/harness/control.go
@@ -73,6 +73,14 @@
 	Post(t, platform, "/hosts/set", struct{ Hosts []storer.Host }{hosts}, nil)
 }
 
+// Runs returns the executions of tasks on the worker stand-in at an address.
+func Runs(t testing.TB, worker netip.AddrPort) []emulator.Run {
+	t.Helper()
+	var rs []emulator.Run
+	Get(t, worker, "/runs", &rs)
+	return rs
+}
+
 // Violations returns what the worker stand-ins at these addresses saw go wrong, and the
 // number of times each caller's token ran.
 func Violations(t testing.TB, workers []netip.AddrPort) ([]string, map[string]int) {
@@ -81,13 +89,11 @@
 	var runs []emulator.Run
 	tokens := make(map[string]int)
 	for _, a := range workers {
-		var rs []emulator.Run
 		var ran map[string]int
 		var c emulator.MachineCounts
-		Get(t, a, "/runs", &rs)
 		Get(t, a, "/executions", &ran)
 		Get(t, a, "/counts", &c)
-		runs = append(runs, rs...)
+		runs = append(runs, Runs(t, a)...)
 		for k, n := range ran {
 			tokens[k] += n
 		}
