--- a/internal/administrator/backend.go
+++ b/internal/administrator/backend.go
@@ -86,8 +86,6 @@
 	Reason        string
 	Generation    uint64 // of an entry host's configuration
 	Capacity      configurator.Resources
-	Committed     configurator.Resources
-	Tasks         int
 }
 
 // ShardStatus is a shard as the answering entry host sees it.
--- a/internal/commandline/operate.go
+++ b/internal/commandline/operate.go
@@ -227,17 +227,17 @@
 }
 
 func printHosts(w io.Writer, hs []administrator.HostStatus) {
-	row(w, "HOST", "ROLE", "FAILURE DOMAIN", "STATE", "GENERATION", "TASKS", "CORES", "MEMORY", "REASON")
+	row(w, "HOST", "ROLE", "FAILURE DOMAIN", "STATE", "GENERATION", "CORES", "MEMORY", "REASON")
 	for _, h := range hs {
 		generation, cores, memory := "", "", ""
 		if h.Generation > 0 {
 			generation = strconv.FormatUint(h.Generation, 10)
 		}
 		if h.Capacity != (configurator.Resources{}) {
-			cores = fmt.Sprintf("%.4g/%.4g", h.Committed.Cores, h.Capacity.Cores)
-			memory = configurator.FormatSize(h.Committed.Memory) + "/" + configurator.FormatSize(h.Capacity.Memory)
+			cores = fmt.Sprintf("%.4g", h.Capacity.Cores)
+			memory = configurator.FormatSize(h.Capacity.Memory)
 		}
-		row(w, h.Name, h.Role, h.FailureDomain, h.State, generation, h.Tasks, cores, memory, h.Reason)
+		row(w, h.Name, h.Role, h.FailureDomain, h.State, generation, cores, memory, h.Reason)
 	}
 }
 
--- a/internal/commandline/run_test.go
+++ b/internal/commandline/run_test.go
@@ -220,8 +220,8 @@
 func (b *backend) ListHosts(context.Context) ([]administrator.HostStatus, error) {
 	return []administrator.HostStatus{
 		{Name: "sampaloc-1", Role: "entry", FailureDomain: "Sampaloc", State: "live", Generation: 3},
-		{Name: "sampaloc-w1", Role: "worker", FailureDomain: "Sampaloc", State: "quarantined", Reason: "3 tasks failed in a row", Tasks: 2,
-			Capacity: configurator.Resources{Cores: 32, Memory: 125e9}, Committed: configurator.Resources{Cores: 6.5, Memory: 8e9}},
+		{Name: "sampaloc-w1", Role: "worker", FailureDomain: "Sampaloc", State: "quarantined", Reason: "3 tasks failed in a row",
+			Capacity: configurator.Resources{Cores: 32, Memory: 125e9}},
 	}, nil
 }
 func (b *backend) DrainHost(_ context.Context, host string, _ bool) error { return named("host", host) }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -47,6 +47,9 @@
 	// balancerDelay is how long a leaving host goes on accepting requests, so that the
 	// balancer sees that it is not ready and stops sending.
 	balancerDelay = 3 * time.Second
+	// releaseTimeout bounds the handover of shards. After twice the ownership TTL a
+	// successor claims them by itself.
+	releaseTimeout = 2 * configurator.DefaultOwnershipTTL
 	// firstHold is how long a new process uses no slot, so that a peer can say whether an
 	// earlier process of this host left requests behind: two heartbeats and a dial.
 	firstHold = 2 * time.Second
@@ -231,12 +234,19 @@
 	// A process that follows under the same name need not wait for requests of this one.
 	h.drained.Store(err == nil)
 	h.tellNeighbours(ctx)
-	if e := h.owner.Release(ctx); e != nil {
-		h.log.Warn("shards were not released", "Error", e)
-	}
+	h.release(ctx)
 	return errors.Join(err, m.Shutdown(ctx))
 }
 
+// release hands the shards over in writing, unless the store does not answer.
+func (h *host) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	if err := h.owner.Release(ctx); err != nil {
+		h.log.Warn("shards were not released", "Error", err)
+	}
+}
+
 // tellNeighbours sends a heartbeat to each peer of the failure domain at once.
 func (h *host) tellNeighbours(ctx context.Context) {
 	var wg sync.WaitGroup
