--- a/internal/surveyor/estimate.go
+++ b/internal/surveyor/estimate.go
@@ -81,7 +81,6 @@
 	journalLog    bool // a write of the journal carries only what has changed
 	reportDeltas  bool // a report lists only the tasks that have changed
 	workerLeases  bool // one renewal for all tasks of a worker
-	noticeExpiry  bool // withdrawn notices are forgotten
 	endpointDelta bool // endpoints are sent when they have changed
 	configKey     bool // the generation is read from a small key
 	listPages     bool // operators' lists come in pages
@@ -93,8 +92,6 @@
 	compactionPeriod = 60.0  // seconds between full journals
 	changesPerStart  = 4.0   // pending, starting, running, ended
 	changedTasks     = 0.05  // share of tasks in a report that lists changes
-	noticeKept       = 660.0 // seconds: the settling time and 10 minutes
-	restartsPerDay   = 391.0 // 380 restarted or replaced, 11 failed
 	generationSize   = 200.0 // bytes
 	pageSize         = 500.0 // jobs
 )
@@ -341,9 +338,6 @@
 // heartbeats returns the needs of membership: identity, notices, claims and promises.
 func (m model) heartbeats(l layout) (u usage, size float64) {
 	notices := m.count(noticesHeld, float64(m.size.RestartedHosts))
-	if m.changes.noticeExpiry {
-		notices = restartsPerDay / perDay * noticeKept
-	}
 	size = m.bytes(heartbeatByShards, l.shardsPerHost) + m.get(heartbeatByNotices).Fit(bytesOf).Slope*notices
 	took := m.time(heartbeatByShards, l.shardsPerHost) + m.get(heartbeatByNotices).Fit(timeOf).Slope*notices
 	begun := nearPerSecond*l.nearPeers + farPerSecond*l.farPeers
--- a/internal/surveyor/surveyor.go
+++ b/internal/surveyor/surveyor.go
@@ -157,7 +157,6 @@
 	{"today", func(*changes) {}},
 	{"renewals in a small key, hosts watch only these", func(c *changes) { c.renewalKey = true }},
 	{"journal writes carry only changes", func(c *changes) { c.journalLog = true }},
-	{"withdrawn notices are forgotten", func(c *changes) { c.noticeExpiry = true }},
 	{"reports list only changed tasks", func(c *changes) { c.reportDeltas = true }},
 	{"one lease renewal for each worker", func(c *changes) { c.workerLeases = true }},
 	{"endpoints are sent when changed", func(c *changes) { c.endpointDelta = true }},
