Let a shard's owner use the pool slots it grants to itself; steady two tests

Cause: the owner took the grant to itself as of a time before its demand, so that the router refused it as the answer to an older demand: a busy owner stayed at its base share of 3 of 8 slots. Change: the time is taken after the demand; tests take ports below the kernel's range, in blocks by process; Pause waits until all threads have stopped.

--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -165,8 +166,12 @@
 	<-p.done
 }
 
-// Pause sends SIGSTOP.
-func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
+// Pause sends SIGSTOP and waits until every thread of the process has stopped: the signal
+// takes effect some time after it was sent, and a call in between was still answered.
+func (p *Process) Pause() {
+	p.signal(syscall.SIGSTOP)
+	WaitFor(p.t, p.Name+" to stop", p.stopped)
+}
 
 // Resume sends SIGCONT.
 func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
@@ -174,6 +179,25 @@
 // Terminate sends SIGTERM and does not wait.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// stopped reports whether all threads are in the state T (proc(5)).
+func (p *Process) stopped() bool {
+	paths, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(paths) == 0 {
+		return false
+	}
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return false
+		}
+		_, state, found := strings.Cut(string(text), ") ")
+		if !found || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // Wait waits for the end of the process and returns its exit status; -1 if a signal
 // ended it.
 func (p *Process) Wait() int {
@@ -242,18 +266,37 @@
 	}
 }
 
-// FreeAddresses returns loopback addresses on which nothing listens. Another process may
-// take one before it is used, so the settings of a test use them at once.
+// Ports of tests lie below the range from which the kernel takes ports for connections
+// and for listeners on port 0. A port of that range could be taken by any of them between
+// its choice and its use, which failed a run of CI.
+const (
+	firstPort     = 10000
+	portBlocks    = 170
+	portsPerBlock = 100
+)
+
+var nextPort atomic.Int64
+
+// FreeAddresses returns loopback addresses on which nothing listens. Test processes that
+// run at the same time take them from different blocks, by process identity.
 func FreeAddresses(t testing.TB, n int) []netip.AddrPort {
 	t.Helper()
-	as := make([]netip.AddrPort, n)
-	for i := range as {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	as := make([]netip.AddrPort, 0, n)
+	for tries := 0; len(as) < n; tries++ {
+		if tries > portBlocks*portsPerBlock {
+			t.Fatal("no port is free")
+		}
+		offset := int64(os.Getpid()%portBlocks)*portsPerBlock + nextPort.Add(1)
+		port := firstPort + offset%(portBlocks*portsPerBlock)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+		l, err := net.Listen("tcp", address.String())
 		if err != nil {
+			continue
+		}
+		if err := l.Close(); err != nil {
 			t.Fatal(err)
 		}
-		defer func() { _ = l.Close() }()
-		as[i] = l.Addr().(*net.TCPAddr).AddrPort()
+		as = append(as, address)
 	}
 	return as
 }
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -43,7 +43,9 @@
 	h.owner.Answered(sentAt, a)
 	h.endpoints.setFree(l.name, a.Free, now)
 	if near {
-		h.hold(now.Add(a.HoldFor))
+		if a.HoldFor > 0 {
+			h.hold(now.Add(a.HoldFor))
+		}
 		h.endpoints.set(l.name, a.Endpoints, now)
 		h.dispatcher.Granted(l.name, a.Grants, sentAt)
 	}
--- a/internal/server/path_test.go
+++ b/internal/server/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +13,40 @@
 	"peridotpitch/internal/scheduler"
 )
 
+// Guards against pool slots that nobody uses: the owner of a shard grants them to itself
+// as well as to its peers, and must get beyond its base share when it is busy.
+func TestBusyOwnerUsesGrantedSlots(t *testing.T) {
+	const baseShare = 3 // of 8 slots, with two entry hosts in the failure domain
+	r := newSlowRig(t, 100*time.Millisecond)
+	r.waitForInstances(2)
+	owner := r.hosts[0]
+	if owner.owner.Owner("North/1") != owner.settings.Name {
+		owner = r.hosts[1]
+	}
+	r.eventually("more requests than the base share", func() error {
+		var wg sync.WaitGroup
+		for i := range 24 {
+			wg.Go(func() {
+				a, err := r.call(owner, fmt.Sprintf("burst-%d-%d", i, time.Now().UnixNano()))
+				if err != nil || a.outcome != "answered" {
+					t.Errorf("%v %+v", err, a)
+				}
+			})
+		}
+		wg.Wait()
+		most := 0
+		for _, w := range r.workers[:2] {
+			for _, b := range w.Backends() {
+				most = max(most, b.Counts().MostRunning)
+			}
+		}
+		if most <= baseShare {
+			return fmt.Errorf("at most %d requests ran at an instance", most)
+		}
+		return nil
+	})
+}
+
 // Guards against a break anywhere between a caller and a backend server, or between a
 // submission and the end of the job.
 func TestRequestsAndJobsPassThroughTheWholeSystem(t *testing.T) {
--- a/internal/server/rig_test.go
+++ b/internal/server/rig_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -19,6 +18,7 @@
 	"peridotpitch/internal/administrator"
 	"peridotpitch/internal/configurator"
 	"peridotpitch/internal/emulator"
+	"peridotpitch/internal/harness"
 	"peridotpitch/internal/loader"
 	"peridotpitch/internal/publisher"
 	"peridotpitch/internal/scheduler"
@@ -38,6 +38,8 @@
 	key      ed25519.PrivateKey
 	ledger   *emulator.Ledger
 	executed *emulator.Executions
+
+	serviceTime time.Duration // of the instances; 0 is the stand-in's default
 }
 
 type runningHost struct {
@@ -51,12 +53,15 @@
 
 // newRig starts the stand-ins, two entry hosts in each of two failure domains and
 // applies a configuration with one service and one job class.
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T) *rig { return newSlowRig(t, 0) }
+
+// newSlowRig is newRig with instances that take serviceTime for a request on average.
+func newSlowRig(t *testing.T, serviceTime time.Duration) *rig {
 	t.Helper()
 	is := is.New(t)
 	_, key, err := ed25519.GenerateKey(nil)
 	is.NoErr(err)
-	r := &rig{t: t, key: key, ledger: emulator.NewLedger(), executed: emulator.NewExecutions()}
+	r := &rig{t: t, key: key, ledger: emulator.NewLedger(), executed: emulator.NewExecutions(), serviceTime: serviceTime}
 	platform, storeAddress, closePlatform, err := emulator.NewPlatform(emulator.PlatformOptions{})
 	is.NoErr(err)
 	t.Cleanup(closePlatform)
@@ -98,6 +103,7 @@
 	w, address, closeWorker, err := emulator.NewWorker(emulator.WorkerOptions{
 		MachineOptions: emulator.MachineOptions{Name: name, Capacity: capacity, Ledger: r.ledger, Seed: uint64(i)},
 		Executions:     r.executed,
+		Backend:        emulator.BackendOptions{ServiceTime: r.serviceTime},
 	})
 	is.New(r.t).NoErr(err)
 	r.t.Cleanup(closeWorker)
@@ -106,9 +112,10 @@
 }
 
 func (r *rig) addSettings(c *configurator.Configuration, domain string, i int, store netip.AddrPort) {
+	ports := harness.FreeAddresses(r.t, 3)
 	s := loader.Settings{
 		Name: fmt.Sprintf("%s-entry-%d", domain, i), FailureDomain: domain, StoreAddress: store,
-		CallerAddress: freePort(r.t), MessageAddress: freePort(r.t), AdminAddress: freePort(r.t),
+		CallerAddress: ports[0], MessageAddress: ports[1], AdminAddress: ports[2],
 		OperatorKeys: configurator.Keys{"maria": r.key.Public().(ed25519.PublicKey)}, LogLevel: slog.LevelInfo,
 		Limits: loader.Limits{MaxQueuedRequests: 1000, MaxDecisionRecords: 10000, StoreTimeout: 2 * time.Second, MessageTimeout: time.Second, DrainTimeout: 20 * time.Second},
 	}
@@ -116,14 +123,6 @@
 	c.EntryHosts = append(c.EntryHosts, configurator.EntryHost{Name: s.Name, FailureDomain: domain, Address: s.MessageAddress})
 }
 
-// freePort returns a loopback address that nobody listened on a moment ago.
-func freePort(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer func() { is.New(t).NoErr(l.Close()) }()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
 func (r *rig) start(s loader.Settings) *runningHost {
 	logs := io.Discard
 	if os.Getenv("SERVER_LOGS") != "" {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -363,6 +363,7 @@
 	h.grants.update(shards, h.owner.Endpoints(), hosts, settled, a.parsed.Policy.MaxRequestTimeout, now)
 	h.dispatcher.Update(all, router.Membership{Hosts: len(hosts), Settled: settled})
 	own := h.dispatcher.Demand(h.settings.Name)
+	now = time.Now() // a grant from before the demand counts as the answer to an older one
 	g := h.grants.step(router.Report{Host: h.settings.Name, Incarnation: h.incarnation, Sequence: h.sequence.Add(1), RunningFor: now.Sub(h.started), Demand: own}, now)
 	h.dispatcher.Granted(h.settings.Name, g, now)
 }
