--- a/internal/server/records.go
+++ b/internal/server/records.go
@@ -3,7 +3,7 @@
 import (
 	"cmp"
 	"slices"
-	"time"
+	"strings"
 
 	"peridotpitch/internal/dispatcher"
 	"peridotpitch/internal/messenger"
@@ -48,7 +48,7 @@
 	slices.SortStableFunc(rs, func(a, b recorder.Record) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
 	a := messenger.ExplainAnswer{Host: h.settings.Name}
 	for _, r := range rs {
-		a.Records = append(a.Records, r.Time.UTC().Format(time.RFC3339Nano)+" "+recorder.Render(r))
+		a.Records = append(a.Records, strings.TrimSpace(recorder.Render(r)))
 	}
 	return a
 }
