--- a/internal/scheduler/work.go
+++ b/internal/scheduler/work.go
@@ -379,10 +379,13 @@
 		s.remove(t)
 		return
 	}
-	at := t.Worker
+	at, before := t.Worker, t.Decision
 	s.unassign(t)
 	t.Worker = at // shown to operators
 	t.State, t.Decision, t.Ended = state, decision, now
+	if before != "" { // the placement must stay explainable when the host that made it is gone
+		t.Decision += "; before: " + before
+	}
 	s.change(t)
 	switch state {
 	case JobCancelled:
--- a/internal/server/path_test.go
+++ b/internal/server/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -70,7 +71,8 @@
 		r.submit(r.hosts[i%len(r.hosts)], fmt.Sprint("job-", i), 100*time.Millisecond)
 	}
 	for i := range 10 {
-		r.waitForJob(r.hosts[0], fmt.Sprint("job-", i), scheduler.JobFinished)
+		j := r.waitForJob(r.hosts[0], fmt.Sprint("job-", i), scheduler.JobFinished)
+		is.True(strings.Contains(j.Decision, "placed on "+j.Worker)) // kept in the journal after the job's end
 	}
 	is.Equal(emulator.Violations(r.ledger.Runs(), time.Now()), nil)
 	records, err := r.hosts[1].operator.Explain(context.Background(), "job-3")
