Remove figures that no entry host fills in

Cause: service list and show printed a p99 and a degraded mark that no entry host sets: p99 was always unknown and no service was ever degraded.

--- a/internal/administrator/backend.go
+++ b/internal/administrator/backend.go
@@ -71,8 +71,6 @@
 	Class     string
 	Wanted    map[string]int // instances by failure domain
 	Instances []messenger.Endpoint
-	P99       time.Duration // over the last minute on the answering host; 0 if unknown
-	Degraded  bool
 }
 
 // HostStatus is a host as the answering entry host sees it.
--- a/internal/commandline/operate.go
+++ b/internal/commandline/operate.go
@@ -170,13 +170,13 @@
 				return err
 			}
 			return c.show(ss, func(w io.Writer) {
-				row(w, "SERVICE", "CLASS", "INSTANCES", "WANTED", "P99", "DEGRADED")
+				row(w, "SERVICE", "CLASS", "INSTANCES", "WANTED")
 				for _, s := range ss {
 					wanted := 0
 					for _, n := range s.Wanted {
 						wanted += n
 					}
-					row(w, s.Name, s.Class, len(s.Instances), wanted, formatAge(s.P99), s.Degraded)
+					row(w, s.Name, s.Class, len(s.Instances), wanted)
 				}
 			})
 		}
@@ -204,8 +204,6 @@
 	row(w, "Service", s.Name)
 	row(w, "Class", s.Class)
 	row(w, "Wanted", strings.Join(wanted, ", "))
-	row(w, "P99", formatAge(s.P99))
-	row(w, "Degraded", s.Degraded)
 	_, _ = fmt.Fprintln(w)
 	row(w, "INSTANCE", "FAILURE DOMAIN", "WORKER", "ADDRESS", "SLOTS", "CONNECTIONS", "SLOWDOWN", "DRAINING")
 	for _, i := range s.Instances {
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -49,7 +49,7 @@
 	return b.h.publisher.History(ctx, limit)
 }
 
-// status turns the answer to a submission or cancellation into what operators get.
+// jobStatus turns the answer to a submission or cancellation into what operators get.
 func jobStatus(a messenger.JobAnswer, err error) (scheduler.JobStatus, error) {
 	if err == nil && !a.Accepted {
 		err = &administrator.Error{Code: administrator.CodeRefused, Message: a.Reason}
