Drain and kill the worker that runs a batch task

The test waited for a batch task on one named worker, but the placer had learned less interference on the other one of the failure domain and placed all 22 jobs of the shard there, which is allowed.

--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -312,16 +312,23 @@
 	return ""
 }
 
-// WaitForBatch waits until a batch task runs on a worker.
-func (c *Cluster) WaitForBatch(w *Worker) {
+// WaitForBatch waits until a batch task runs on some worker and returns that worker. Which
+// one it is depends on the interference that the placer has learned so far.
+func (c *Cluster) WaitForBatch() *Worker {
 	c.t.Helper()
-	WaitFor(c.t, "batch task runs on "+w.Name, func() bool {
-		var runs []emulator.Run
-		Get(c.t, w.Address, "/runs", &runs)
-		return slices.ContainsFunc(runs, func(r emulator.Run) bool {
-			return r.Kind == commander.KindBatch && r.Ended.IsZero()
-		})
+	var found *Worker
+	WaitFor(c.t, "a batch task to run", func() bool {
+		for _, w := range c.Workers {
+			if slices.ContainsFunc(Runs(c.t, w.Address), func(r emulator.Run) bool {
+				return r.Kind == commander.KindBatch && r.Ended.IsZero()
+			}) {
+				found = w
+				return true
+			}
+		}
+		return false
 	})
+	return found
 }
 
 // Callers returns the caller addresses of the running entry hosts.
