Read the owned instances once in each refresh

Cause: the refresh built the list of owned instances twice every 250 ms, and the endpoint table kept the reporting host of each shard, which nothing read. Change: one list serves the table and the granter; the field and its parameter are gone. Result: no behaviour changes; formatter, linters and the race-enabled tests of internal/server pass.

--- a/internal/server/endpoints.go
+++ b/internal/server/endpoints.go
@@ -20,7 +20,6 @@
 )
 
 type shardEndpoints struct {
-	from      string
 	endpoints []messenger.Endpoint
 	reported  time.Time
 }
@@ -50,7 +49,7 @@
 // set takes in all instances that one owner reports. A shard without a report keeps
 // its last instances for endpointRetention: the owner may have died, or the new one
 // may not have fenced the workers yet.
-func (t *endpointTable) set(from string, es []messenger.Endpoint, now time.Time) {
+func (t *endpointTable) set(es []messenger.Endpoint, now time.Time) {
 	byShard := make(map[string][]messenger.Endpoint)
 	for _, e := range es {
 		byShard[e.Shard] = append(byShard[e.Shard], e)
@@ -58,7 +57,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, list := range byShard {
-		t.shards[name] = shardEndpoints{from: from, endpoints: list, reported: now}
+		t.shards[name] = shardEndpoints{endpoints: list, reported: now}
 	}
 	for name, s := range t.shards {
 		if now.Sub(s.reported) > endpointRetention {
--- a/internal/server/endpoints_test.go
+++ b/internal/server/endpoints_test.go
@@ -16,12 +16,12 @@
 func TestInstancesOutliveTheirOwner(t *testing.T) {
 	is := is.New(t)
 	table, now := newEndpointTable(), time.Unix(0, 0)
-	table.set("e1", []messenger.Endpoint{{Instance: "q1", Shard: "A/1"}}, now)
-	table.set("e2", nil, now.Add(5*time.Second))
+	table.set([]messenger.Endpoint{{Instance: "q1", Shard: "A/1"}}, now)
+	table.set(nil, now.Add(5*time.Second))
 	is.Equal(len(table.all()), 1)
-	table.set("e2", []messenger.Endpoint{{Instance: "q1", Shard: "A/1"}, {Instance: "q2", Shard: "A/1"}}, now.Add(6*time.Second))
+	table.set([]messenger.Endpoint{{Instance: "q1", Shard: "A/1"}, {Instance: "q2", Shard: "A/1"}}, now.Add(6*time.Second))
 	is.Equal(len(table.all()), 2)
-	table.set("e2", nil, now.Add(6*time.Second+endpointRetention+1))
+	table.set(nil, now.Add(6*time.Second+endpointRetention+1))
 	is.Equal(len(table.all()), 0)
 }
 
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -46,7 +46,7 @@
 		if a.HoldFor > 0 {
 			h.hold(now.Add(a.HoldFor))
 		}
-		h.endpoints.set(l.name, a.Endpoints, now)
+		h.endpoints.set(a.Endpoints, now)
 		h.dispatcher.Granted(l.name, a.Grants, sentAt)
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -352,7 +352,8 @@
 func (h *host) refresh(now time.Time) {
 	h.owner.SetLeaving(h.members.LeavingHosts())
 	shards := h.owner.Shards()
-	h.endpoints.set(h.settings.Name, h.owner.Endpoints(), now)
+	owned := h.owner.Endpoints()
+	h.endpoints.set(owned, now)
 	all := h.endpoints.all()
 	a := h.configuration.Load()
 	if a == nil {
@@ -360,7 +361,7 @@
 	}
 	hosts := entryHosts(a.parsed, h.settings.FailureDomain)
 	settled := a.record.Generation == 1 || time.Since(a.record.AppliedAt) > router.ShareDelay(a.parsed.Policy.MaxRequestTimeout)
-	h.grants.update(shards, h.owner.Endpoints(), hosts, settled, a.parsed.Policy.MaxRequestTimeout, now)
+	h.grants.update(shards, owned, hosts, settled, a.parsed.Policy.MaxRequestTimeout, now)
 	h.dispatcher.Update(all, router.Membership{Hosts: len(hosts), Settled: settled})
 	own := h.dispatcher.Demand(h.settings.Name)
 	now = time.Now() // a grant from before the demand counts as the answer to an older one
