Run entry hosts on the users' platform: jobs of steps, one elected leader

The platform has jobs of steps instead of service requests, discovers workers and offers a store with transactions. internal/orchestrator is the pure state machine of jobs, steps, tasks, runs and workers; internal/coordinator runs one entry host (accepting, election, orders); platform/ translates the platform's protocols.

--- a/cmd/peridotpitch/main.go
+++ b/cmd/peridotpitch/main.go
@@ -10,6 +10,7 @@
 	"peridotpitch/internal/commandline"
 	"peridotpitch/internal/loader"
 	"peridotpitch/internal/server"
+	"peridotpitch/platform"
 )
 
 // version is set by the linker.
@@ -23,11 +24,14 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return commandline.Run(ctx, os.Args[1:], commandline.Environment{
-		Stdout:  os.Stdout,
-		Stderr:  os.Stderr,
-		Getenv:  os.Getenv,
-		Serve:   serve,
-		Version: version,
+		Stdout: os.Stdout,
+		Stderr: os.Stderr,
+		Getenv: os.Getenv,
+		Serve:  serve,
+		Entry:  entry,
+		// The platform hands the path of the settings over in a variable.
+		SettingsVariable: platform.SettingsVariable,
+		Version:          version,
 	})
 }
 
--- a/internal/commandline/operate.go
+++ b/internal/commandline/operate.go
@@ -39,6 +39,23 @@
 	},
 }
 
+var entryCommand = command{
+	name: "entry", summary: "Run an entry host on the users' platform.",
+	setup: func(fs *flag.FlagSet) func(*call) error {
+		path := fs.String("settings", "", "settings `file`; by default the one that the platform names")
+		return func(c *call) error {
+			file := *path
+			if file == "" {
+				file = c.Getenv(c.SettingsVariable)
+			}
+			if file == "" {
+				return usagef("flag -settings is required")
+			}
+			return c.Entry(c.ctx, file)
+		}
+	},
+}
+
 var jobCommands = []command{
 	{name: "job submit", remote: true, summary: "Submit a batch job. Submitting the same job again is safe.", setup: submitJob},
 	{name: "job show", arguments: "NAME", min: 1, max: 1, remote: true, summary: "Show a job.", setup: func(*flag.FlagSet) func(*call) error {
--- a/internal/commandline/run.go
+++ b/internal/commandline/run.go
@@ -33,13 +33,21 @@
 // Serve runs an entry host until ctx ends.
 type Serve func(ctx context.Context, s loader.Settings) error
 
+// Entry runs an entry host on the users' platform until ctx ends. path is that of its
+// settings file.
+type Entry func(ctx context.Context, path string) error
+
 // Environment is what a subcommand uses of its process.
 type Environment struct {
-	Stdout  io.Writer
-	Stderr  io.Writer
-	Getenv  func(string) string
-	Serve   Serve
-	Version string
+	Stdout io.Writer
+	Stderr io.Writer
+	Getenv func(string) string
+	Serve  Serve
+	Entry  Entry
+	// SettingsVariable names the environment variable with the default settings file of
+	// the entry subcommand.
+	SettingsVariable string
+	Version          string
 }
 
 // command is one subcommand.
@@ -64,7 +72,7 @@
 
 // commands is the table of all subcommands in the order of the usage.
 func commands() []command {
-	return slices.Concat([]command{serveCommand}, configCommands, jobCommands, []command{
+	return slices.Concat([]command{serveCommand, entryCommand}, configCommands, jobCommands, []command{
 		serviceListCommand, serviceShowCommand, hostListCommand, hostDrainCommand(false), hostDrainCommand(true),
 		explainCommand, statusCommand, versionCommand,
 	})
--- /dev/null
+++ b/internal/coordinator/note.go
@@ -0,0 +1,40 @@
+package coordinator
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"peridotpitch/internal/orchestrator"
+)
+
+// note logs a decision and counts it.
+func (c *Coordinator) note(n orchestrator.Note) {
+	c.metrics.decisions.WithLabelValues(n.Event).Inc()
+	attrs := make([]slog.Attr, 0, 8)
+	add := func(key, value string) {
+		if value != "" {
+			attrs = append(attrs, slog.String(key, value))
+		}
+	}
+	add("Job", n.Job)
+	add("Task", n.Task)
+	if n.Run > 0 {
+		attrs = append(attrs, slog.Int("Run", n.Run))
+	}
+	add("Worker", n.Worker)
+	add("Outcome", n.Outcome)
+	add("Reason", n.Reason)
+	if n.Age > 0 {
+		add("Age", n.Age.Round(time.Millisecond).String())
+	}
+	add("Inputs", n.Figures)
+	c.log.LogAttrs(context.Background(), slog.LevelInfo, n.Event, attrs...)
+}
+
+// foreignEntry logs an entry that names no worker, once for each key.
+func (c *Coordinator) foreignEntry(key string, err error) {
+	if _, seen := c.foreign.LoadOrStore(key, true); !seen {
+		c.log.Warn("EntryIgnored", "Key", key, "Cause", err.Error())
+	}
+}
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -180,6 +180,12 @@
 	return c.call(ctx, methodDrain, &drainRequest{host, undo}, &nothing{})
 }
 
+// Invoke calls a method that ServeMethods serves. Up to MaxForwards such calls run at
+// the same time.
+func (c *Client) Invoke(ctx context.Context, timeout time.Duration, method string, in, out any) error {
+	return c.forward.call(ctx, timeout, method, in, out)
+}
+
 func (c *Client) call(ctx context.Context, method string, in, out any) error {
 	return c.other.call(ctx, c.options.CallTimeout, method, in, out)
 }
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -44,8 +44,11 @@
 	nothing struct{}
 )
 
-// methods maps each method to what serves it.
-var methods = map[string]func(ctx context.Context, h Handler, s drpc.Stream) error{
+// Method serves one call.
+type Method func(ctx context.Context, s drpc.Stream) error
+
+// methods maps each method of a Handler to what serves it.
+var methods = map[string]func(Handler) Method{
 	// Heartbeat with claims and slot demand; the answer has promises and grants.
 	methodExchange: serve(Handler.Exchange),
 	// One caller's request and its final outcome.
@@ -71,14 +74,20 @@
 	}),
 }
 
-// serve receives one message, calls f and sends its answer.
-func serve[In, Out any](f func(Handler, context.Context, In) (Out, error)) func(context.Context, Handler, drpc.Stream) error {
-	return func(ctx context.Context, h Handler, s drpc.Stream) error {
+func serve[In, Out any](f func(Handler, context.Context, In) (Out, error)) func(Handler) Method {
+	return func(h Handler) Method {
+		return NewMethod(func(ctx context.Context, in In) (Out, error) { return f(h, ctx, in) })
+	}
+}
+
+// NewMethod returns a Method that receives one message, calls f and sends its answer.
+func NewMethod[In, Out any](f func(context.Context, In) (Out, error)) Method {
+	return func(ctx context.Context, s drpc.Stream) error {
 		var in In
 		if err := s.MsgRecv(&in, encoding{}); err != nil {
 			return err
 		}
-		out, err := f(h, ctx, in)
+		out, err := f(ctx, in)
 		if err != nil {
 			return err
 		}
@@ -100,9 +109,9 @@
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageSize + readerSlack}}
 }
 
-// Server serves a Handler to other entry hosts.
+// Server serves methods to other entry hosts.
 type Server struct {
-	handler Handler
+	methods map[string]Method
 	log     *slog.Logger
 	cancel  context.CancelFunc
 	ended   chan struct{}
@@ -115,8 +124,17 @@
 // NewServer serves h on l until the returned function is called, which closes the
 // listener and all connections at once; call Shutdown before it to let calls end.
 func NewServer(l net.Listener, h Handler, log *slog.Logger) (*Server, func()) {
+	bound := make(map[string]Method, len(methods))
+	for name, bind := range methods {
+		bound[name] = bind(h)
+	}
+	return ServeMethods(l, bound, log)
+}
+
+// ServeMethods is like NewServer for a table of methods.
+func ServeMethods(l net.Listener, table map[string]Method, log *slog.Logger) (*Server, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{handler: h, log: log, cancel: cancel, ended: make(chan struct{})}
+	s := &Server{methods: table, log: log, cancel: cancel, ended: make(chan struct{})}
 	d := drpcserver.NewWithOptions(s, drpcserver.Options{
 		Manager: managerOptions(),
 		Log:     func(err error) { log.Debug("connection of an entry host ended", "Cause", err) },
@@ -176,12 +194,12 @@
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
 	s.begin()
 	defer s.end()
-	f, ok := methods[rpc]
+	f, ok := s.methods[rpc]
 	if !ok {
 		return drpcerr.WithCode(fmt.Errorf("unknown method %q", rpc), codeUnknown)
 	}
 	start := time.Now()
-	err := f(stream.Context(), s.handler, stream)
+	err := f(stream.Context(), stream)
 	if err != nil {
 		s.log.Debug("call of an entry host failed", "Method", rpc, "Took", time.Since(start), "Cause", err)
 		if errors.Is(err, context.Canceled) {
--- /dev/null
+++ b/internal/orchestrator/job.go
@@ -0,0 +1,158 @@
+package orchestrator
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// State is the state of a job as callers see it.
+type State string
+
+// States of jobs.
+const (
+	StateQueued    State = "queued" // no task has started
+	StateRunning   State = "running"
+	StateSucceeded State = "succeeded" // every task has ended well
+	StateFailed    State = "failed"    // a task has used up its attempts
+	StateCancelled State = "cancelled"
+)
+
+// Final reports whether the state does not change any more.
+func (s State) Final() bool {
+	return s == StateSucceeded || s == StateFailed || s == StateCancelled
+}
+
+// Resources are an amount of what a worker has.
+type Resources struct {
+	CPU    int // thousandths of a core
+	Memory int // MB
+	GPU    int // accelerators
+}
+
+func (r Resources) add(o Resources) Resources {
+	return Resources{r.CPU + o.CPU, r.Memory + o.Memory, r.GPU + o.GPU}
+}
+
+func (r Resources) subtract(o Resources) Resources {
+	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.GPU - o.GPU}
+}
+
+// covers reports whether o fits into r.
+func (r Resources) covers(o Resources) bool {
+	return r.CPU >= o.CPU && r.Memory >= o.Memory && r.GPU >= o.GPU
+}
+
+// Step is a group of equal tasks of a job.
+type Step struct {
+	Count         int // tasks
+	Size          Resources
+	Estimate      time.Duration // rough run time of a task
+	After         []int         // earlier steps whose tasks must all have ended well
+	Checkpoints   bool          // tasks save their progress
+	Gang          bool          // tasks work only while all of them run
+	SameRack      bool          // tasks are slow when they run on several racks
+	RequiredLabel string
+	RackAffinity  string // rack that holds the data; slow elsewhere
+	MaxPerWorker  int    // tasks of one occurrence on one worker; 0: any number
+	Speculative   bool   // copies of a task may run at the same time
+	LongRunning   bool   // tasks run until the job is cancelled
+	Image         string // what the tasks run
+	LatencyTarget time.Duration
+	Fills         bool // runs on what other tasks leave unused of a worker's processors
+	MaxMissing    int  // tasks that the scheduler itself may stop at the same time; LongRunning only
+}
+
+// Policy is what the configuration says of a job's queue, as of its acceptance.
+type Policy struct {
+	Queue          string
+	Service        string // whose workers run the tasks
+	Priority       int    // 0 comes first
+	Attempts       int    // failed runs of a task that fail its job
+	Stretch        float64
+	TargetDuration time.Duration
+	Advised        bool // an outside policy names the workers that may run a step
+	Guarded        bool // workers refuse what does not fit
+}
+
+// Job is a job as it was submitted.
+type Job struct {
+	ID          string
+	Spec        string // handed to each task
+	Steps       []Step
+	Occurrences int // 0: runs once, at once
+	First       time.Time
+	Interval    time.Duration
+	Policy      Policy
+	Submitted   time.Time
+}
+
+// Limits of a job. They bound the memory that one job can take.
+const (
+	maxSteps       = 64
+	maxTasks       = 10000  // of one step
+	maxOccurrences = 100000 // a year of one every five minutes
+)
+
+// InvalidJobError says what is wrong with a submitted job.
+type InvalidJobError struct {
+	Step   int // -1: the job itself
+	Reason string
+}
+
+func (e *InvalidJobError) Error() string {
+	if e.Step < 0 {
+		return "invalid job: " + e.Reason
+	}
+	return fmt.Sprintf("invalid job: step %d: %s", e.Step, e.Reason)
+}
+
+// Validate returns an *InvalidJobError if the job can not be accepted.
+func (j *Job) Validate() error {
+	switch {
+	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
+		return &InvalidJobError{-1, fmt.Sprintf("it has %d steps, 1 to %d are allowed", len(j.Steps), maxSteps)}
+	case j.Occurrences < 0 || j.Occurrences > maxOccurrences:
+		return &InvalidJobError{-1, fmt.Sprintf("%d occurrences, 0 to %d are allowed", j.Occurrences, maxOccurrences)}
+	case j.Interval < 0:
+		return &InvalidJobError{-1, "negative interval"}
+	}
+	for i, s := range j.Steps {
+		if reason := s.fault(i); reason != "" {
+			return &InvalidJobError{i, reason}
+		}
+	}
+	return nil
+}
+
+func (s *Step) fault(index int) string {
+	switch {
+	case s.Count < 1 || s.Count > maxTasks:
+		return fmt.Sprintf("%d tasks, 1 to %d are allowed", s.Count, maxTasks)
+	case s.Size.CPU < 0 || s.Size.Memory < 0 || s.Size.GPU < 0:
+		return "negative size"
+	case s.Estimate < 0 || s.LatencyTarget < 0:
+		return "negative duration"
+	case s.MaxPerWorker < 0 || s.MaxMissing < 0:
+		return "negative limit"
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= index {
+			return fmt.Sprintf("depends on step %d, only earlier steps are allowed", a)
+		}
+	}
+	return ""
+}
+
+// EncodeJob returns a job's value in the store.
+func EncodeJob(j Job) ([]byte, error) { return msgpack.Marshal(&j) }
+
+// DecodeJob reads a value that EncodeJob wrote.
+func DecodeJob(b []byte) (Job, error) {
+	var j Job
+	if err := msgpack.Unmarshal(b, &j); err != nil {
+		return Job{}, fmt.Errorf("decode job: %w", err)
+	}
+	return j, j.Validate()
+}
--- /dev/null
+++ b/internal/orchestrator/place.go
@@ -0,0 +1,365 @@
+package orchestrator
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// nearWait is how long a task waits for the rack of its data before it runs
+	// elsewhere, as a share of its expected run time.
+	nearWait = 0.5
+	// servingShare is the part of its processors that a task with a latency target
+	// uses on average; the rest is left to tasks that fill.
+	servingShare = 0.6
+	// fillShare is the part of its declared processors that must be unused on a worker
+	// before a task that fills starts there.
+	fillShare = 0.7
+	// fillWait is how long a step that fills waits for unused processors before any
+	// worker with enough memory will do.
+	fillWait = 1500 * time.Millisecond
+	// noteEvery bounds how often a step's reason for waiting is noted.
+	noteEvery = 2 * time.Second
+	// passLimit bounds the starts of one pass, so that a burst does not delay looks.
+	passLimit = 64
+)
+
+// Weights of a worker's score. Free room counts from 0 to 1.
+const (
+	weightNear     = 2.0 // rack of the data, or of the step's other tasks
+	weightFailedOn = 5.0 // an earlier run of the task failed there
+	weightSlow     = 0.7 // for each multiple of the expected run time
+	weightWarmup   = 0.3
+	weightTail     = 0.6 // tail latency as a share of its target, for tasks that fill
+)
+
+// schedule starts tasks on workers, the most urgent first.
+func (o *Orchestrator) schedule() {
+	steps := make([]*step, 0, len(o.ready))
+	for s := range o.ready {
+		if s.left > 0 {
+			steps = append(steps, s)
+		}
+	}
+	slices.SortFunc(steps, o.compareUrgency)
+	starts := 0
+	for _, s := range steps {
+		if starts >= passLimit {
+			o.pass = true // the next event goes on
+			return
+		}
+		starts += o.scheduleStep(s)
+	}
+}
+
+// compareUrgency orders steps: by priority, then those that can still meet their
+// objective, then by objective.
+func (o *Orchestrator) compareUrgency(a, b *step) int {
+	ja, jb := a.occurrence.job, b.occurrence.job
+	if c := cmp.Compare(ja.Policy.Priority, jb.Policy.Priority); c != 0 {
+		return c
+	}
+	da, db := a.occurrence.deadline(), b.occurrence.deadline()
+	lateA, lateB := o.now.After(da), o.now.After(db)
+	if lateA != lateB {
+		if lateA {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(da.Compare(db), cmp.Compare(ja.ID, jb.ID), cmp.Compare(a.index, b.index))
+}
+
+func (oc *occurrence) deadline() time.Time {
+	return oc.job.deadline.Add(oc.due.Sub(oc.job.Submitted))
+}
+
+// scheduleStep starts what it can of a step and returns the number of starts.
+func (o *Orchestrator) scheduleStep(s *step) int {
+	if s.Gang {
+		return o.scheduleGang(s)
+	}
+	starts := 0
+	var workers []*worker
+	for _, t := range s.tasks {
+		if t.done || len(t.runs) > 0 {
+			continue
+		}
+		if reason := o.held(t); reason != "" {
+			o.noteWait(s, reason)
+			continue
+		}
+		if workers == nil {
+			var reason string
+			if workers, reason = o.candidates(s); len(workers) == 0 {
+				o.noteWait(s, reason)
+				return starts
+			}
+		}
+		w, score := o.choose(t, workers)
+		if w == nil {
+			o.noteWait(s, "no worker has room")
+			return starts
+		}
+		o.launch(t, w, t.nextRun, score)
+		starts++
+	}
+	return starts
+}
+
+func (o *Orchestrator) launch(t *task, w *worker, number int, score float64) {
+	s := t.step
+	if s.rack == "" {
+		s.rack = w.Rack
+	}
+	o.do(Note{Event: EventStart, Job: t.job().ID, Task: t.name, Run: number, Worker: w.ID, Age: o.now.Sub(w.answeredAt),
+		Figures: fmt.Sprintf("Score=%.2f FreeCores=%.1f Waited=%s", score, float64(w.Room.CPU-w.used.CPU)/1000, o.now.Sub(t.since).Round(time.Millisecond))})
+	o.start(t, w, number, s.advice.tickets[w.ID])
+}
+
+// held returns why a task can not start anywhere yet, empty if it can. An earlier
+// leader may have started an inherited task on a worker that was not reached yet.
+func (o *Orchestrator) held(t *task) string {
+	j := t.job()
+	if !j.inherited || t.owned {
+		return ""
+	}
+	for _, w := range o.workers {
+		if w.resolved || w.idle || w.Service != j.Policy.Service && w.Service != "" {
+			continue
+		}
+		if o.handedOff && !slices.Contains(t.inheritedWorkers, w.ID) {
+			continue
+		}
+		if w.inherited {
+			return "worker " + w.ID + " was not reached yet and may run it"
+		}
+	}
+	return ""
+}
+
+// candidates returns the workers that may run a step's tasks, or why there are none.
+func (o *Orchestrator) candidates(s *step) ([]*worker, string) {
+	j := s.occurrence.job
+	var ws []*worker
+	reason := "no worker of service " + j.Policy.Service + " is listed"
+	for _, w := range o.workers {
+		if w.Service != j.Policy.Service {
+			continue
+		}
+		if s.RequiredLabel != "" && !slices.Contains(w.Labels, s.RequiredLabel) {
+			reason = "no worker with label " + s.RequiredLabel + " can be used"
+			continue
+		}
+		if !w.Room.covers(s.sizeOn()) {
+			reason = "no worker is large enough"
+			continue
+		}
+		if ok, why := o.usable(w); !ok {
+			reason = why
+			continue
+		}
+		ws = append(ws, w)
+	}
+	if j.Policy.Advised && len(ws) > 0 {
+		return o.advisedWorkers(s, ws)
+	}
+	slices.SortFunc(ws, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	return ws, reason
+}
+
+// sizeOn returns what a task must find free. The processors of tasks that fill do not
+// count.
+func (s *step) sizeOn() Resources {
+	size := s.Size
+	if s.Fills {
+		size.CPU = 0
+	}
+	return size
+}
+
+// choose returns the best of the workers for a task, or nil.
+func (o *Orchestrator) choose(t *task, workers []*worker) (*worker, float64) {
+	var best *worker
+	var most float64
+	for _, w := range workers {
+		if !o.fits(t, w) {
+			continue
+		}
+		if score := o.score(t, w); best == nil || score > most {
+			best, most = w, score
+		}
+	}
+	return best, most
+}
+
+// fits reports whether a worker has room for a task.
+func (o *Orchestrator) fits(t *task, w *worker) bool {
+	s := t.step
+	if o.now.Before(w.fullUntil) || w.probing && len(w.runs) > 0 {
+		return false
+	}
+	if !w.Room.subtract(w.used).covers(s.sizeOn()) {
+		return false
+	}
+	if s.MaxPerWorker > 0 && w.countStep(s) >= s.MaxPerWorker {
+		return false
+	}
+	if s.RackAffinity != "" && w.Rack != s.RackAffinity {
+		wait := time.Duration(nearWait * float64(s.expected(o.shape(s.occurrence.job.Policy.Queue).ratio)))
+		if o.now.Sub(t.since) < wait && o.rackExists(s) {
+			return false
+		}
+	}
+	if s.Fills && w.unused() < int(fillShare*float64(s.Size.CPU)) && o.now.Sub(t.since) < fillWait {
+		return false
+	}
+	return true
+}
+
+func (o *Orchestrator) rackExists(s *step) bool {
+	for _, w := range o.workers {
+		if w.Rack == s.RackAffinity && w.Service == s.occurrence.job.Policy.Service && w.listed && !w.failing {
+			return true
+		}
+	}
+	return false
+}
+
+// unused returns the millicores that other tasks probably leave to one that fills.
+func (w *worker) unused() int {
+	counted := w.used.CPU - w.load.serving
+	return w.Room.CPU - counted - int(servingShare*float64(w.load.serving)) - w.load.filling
+}
+
+// countStep returns how many tasks of a step run on the worker.
+func (w *worker) countStep(s *step) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// score rates a worker for a task; the highest wins.
+func (o *Orchestrator) score(t *task, w *worker) float64 {
+	s := t.step
+	score := float64(w.Room.CPU-w.used.CPU) / float64(max(1, w.Room.CPU))
+	if s.Fills {
+		score = float64(w.unused()) / float64(max(1, w.Room.CPU))
+		if w.load.serving > 0 {
+			score -= weightTail * w.tail
+		}
+	} else if s.LatencyTarget > 0 {
+		score -= float64(w.load.filling) / float64(max(1, w.Room.CPU))
+	}
+	if s.RackAffinity != "" && s.RackAffinity == w.Rack || s.SameRack && s.rack == w.Rack {
+		score += weightNear
+	}
+	if t.avoid[w.ID] {
+		score -= weightFailedOn
+	}
+	if w.slow > 1 {
+		score -= weightSlow * (w.slow - 1)
+	}
+	if w.Warmup > 0 {
+		score -= weightWarmup
+	}
+	return score
+}
+
+// scheduleGang starts all tasks of a gang or none.
+func (o *Orchestrator) scheduleGang(s *step) int {
+	number := 0
+	for _, t := range s.tasks {
+		if t.done || len(t.runs) > 0 {
+			return 0
+		}
+		if reason := o.held(t); reason != "" {
+			o.noteWait(s, reason)
+			return 0
+		}
+		number = max(number, t.nextRun)
+	}
+	workers, reason := o.candidates(s)
+	if len(workers) == 0 {
+		o.noteWait(s, reason)
+		return 0
+	}
+	plan := o.planGang(s, workers)
+	if plan == nil {
+		o.noteWait(s, "no set of workers has room for the whole gang")
+		return 0
+	}
+	saved := ""
+	for _, t := range s.tasks {
+		saved = cmp.Or(saved, t.saved)
+	}
+	s.rack = plan[0].Rack
+	for i, t := range s.tasks {
+		t.saved = saved // one member's saved state is valid for all
+		o.launch(t, plan[i], number, 0)
+	}
+	return len(s.tasks)
+}
+
+// planGang assigns workers to the members of a gang, on one rack where that is needed
+// and possible. It returns nil if there is no room.
+func (o *Orchestrator) planGang(s *step, workers []*worker) []*worker {
+	if s.SameRack {
+		racks := make(map[string][]*worker)
+		for _, w := range workers {
+			racks[w.Rack] = append(racks[w.Rack], w)
+		}
+		var best []*worker
+		for _, ws := range racks {
+			plan := o.planMembers(s, ws)
+			if plan != nil && (best == nil || plan[0].Rack == s.RackAffinity || plan[0].Rack < best[0].Rack && best[0].Rack != s.RackAffinity) {
+				best = plan
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return o.planMembers(s, workers)
+}
+
+func (o *Orchestrator) planMembers(s *step, workers []*worker) []*worker {
+	taken := make(map[*worker]int, len(s.tasks))
+	defer func() {
+		for w, n := range taken {
+			for range n {
+				w.account(s.Step, -1)
+			}
+		}
+	}()
+	var plan []*worker
+	for _, t := range s.tasks {
+		free := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool {
+			return s.MaxPerWorker > 0 && taken[w] >= s.MaxPerWorker
+		})
+		w, _ := o.choose(t, free)
+		if w == nil {
+			return nil
+		}
+		w.account(s.Step, 1)
+		taken[w]++
+		plan = append(plan, w)
+	}
+	return plan
+}
+
+// noteWait notes why a step waits, when the reason changes and every noteEvery.
+func (o *Orchestrator) noteWait(s *step, reason string) {
+	if s.note == reason && o.now.Sub(s.noteAt) < noteEvery {
+		return
+	}
+	s.note, s.noteAt = reason, o.now
+	o.do(Note{Event: EventWait, Job: s.occurrence.job.ID, Task: fmt.Sprintf("%s.%d.%d", s.occurrence.job.ID, s.occurrence.number, s.index),
+		Reason: reason, Age: o.now.Sub(s.readyAt), Figures: fmt.Sprintf("Left=%d Ready=%d", s.left, len(o.ready))})
+}
--- /dev/null
+++ b/internal/orchestrator/vocabulary.go
@@ -0,0 +1,29 @@
+package orchestrator
+
+// Names of the events that Note carries. docs/OPERATIONS.md explains each.
+const (
+	EventJobAdded      = "JobAdded"
+	EventJobFinished   = "JobFinished"
+	EventStart         = "Start"
+	EventStartRefused  = "StartRefused"
+	EventStop          = "Stop"
+	EventCopy          = "Copy"
+	EventEnd           = "End"
+	EventAdopt         = "Adopt"
+	EventRunLost       = "RunLost"
+	EventWait          = "Wait"
+	EventPace          = "Pace"
+	EventAdvice        = "Advice"
+	EventWorkerListed  = "WorkerListed"
+	EventWorkerReached = "WorkerReached"
+	EventWorkerLost    = "WorkerLost"
+	EventWorkerAvoided = "WorkerAvoided"
+)
+
+// Events lists the names.
+func Events() []string {
+	return []string{
+		EventJobAdded, EventJobFinished, EventStart, EventStartRefused, EventStop, EventCopy, EventEnd, EventAdopt,
+		EventRunLost, EventWait, EventPace, EventAdvice, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerAvoided,
+	}
+}
