Learn which images disturb each other, and slow or move just those fillers

Cause: fillers beside tasks with a latency target were slowed all alike, on every worker, although only a few pairs of images disturb each other. A coefficient for each pair is learnt from the measured tails; placement and pacing use it.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -27,13 +27,16 @@
 	// headEvery is the longest time between two writes of a leader. It is the leader's
 	// sign of life in the store.
 	headEvery = 300 * time.Millisecond
+	// collectFor is the pause after a write while there are changes that no caller waits
+	// for.
+	collectFor = 90 * time.Millisecond
 	// batchLimit is the number of jobs in one write: a final state puts a record and
 	// deletes two keys, and a transaction takes 32 entries.
 	batchLimit = 9
 	// writeRetry is the pause after a failed write.
 	writeRetry = 60 * time.Millisecond
 	// tickEvery is the interval at which time passes for the orchestrator.
-	tickEvery = 100 * time.Millisecond
+	tickEvery = 50 * time.Millisecond
 	// catchUpEvery is the interval at which the leader looks for jobs and requests to
 	// cancel of which it has got no notice.
 	catchUpEvery = time.Second
@@ -294,6 +297,8 @@
 		pause := headEvery
 		if !ld.writeBatch(ctx, false) {
 			pause = writeRetry
+		} else if ld.unwritten() {
+			pause = collectFor
 		}
 		t.Reset(pause)
 	}
--- a/internal/coordinator/looker.go
+++ b/internal/coordinator/looker.go
@@ -17,9 +17,11 @@
 	briefWait = 500 * time.Millisecond
 	// lookRetry is the pause after a look without an answer.
 	lookRetry = 250 * time.Millisecond
-	// ackWait is how long the next look waits for the acknowledgement of ends, because a
-	// look returns at once while there are ends that are not acknowledged.
-	ackWait = 60 * time.Millisecond
+	// ackWait is how long the next look waits at most for the acknowledgement of ends,
+	// because a look returns at once while there are ends that are not acknowledged. It
+	// is checked ackChecks times.
+	ackWait   = 160 * time.Millisecond
+	ackChecks = 4
 	// orderSenders is the number of orders to one worker at the same time.
 	orderSenders = 2
 	// orderQueue bounds the orders that wait for one worker.
@@ -114,7 +116,20 @@
 		ld.c.metrics.looks.Inc()
 		ld.step(a)
 		if len(a.Ended) > 0 {
-			sleep(k.ctx, ackWait)
+			k.awaitAck()
+		}
+	}
+}
+
+// awaitAck waits until the ends that were listed stand in the store.
+func (k *looker) awaitAck() {
+	for range ackChecks {
+		sleep(k.ctx, ackWait/ackChecks)
+		k.ld.mu.Lock()
+		done := k.ld.o.Acknowledged(k.target.ID)
+		k.ld.mu.Unlock()
+		if done {
+			return
 		}
 	}
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -49,6 +49,7 @@
 	ready    map[*step]bool // steps with tasks that could start
 	workers  map[string]*worker
 	shapes   map[string]*shape // by queue
+	pressure pressure
 
 	inherited     bool // Inherited has been applied
 	handedOff     bool
@@ -58,7 +59,8 @@
 	dirty         map[string]*job
 	expired       []string // finished jobs whose records are to be deleted
 	pass          bool     // something changed that may let a task start
-	lastRelief    time.Time
+	lastPass      time.Time
+	wholePass     time.Time
 	deposed       bool
 	leaving       bool
 	wallOffset    time.Duration
@@ -112,8 +114,7 @@
 	readyAt    time.Time
 	measured   time.Duration // mean run time of finished tasks
 	measures   int
-	note       string // last reason for waiting that was noted
-	noteAt     time.Time
+	noteAt     time.Time // when a reason for waiting was noted
 	advice     advice
 }
 
@@ -145,6 +146,7 @@
 		ready:       make(map[*step]bool),
 		workers:     make(map[string]*worker),
 		shapes:      make(map[string]*shape),
+		pressure:    newPressure(),
 		dirty:       make(map[string]*job),
 	}
 }
@@ -192,8 +194,8 @@
 	if o.leaving {
 		return nil
 	}
-	if o.pass && o.inherited && !o.deposed {
-		o.pass = false
+	if o.pass && o.inherited && !o.deposed && o.now.Sub(o.lastPass) >= passEvery {
+		o.pass, o.lastPass = false, o.now
 		o.schedule()
 	}
 	return o.actions
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -13,7 +13,7 @@
 	nearWait = 0.5
 	// servingShare is the part of its processors that a task with a latency target
 	// uses on average; the rest is left to tasks that fill.
-	servingShare = 0.6
+	servingShare = 0.5
 	// fillShare is the part of its declared processors that must be unused on a worker
 	// before a task that fills starts there.
 	fillShare = 0.7
@@ -22,6 +22,12 @@
 	fillWait = 1500 * time.Millisecond
 	// noteEvery bounds how often a step's reason for waiting is noted.
 	noteEvery = 2 * time.Second
+	// passEvery is the pause between two passes. Answers of workers come in faster.
+	passEvery = 15 * time.Millisecond
+	// blockedLimit is the number of steps without room after which a pass ends, except
+	// for a whole pass every wholePassEvery: with a long queue most steps find no room.
+	blockedLimit   = 12
+	wholePassEvery = 200 * time.Millisecond
 	// passLimit bounds the starts of one pass, so that a burst does not delay looks.
 	passLimit = 64
 )
@@ -32,7 +38,7 @@
 	weightFailedOn = 5.0 // an earlier run of the task failed there
 	weightSlow     = 0.7 // for each multiple of the expected run time
 	weightWarmup   = 0.3
-	weightTail     = 0.6 // tail latency as a share of its target, for tasks that fill
+	weightBeside   = 0.3 // predicted logarithm of the change of a tail latency
 )
 
 // schedule starts tasks on workers, the most urgent first.
@@ -44,13 +50,21 @@
 		}
 	}
 	slices.SortFunc(steps, o.compareUrgency)
-	starts := 0
+	whole := o.now.Sub(o.wholePass) >= wholePassEvery
+	if whole {
+		o.wholePass = o.now
+	}
+	starts, blocked := 0, 0
 	for _, s := range steps {
-		if starts >= passLimit {
-			o.pass = true // the next event goes on
+		if starts >= passLimit || blocked >= blockedLimit && !whole {
+			o.pass = true // a later event goes on
 			return
 		}
-		starts += o.scheduleStep(s)
+		n := o.scheduleStep(s)
+		starts += n
+		if n == 0 {
+			blocked++
+		}
 	}
 }
 
@@ -213,7 +227,17 @@
 			return false
 		}
 	}
-	if s.Fills && w.unused() < int(fillShare*float64(s.Size.CPU)) && o.now.Sub(t.since) < fillWait {
+	return !s.Fills || o.fillsInto(t, w)
+}
+
+// fillsInto reports whether a task that fills may start on a worker: where enough of the
+// processors is unused, unless it has waited for long, and where no tail is predicted to
+// come near its target.
+func (o *Orchestrator) fillsInto(t *task, w *worker) bool {
+	if w.unused() < int(fillShare*float64(t.step.Size.CPU)) && o.now.Sub(t.since) < fillWait {
+		return false
+	}
+	if w.load.serving > 0 && (w.tail >= tailHigh || o.besides(t.step, w) < 0) {
 		return false
 	}
 	return true
@@ -248,14 +272,13 @@
 // score rates a worker for a task; the highest wins.
 func (o *Orchestrator) score(t *task, w *worker) float64 {
 	s := t.step
-	score := float64(w.Room.CPU-w.used.CPU) / float64(max(1, w.Room.CPU))
-	if s.Fills {
-		score = float64(w.unused()) / float64(max(1, w.Room.CPU))
-		if w.load.serving > 0 {
-			score -= weightTail * w.tail
-		}
-	} else if s.LatencyTarget > 0 {
-		score -= float64(w.load.filling) / float64(max(1, w.Room.CPU))
+	room := float64(max(1, w.Room.CPU))
+	score := float64(w.unused()) / room
+	switch {
+	case s.Fills:
+		score += weightBeside * o.besides(s, w)
+	case s.LatencyTarget > 0:
+		score -= weightBeside * o.endures(s, w)
 	}
 	if s.RackAffinity != "" && s.RackAffinity == w.Rack || s.SameRack && s.rack == w.Rack {
 		score += weightNear
@@ -354,12 +377,12 @@
 	return plan
 }
 
-// noteWait notes why a step waits, when the reason changes and every noteEvery.
+// noteWait notes why a step waits, once in noteEvery.
 func (o *Orchestrator) noteWait(s *step, reason string) {
-	if s.note == reason && o.now.Sub(s.noteAt) < noteEvery {
+	if o.now.Sub(s.noteAt) < noteEvery {
 		return
 	}
-	s.note, s.noteAt = reason, o.now
+	s.noteAt = o.now
 	o.do(Note{Event: EventWait, Job: s.occurrence.job.ID, Task: fmt.Sprintf("%s.%d.%d", s.occurrence.job.ID, s.occurrence.number, s.index),
 		Reason: reason, Age: o.now.Sub(s.readyAt), Figures: fmt.Sprintf("Left=%d Ready=%d", s.left, len(o.ready))})
 }
--- a/internal/orchestrator/relief.go
+++ b/internal/orchestrator/relief.go
@@ -18,6 +18,21 @@
 	tailLow  = 0.65
 	// paceStep is the percent by which a pace rises again.
 	paceStep = 15
+	// overLimit is how long a task may be over its target before all fillers beside it
+	// are halted. Callers of the platform count four seconds as harm.
+	overLimit = 1800 * time.Millisecond
+	// knownRise is the predicted rise from which the fillers' parts in it are believed,
+	// and blameShare the part of it from which a filler is slowed.
+	knownRise  = 0.15
+	blameShare = 0.2
+	// paceProbe is the time after which a slowed filler may run faster although that is
+	// predicted to disturb: conditions change.
+	paceProbe = 3 * time.Second
+	// Fillers below releasePace are moved after releaseAfter, those that save no
+	// progress only while they have done less than releaseLimit percent.
+	releasePace  = 50
+	releaseAfter = 1200 * time.Millisecond
+	releaseLimit = 30
 	// paceFloor is the pace below which tasks that fill are halted.
 	paceFloor = 12
 
@@ -36,23 +51,26 @@
 )
 
 // pacing slows the tasks that fill on a worker while a task with a latency target is
-// near or over it, and lets them run again afterwards.
+// near or over it, and lets them run again afterwards. It slows first those whose images
+// are known to disturb the task.
 func (o *Orchestrator) pacing(w *worker) {
-	if w.load.filling == 0 || w.load.serving == 0 {
-		w.pace = 100
-	} else if w.tailAt.After(w.pacedAt) && o.now.Sub(w.pacedAt) >= paceEvery {
+	if w.load.filling > 0 && w.load.serving > 0 && w.tailAt.After(w.pacedAt) && o.now.Sub(w.pacedAt) >= paceEvery {
 		before := w.pace
-		switch {
-		case w.tail >= tailOver:
-			w.pace /= 2
-		case w.tail >= tailHigh:
-			w.pace = w.pace * 4 / 5
-		case w.tail < tailLow:
-			w.pace = min(100, w.pace+paceStep)
+		worst := w.worstTail()
+		if worst == nil || worst.tail < tailOver {
+			w.overSince = time.Time{}
+		} else if w.overSince.IsZero() {
+			w.overSince = w.tailAt
 		}
-		if w.pace < paceFloor && w.tail >= tailHigh {
-			w.pace = 0
+		switch {
+		case worst == nil || worst.tail < tailLow:
+			o.unpace(w)
+		case worst.tail >= tailOver && o.now.Sub(w.overSince) >= overLimit:
+			w.wish(func(*run) int { return 0 })
+		case worst.tail >= tailHigh:
+			o.slow(w, worst)
 		}
+		w.pace = w.lowestPace()
 		if w.pace != before {
 			w.pacedAt = o.now
 			o.do(Note{Event: EventPace, Worker: w.ID, Outcome: fmt.Sprintf("%d%%", w.pace), Age: o.now.Sub(w.tailAt),
@@ -60,9 +78,103 @@
 		}
 	}
 	for _, r := range w.runs {
-		if r.task.step.Fills && r.phase == phaseRunning && r.pace != w.pace && !r.paceBusy && o.now.Sub(r.paceSent) >= paceRepeat {
+		if r.task.step.Fills && r.phase == phaseRunning && r.pace != r.wish && !r.paceBusy && (r.pace >= 0 || o.now.Sub(r.paceSent) >= paceRepeat) {
 			r.paceBusy, r.paceSent = true, o.now
-			o.do(PaceRun{Worker: w.ID, Task: r.task.name, Run: r.number, Percent: w.pace})
+			o.do(PaceRun{Worker: w.ID, Task: r.task.name, Run: r.number, Percent: r.wish})
+		}
+	}
+}
+
+// worstTail returns the run with the highest tail, nil if none was measured.
+func (w *worker) worstTail() *run {
+	var worst *run
+	for _, r := range w.runs {
+		if r.task.step.LatencyTarget > 0 && r.tail > 0 && (worst == nil || r.tail > worst.tail) {
+			worst = r
+		}
+	}
+	return worst
+}
+
+// slow lowers the pace of the fillers that probably disturb a task.
+func (o *Orchestrator) slow(w *worker, worst *run) {
+	image := worst.task.step.Image
+	total := o.pressure.rise(image, w.fillLoads())
+	known := total >= knownRise
+	w.wish(func(r *run) int {
+		part := o.pressure.coefficients[pair{image, r.task.step.Image}] * w.fillLoad(r.task.step.Step, max(0, r.pace))
+		if known && part < blameShare*total {
+			return r.wish
+		}
+		if worst.tail < tailOver {
+			return halt(r.wish * 3 / 4)
+		}
+		return halt(r.wish / 3)
+	})
+}
+
+func halt(percent int) int {
+	if percent < paceFloor {
+		return 0
+	}
+	return percent
+}
+
+// unpace lets slowed fillers run faster where no tail is predicted to come near its
+// target.
+func (o *Orchestrator) unpace(w *worker) {
+	for _, r := range w.runs {
+		if !r.task.step.Fills || r.wish >= 100 {
+			continue
+		}
+		next := min(100, r.wish+paceStep)
+		loads := w.fillLoads()
+		loads[r.task.step.Image] += w.fillLoad(r.task.step.Step, next-r.wish)
+		calm := true
+		for _, k := range w.runs {
+			calm = calm && (k.task.step.LatencyTarget <= 0 || o.pressure.tail(k.task.step.Image, loads) < tailHigh)
+		}
+		if calm || o.now.Sub(r.paceSent) > paceProbe {
+			r.wish = next
+		}
+	}
+}
+
+// wish sets the pace of all fillers on a worker.
+func (w *worker) wish(f func(*run) int) {
+	for _, r := range w.runs {
+		if r.task.step.Fills {
+			r.wish = f(r)
+		}
+	}
+}
+
+func (w *worker) lowestPace() int {
+	lowest := 100
+	for _, r := range w.runs {
+		if r.task.step.Fills {
+			lowest = min(lowest, r.wish)
+		}
+	}
+	return lowest
+}
+
+// release moves a filler that is slowed for the sake of a task beside it to a worker
+// where it disturbs nobody.
+func (o *Orchestrator) release(r *run) {
+	t, s := r.task, r.task.step
+	if !s.Fills || r.wish >= releasePace || r.phase != phaseRunning || o.now.Sub(r.startedAt) < releaseAfter || t.moves >= maxMoves {
+		return
+	}
+	if !s.Checkpoints && r.percent > releaseLimit {
+		return
+	}
+	workers, _ := o.candidates(s)
+	for _, w := range workers {
+		if w != r.worker && o.fits(t, w) && w.unused() >= s.Size.CPU && o.besides(s, w) > 0 {
+			t.moves++
+			o.stop(r, "slowed for the sake of a task with a latency target")
+			return
 		}
 	}
 }
@@ -87,7 +199,7 @@
 // straggle moves or copies a run that stands still or is much slower than expected.
 func (o *Orchestrator) straggle(r *run) {
 	t, s, w := r.task, r.task.step, r.worker
-	if s.LongRunning || s.Gang || r.phase != phaseRunning || len(t.runs) > 1 || w.pace < 100 && s.Fills {
+	if s.LongRunning || s.Gang || r.phase != phaseRunning || len(t.runs) > 1 || r.wish < 100 {
 		return
 	}
 	elapsed := o.now.Sub(r.startedAt)
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -30,7 +30,9 @@
 	ticket    string
 	percent   int
 	percentAt time.Time // of the last progress
-	pace      int       // percent that was sent last
+	tail      float64   // measured tail as a share of the latency target
+	wish      int       // percent of its speed that the run may use
+	pace      int       // percent that the worker has confirmed; -1: unknown
 	paceSent  time.Time
 	paceBusy  bool
 }
@@ -39,7 +41,7 @@
 
 // attach makes a run known to its task and worker.
 func (o *Orchestrator) attach(t *task, w *worker, number int, p phase) *run {
-	r := &run{task: t, worker: w, number: number, phase: p, sentAt: o.now, startedAt: o.now, percentAt: o.now, pace: 100}
+	r := &run{task: t, worker: w, number: number, phase: p, sentAt: o.now, startedAt: o.now, percentAt: o.now, pace: 100, wish: 100}
 	t.runs = append(t.runs, r)
 	t.nextRun, t.owned = max(t.nextRun, number+1), true
 	w.runs[r.key()] = r
@@ -270,7 +272,11 @@
 	if row.Percent != r.percent {
 		r.percent, r.percentAt = row.Percent, o.now
 	}
+	if s := r.task.step; s.LatencyTarget > 0 && row.Figure > 0 {
+		r.tail = float64(row.Figure) * float64(time.Millisecond) / float64(s.LatencyTarget)
+	}
 	o.straggle(r)
+	o.release(r)
 }
 
 // applyEnd takes up the end of a run.
@@ -429,8 +435,9 @@
 	version uint64
 }
 
-// batchDelay is how long changes that nobody waits for are collected.
-const batchDelay = 500 * time.Millisecond
+// batchDelay is how long changes that no caller waits for are collected. The ends of
+// runs are acknowledged after it, and until then each look lists them again.
+const batchDelay = 80 * time.Millisecond
 
 // NextBatch returns the most urgent changes, at most limit jobs, and false if there are
 // none. all includes those that could still be collected.
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -66,8 +66,12 @@
 	fullUntil  time.Time
 	tail       float64 // highest tail latency as a share of its target
 	tailAt     time.Time
-	pace       int // percent for tasks that fill
+	overSince  time.Time // since when a task is over its latency target
+	pace       int       // lowest pace of a task that fills
 	pacedAt    time.Time
+	outlooks   []outlook
+	foreseen   bool
+	foreseenAt time.Time
 	drainLeft  time.Duration
 	drainSeen  time.Time
 }
@@ -180,6 +184,12 @@
 	return r, true
 }
 
+// Acknowledged reports whether all ends that a worker has listed stand in the store.
+func (o *Orchestrator) Acknowledged(id string) bool {
+	w := o.workers[id]
+	return w == nil || len(w.ends) == 0
+}
+
 // deadline returns the end of a lease that begins now, on the worker's clock, and keeps
 // in mind that the worker may run tasks until then.
 func (o *Orchestrator) deadline(w *worker) (time.Duration, bool) {
@@ -261,9 +271,7 @@
 			continue
 		}
 		o.observe(r, row)
-		if t := r.task.step.LatencyTarget; t > 0 && row.Figure > 0 {
-			tail = max(tail, float64(row.Figure)*float64(time.Millisecond)/float64(t))
-		}
+		tail = max(tail, r.tail)
 	}
 	for k, r := range w.runs {
 		if !listed[k] && !r.settledAt.IsZero() && r.settledAt.Before(e.SentAt) {
@@ -274,6 +282,7 @@
 	}
 	if w.load.serving > 0 {
 		w.tail, w.tailAt = tail, e.ReceivedAt
+		o.learnPressure(w, e.Running)
 	} else {
 		w.tail = 0
 	}
