--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -401,6 +401,9 @@
 	if !o.ready[s] {
 		o.ready[s] = true
 		s.readyAt = o.now
+		for _, t := range s.tasks {
+			t.since = o.now
+		}
 	}
 	o.pass = true
 }
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -38,6 +38,7 @@
 	weightFailedOn = 5.0 // an earlier run of the task failed there
 	weightSlow     = 0.7 // for each multiple of the expected run time
 	weightWarmup   = 0.3
+	weightImage    = 1.0 // other images with a latency target on the worker
 	weightBeside   = 2.0 // utilization that fillers add for tasks with a latency target
 )
 
@@ -279,7 +280,7 @@
 	case s.Fills:
 		score += weightBeside * o.besides(s, w)
 	case s.LatencyTarget > 0:
-		score -= weightBeside * o.endures(s, w)
+		score -= weightBeside*o.endures(s, w) + weightImage*float64(o.strangers(s, w))
 	}
 	if s.RackAffinity != "" && s.RackAffinity == w.Rack || s.SameRack && s.rack == w.Rack {
 		score += weightNear
@@ -296,6 +297,19 @@
 	return score
 }
 
+// strangers returns the number of other images with a latency target on a worker. A
+// filler must spare all images of a worker: the fewer each has, the more workers are left
+// for each filler.
+func (o *Orchestrator) strangers(s *step, w *worker) int {
+	n := 0
+	for _, k := range o.outlooks(w) {
+		if k.image != s.Image {
+			n++
+		}
+	}
+	return n
+}
+
 // scheduleGang starts all tasks of a gang or none.
 func (o *Orchestrator) scheduleGang(s *step) int {
 	number := 0
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -45,6 +45,7 @@
 	t.runs = append(t.runs, r)
 	t.nextRun, t.owned = max(t.nextRun, number+1), true
 	w.runs[r.key()] = r
+	w.foreseen = false
 	w.account(t.step.Step, 1)
 	return r
 }
