--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -7,6 +7,7 @@
 
 	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/storer"
+	"peridotpitch/internal/timekeeper"
 )
 
 const (
@@ -196,13 +197,24 @@
 	return Answer{Outcome: OutcomeGone, Reason: "no such job"}
 }
 
+// pendingAge is how old a count of pending jobs may be, from the platform's description.
+const pendingAge = 1800 * time.Millisecond
+
 // Pending implements Jobs.
-func (c *Coordinator) Pending(queue string) int {
+func (c *Coordinator) Pending(queue string) (int, bool) {
 	if ld := c.leading(); ld != nil {
-		return ld.pending()[queue]
+		p := ld.pending()
+		return p[queue], p != nil
 	}
-	if p := c.lastPend.Load(); p != nil {
-		return (*p)[queue]
+	p := c.lastPending.Load()
+	if p == nil || timekeeper.Now().Sub(p.at) > pendingAge {
+		return 0, false
 	}
-	return 0
+	return p.byQueue[queue], true
+}
+
+// pendingCount is the leader's count of pending jobs.
+type pendingCount struct {
+	byQueue map[string]int
+	at      time.Time
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -50,11 +50,11 @@
 	leaving atomic.Bool
 	refetch chan struct{} // wakes the reader of the configuration
 
-	storeSeen  atomic.Int64 // timekeeper time of the last answer of the store, Unix ns
-	storeLost  atomic.Bool
-	lastPend   atomic.Pointer[map[string]int]
-	campaignCh chan struct{}
-	foreign    sync.Map // keys of discovery entries that were refused
+	storeSeen   atomic.Int64 // timekeeper time of the last answer of the store, Unix ns
+	storeLost   atomic.Bool
+	lastPending atomic.Pointer[pendingCount]
+	campaignCh  chan struct{}
+	foreign     sync.Map // keys of discovery entries that were refused
 
 	mu      sync.Mutex // guards the fields below
 	term    term       // as last read
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -276,9 +276,13 @@
 	return s, known, ld.loaded && !ld.handing
 }
 
+// pending returns nil while not all jobs are known.
 func (ld *leader) pending() map[string]int {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
+	if !ld.loaded || ld.handing {
+		return nil
+	}
 	return ld.o.Pending()
 }
 
@@ -517,7 +521,7 @@
 func (ld *leader) handOver(ctx context.Context) {
 	ld.step(orchestrator.HandOver{})
 	ld.mu.Lock()
-	clean := ld.loaded
+	clean := ld.loaded && ld.o.KnowsRuns()
 	ld.handing = true
 	for _, k := range ld.lookers {
 		k.cancel()
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -7,6 +7,7 @@
 
 	"peridotpitch/internal/messenger"
 	"peridotpitch/internal/orchestrator"
+	"peridotpitch/internal/timekeeper"
 )
 
 // Methods that other entry hosts call.
@@ -30,6 +31,7 @@
 type pong struct {
 	Process      string
 	Leading      bool
+	Loaded       bool // the leader knows all jobs
 	Epoch        uint64
 	StoreSilence time.Duration // since the store's last answer to the leader
 	Version      uint64
@@ -75,6 +77,7 @@
 	a := pong{Process: c.process, StoreSilence: c.storeSilence(), Version: c.configVersion()}
 	if ld := c.leading(); ld != nil {
 		a.Leading, a.Epoch, a.Pending = true, ld.term.Revision, ld.pending()
+		a.Loaded = a.Pending != nil
 	}
 	return a, nil
 }
@@ -82,14 +85,15 @@
 // ping returns an error if the leader gave no answer.
 func (c *Coordinator) ping(ctx context.Context, t term) (pong, error) {
 	var a pong
+	sent := timekeeper.Now()
 	err := c.client(t.address()).Invoke(ctx, pingTimeout, methodPing,
 		&ping{Host: c.settings.Name, Epoch: t.Revision, Version: c.configVersion()}, &a)
 	if err != nil {
 		return pong{}, err
 	}
 	c.newerConfiguration(a.Version)
-	if a.Leading {
-		c.lastPend.Store(&a.Pending)
+	if a.Leading && a.Loaded {
+		c.lastPending.Store(&pendingCount{byQueue: a.Pending, at: sent})
 	}
 	return a, nil
 }
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -100,8 +100,9 @@
 	Submit(ctx context.Context, j orchestrator.Job) Answer
 	State(ctx context.Context, id string) Answer
 	Cancel(ctx context.Context, id string) Answer
-	// Pending returns the number of a queue's jobs of which no task has started.
-	Pending(queue string) int
+	// Pending returns the number of a queue's jobs of which no task has started, and
+	// false if it is not known.
+	Pending(queue string) (int, bool)
 }
 
 // Target is one worker's address.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -213,6 +213,21 @@
 	}
 }
 
+// KnowsRuns reports whether the records after a HandOver name the workers of all runs.
+// They do not while an earlier leader, which did not hand over, may have started tasks on
+// a worker that was not reached yet.
+func (o *Orchestrator) KnowsRuns() bool {
+	if !o.inherited {
+		return false
+	}
+	for _, w := range o.workers {
+		if w.inherited && !w.resolved && !o.handedOff {
+			return false
+		}
+	}
+	return true
+}
+
 func (o *Orchestrator) do(a Action) { o.actions = append(o.actions, a) }
 
 func (o *Orchestrator) stepDown(reason string) {
--- a/internal/orchestrator/record.go
+++ b/internal/orchestrator/record.go
@@ -82,6 +82,9 @@
 		for _, r := range t.runs {
 			tr.Workers = append(tr.Workers, r.worker.ID)
 		}
+		if !t.owned {
+			tr.Workers = t.inheritedWorkers // not reached yet by this leader either
+		}
 		tasks = append(tasks, tr)
 	}
 	if bits != nil {
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -178,7 +178,9 @@
 	}
 	o.now = now
 	r := LookRequest{AckedUpto: w.acked, Brief: w.load.serving > 0 && w.load.filling > 0 || len(w.runs) == 0 && !w.resolved}
-	if len(w.runs) > 0 {
+	// A look that gets no answer may still arrive. If each try extended the leases of an
+	// unreachable worker, its runs could never be given up.
+	if len(w.runs) > 0 && !w.failing {
 		r.Deadline, _ = o.deadline(w)
 	}
 	return r, true
