Take leases as ended only if no other leader was elected by then

Cause: a leader in a cut failure domain saw the leases of workers elsewhere end by its own account and restarted their tasks, while its successor had reached those workers and extended the leases.

--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -339,7 +339,9 @@
 // tickWorker ends leases and repeats orders.
 func (o *Orchestrator) tickWorker(w *worker) {
 	unreached := w.failing || !w.hasClock
-	if unreached && !w.idle && o.now.After(w.expiry) {
+	// A newer leader may have reached the worker and extended its leases. That they have
+	// ended is certain only if nobody else had been elected by then.
+	if unreached && !w.idle && o.now.After(w.expiry) && o.confirmedAt.After(w.expiry) {
 		if len(w.runs) > 0 || w.inherited {
 			o.do(Note{Event: EventWorkerLost, Worker: w.ID, Outcome: "leases ended", Age: o.now.Sub(w.answeredAt),
 				Figures: fmt.Sprintf("Runs=%d", len(w.runs))})
