Load the jobs before any worker is looked at

Cause: a new leader listed the workers, and so looked at them, a few milliseconds before it had applied the inherited jobs.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -91,7 +91,7 @@
 }
 
 func (ld *leader) run(ctx context.Context, handedOff bool) {
-	inputs, workers, err := ld.load(ctx, handedOff)
+	inputs, err := ld.load(ctx, handedOff)
 	if err != nil {
 		ld.c.log.Warn("LeadershipEnded", "Epoch", ld.term.Revision, "Cause", err.Error())
 		return
@@ -99,7 +99,7 @@
 	group, inner := errgroup.WithContext(ctx)
 	group.Go(func() error { ld.write(inner); return nil })
 	group.Go(func() error { ld.catchUp(inner, inputs); return nil })
-	group.Go(func() error { ld.discover(inner, workers); return nil })
+	group.Go(func() error { ld.discover(inner); return nil })
 	group.Go(func() error { ld.tick(inner); return nil })
 	if err := group.Wait(); err != nil {
 		ld.c.log.Error("LeadershipEnded", "Epoch", ld.term.Revision, "Cause", err.Error())
@@ -111,34 +111,35 @@
 	ld.mu.Unlock()
 }
 
-// load reads what earlier leaders left, and returns the store's revision of the inputs
-// and the list of workers.
-func (ld *leader) load(ctx context.Context, handedOff bool) (inputs, workers uint64, err error) {
+// load reads what earlier leaders left, and returns the store's revision of the inputs.
+func (ld *leader) load(ctx context.Context, handedOff bool) (uint64, error) {
 	begin := timekeeper.Now()
 	var inherited orchestrator.Inherited
+	var inputs uint64
 	for {
 		if err := ctx.Err(); err != nil {
-			return 0, 0, err
+			return 0, err
 		}
+		var err error
 		if inherited, inputs, err = ld.readState(ctx); err == nil {
-			if workers, err = ld.listWorkers(ctx); err == nil {
-				break
-			}
+			break
 		}
 		ld.c.log.Warn("LoadFailed", "Epoch", ld.term.Revision, "Cause", err.Error())
 		if next, readErr := ld.c.readTerm(ctx); readErr == nil && next.Revision != ld.term.Revision {
-			return 0, 0, errDeposed
+			return 0, errDeposed
 		}
 		sleep(ctx, loadRetry)
 	}
 	inherited.HandedOff = handedOff
+	// Before any worker is looked at: ends of jobs that are not known would be
+	// acknowledged, and their runs stopped.
 	ld.step(inherited)
 	ld.mu.Lock()
 	ld.loaded = true
 	ld.mu.Unlock()
 	ld.c.log.Info("Leading", "Epoch", ld.term.Revision, "Jobs", len(inherited.Jobs), "Finished", len(inherited.Finished),
 		"Workers", len(inherited.Roster.Workers), "Took", timekeeper.Now().Sub(begin).Round(time.Millisecond).String())
-	return inputs, workers, nil
+	return inputs, nil
 }
 
 var errDeposed = errors.New("another host was elected")
@@ -462,9 +463,18 @@
 }
 
 // discover follows the list of workers.
-func (ld *leader) discover(ctx context.Context, revision uint64) {
-	listed := timekeeper.Now()
+func (ld *leader) discover(ctx context.Context) {
+	var listed time.Time
+	var revision uint64
 	for ctx.Err() == nil {
+		if timekeeper.Now().Sub(listed) > relistEvery {
+			at, err := ld.listWorkers(ctx)
+			if err != nil {
+				sleep(ctx, discoveryRetry)
+				continue
+			}
+			listed, revision = timekeeper.Now(), max(revision, at)
+		}
 		es, err := ld.c.peers.Store.Watch(ctx, ld.c.peers.Keys.Workers, revision, discoveryWait)
 		ld.c.storeAnswered(err)
 		if err != nil {
@@ -475,13 +485,8 @@
 			ld.takeWorker(e)
 		}
 		revision = max(revision, es.StoreRevision)
-		if es.Compacted || timekeeper.Now().Sub(listed) > relistEvery {
-			at, err := ld.listWorkers(ctx)
-			if err != nil {
-				sleep(ctx, discoveryRetry)
-				continue
-			}
-			listed, revision = timekeeper.Now(), max(revision, at)
+		if es.Compacted {
+			listed = time.Time{}
 		}
 	}
 }
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -229,8 +229,8 @@
 
 func (o *Orchestrator) lookAnswered(e LookAnswered) {
 	w := o.workers[e.Worker]
-	if w == nil || e.SentAt.Before(w.lookSentAt) {
-		return
+	if w == nil || !o.inherited || e.SentAt.Before(w.lookSentAt) {
+		return // without the jobs, ends would be acknowledged and runs stopped
 	}
 	if w.born != 0 && w.born != e.Born {
 		o.workerRestarted(w)
