--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -35,17 +35,19 @@
 		return Answer{Outcome: OutcomeInvalid, Reason: err.Error()}
 	}
 	j.Submitted = time.Now().Round(0)
-	value, err := orchestrator.EncodeJob(j)
-	if err != nil {
-		return Answer{Outcome: OutcomeInvalid, Reason: err.Error()}
-	}
 	t, known := c.currentTerm()
 	if !known {
+		var err error
 		if t, err = c.readTerm(ctx); err != nil {
 			return refusal(err)
 		}
 	}
 	for range submitTries {
+		j.Epoch = t.Revision
+		value, err := orchestrator.EncodeJob(j)
+		if err != nil {
+			return Answer{Outcome: OutcomeInvalid, Reason: err.Error()}
+		}
 		revision, err := c.peers.Store.Commit(ctx, storer.Transaction{
 			Conditions: []storer.Condition{{Key: prefixJob + j.ID}, {Key: prefixRecord + j.ID}, {Key: keyTerm, Revision: t.Revision}},
 			Puts:       []storer.Entry{{Key: prefixJob + j.ID, Value: value}},
--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -86,6 +86,7 @@
 	Interval    time.Duration
 	Policy      Policy
 	Submitted   time.Time
+	Epoch       uint64 // of the leader under which the job was accepted
 }
 
 // Limits of a job. They bound the memory that one job can take.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -90,6 +90,8 @@
 	next        int           // the next occurrence to begin
 	finished    []int
 	deadline    time.Time // objective of a job without occurrences
+	runs        int       // runs of all tasks
+	idleSince   time.Time // when the last of them ended, or a step became ready
 
 	version uint64 // of the last change
 	written uint64 // version that stands in the store
@@ -256,8 +258,8 @@
 		o.finished[r.ID] = finishedJob{queue: r.Queue, state: r.State, at: r.FinishedAt}
 	}
 	for _, ij := range e.Jobs {
-		if ij.Record != nil && ij.Record.State.Final() {
-			continue
+		if ij.Record != nil && ij.Record.State.Final() || o.jobs[ij.Job.ID] != nil {
+			continue // the second: its notice came while the store was read
 		}
 		o.addJob(ij.Job, ij.Revision, ij.Record)
 		if ij.Cancelled {
@@ -284,11 +286,15 @@
 	if _, ok := o.finished[j.ID]; ok || o.jobs[j.ID] != nil {
 		return
 	}
+	if j.Epoch > o.settings.Epoch {
+		o.stepDown("job " + j.ID + " was accepted under a newer leader")
+		return
+	}
 	o.addJob(j, revision, nil)
 }
 
 func (o *Orchestrator) addJob(spec Job, revision uint64, r *Record) {
-	j := &job{Job: spec, inherited: revision < o.settings.Epoch, state: StateQueued}
+	j := &job{Job: spec, inherited: spec.Epoch < o.settings.Epoch, state: StateQueued}
 	o.jobs[j.ID] = j
 	j.deadline = j.Submitted.Add(time.Duration(max(1, j.Policy.Stretch)*float64(o.chain(j))) + j.Policy.TargetDuration)
 	if r != nil {
@@ -416,6 +422,9 @@
 	if !o.ready[s] {
 		o.ready[s] = true
 		s.readyAt = o.now
+		if j.runs == 0 {
+			j.idleSince = o.now
+		}
 		for _, t := range s.tasks {
 			t.since = o.now
 		}
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -20,6 +20,9 @@
 	// fillWait is how long a step that fills waits for unused processors before any
 	// worker with enough memory will do.
 	fillWait = 1500 * time.Millisecond
+	// starveAfter is how long a job that fills may have nothing running. The platform
+	// takes a job as lost after 3 s.
+	starveAfter = 2 * time.Second
 	// noteEvery bounds how often a step's reason for waiting is noted.
 	noteEvery = 2 * time.Second
 	// passEvery is the pause between two passes. Answers of workers come in faster.
@@ -236,6 +239,9 @@
 // processors is unused, unless it has waited for long, and where no tail is predicted to
 // come near its target.
 func (o *Orchestrator) fillsInto(t *task, w *worker) bool {
+	if o.starves(t.job()) {
+		return true
+	}
 	if w.unused() < int(fillShare*float64(t.step.Size.CPU)) && o.now.Sub(t.since) < fillWait {
 		return false
 	}
@@ -245,6 +251,12 @@
 	return true
 }
 
+// starves reports whether a job has had nothing running for so long that one of its tasks
+// must start even where it is slowed by others.
+func (o *Orchestrator) starves(j *job) bool {
+	return j.runs == 0 && o.now.Sub(j.idleSince) > starveAfter
+}
+
 func (o *Orchestrator) rackExists(s *step) bool {
 	for _, w := range o.workers {
 		if w.Rack == s.RackAffinity && w.Service == s.occurrence.job.Policy.Service && w.listed && !w.failing {
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -46,6 +46,7 @@
 	t.nextRun, t.owned = max(t.nextRun, number+1), true
 	w.runs[r.key()] = r
 	w.foreseen = false
+	t.job().runs++
 	w.account(t.step.Step, 1)
 	return r
 }
@@ -76,8 +77,12 @@
 	t.runs = slices.DeleteFunc(t.runs, func(k *run) bool { return k == r })
 	t.since = o.now
 	o.pass = true
-	if t.job().state.Final() {
-		o.retire(t.job())
+	j := t.job()
+	if j.runs--; j.runs == 0 {
+		j.idleSince = o.now
+	}
+	if j.state.Final() {
+		o.retire(j)
 	}
 }
 
