--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -58,8 +58,9 @@
 	rosterWritten uint64
 	dirty         map[string]*job
 	expired       []string // finished jobs whose records are to be deleted
+	spare         bool     // less than half of the workers' processors are taken
 	pass          bool     // something changed that may let a task start
-	lastTick      time.Time
+	loadNoted     time.Time
 	lastPass      time.Time
 	wholePass     time.Time
 	deposed       bool
@@ -104,6 +105,10 @@
 	due    time.Time
 	steps  []*step
 	left   int // steps with unfinished tasks
+
+	prospect   prospect // as of prospectAt
+	prospectAt time.Time
+	remaining  time.Duration // run time of the longest chain that is left
 }
 
 type step struct {
@@ -150,7 +155,6 @@
 		workers:     make(map[string]*worker),
 		shapes:      make(map[string]*shape),
 		pressure:    newPressure(),
-		lastTick:    s.ElectedAt,
 		dirty:       make(map[string]*job),
 	}
 }
@@ -248,8 +252,41 @@
 		o.beginOccurrences(j)
 	}
 	o.expire()
-	o.pressure.fade(o.now, o.now.Sub(o.lastTick))
-	o.lastTick, o.pass = o.now, true
+	o.pass = true
+	if o.now.Sub(o.loadNoted) >= loadEvery {
+		o.loadNoted = o.now
+		o.noteLoad()
+	}
+}
+
+// loadEvery is the interval of the line on the load of all workers.
+const loadEvery = time.Second
+
+// noteLoad notes what the workers have and what waits.
+func (o *Orchestrator) noteLoad() {
+	var cores, counted, serving, filling, unused, usable int
+	for _, w := range o.workers {
+		if ok, _ := o.usable(w); !ok {
+			continue
+		}
+		usable++
+		cores += w.Room.CPU
+		counted += w.used.CPU - w.load.serving
+		serving += w.load.serving
+		filling += w.load.filling
+		unused += max(0, w.unused())
+	}
+	waiting, cpu := 0, 0
+	for s := range o.ready {
+		for _, t := range s.tasks {
+			if !t.done && len(t.runs) == 0 {
+				waiting++
+				cpu += s.Size.CPU
+			}
+		}
+	}
+	o.do(Note{Event: EventLoad, Figures: fmt.Sprintf("Workers=%d Cores=%d Counted=%d Serving=%d Filling=%d Unused=%d Jobs=%d WaitingTasks=%d WaitingCores=%d",
+		usable, cores/1000, counted/1000, serving/1000, filling/1000, unused/1000, len(o.jobs), waiting, cpu/1000)})
 }
 
 func (o *Orchestrator) inherit(e Inherited) {
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -13,7 +13,7 @@
 	nearWait = 0.5
 	// servingShare is the part of its processors that a task with a latency target
 	// uses on average; the rest is left to tasks that fill.
-	servingShare = 0.5
+	servingShare = 0.45
 	// fillShare is the part of its declared processors that must be unused on a worker
 	// before a task that fills starts there.
 	fillShare = 0.7
@@ -41,8 +41,9 @@
 	weightFailedOn = 5.0 // an earlier run of the task failed there
 	weightSlow     = 0.7 // for each multiple of the expected run time
 	weightWarmup   = 0.3
-	weightImage    = 1.0 // other images with a latency target on the worker
-	weightBeside   = 2.0 // utilization that fillers add for tasks with a latency target
+	weightReserve  = 0.6 // fillers that disturb nobody on workers without latency targets
+	weightImage    = 1.5 // other images with a latency target on the worker
+	weightBeside   = 4.0 // utilization that fillers add for tasks with a latency target
 )
 
 // schedule starts tasks on workers, the most urgent first.
@@ -53,6 +54,7 @@
 			steps = append(steps, s)
 		}
 	}
+	o.spare = o.spareRoom()
 	slices.SortFunc(steps, o.compareUrgency)
 	whole := o.now.Sub(o.wholePass) >= wholePassEvery
 	if whole {
@@ -72,22 +74,91 @@
 	}
 }
 
-// compareUrgency orders steps: by priority, then those that can still meet their
-// objective, then by objective.
+// spareRoom reports whether less than half of the workers' processors are taken by tasks
+// whose processors count. Beyond that, waiting is no fault.
+func (o *Orchestrator) spareRoom() bool {
+	room, used := 0, 0
+	for _, w := range o.workers {
+		if ok, _ := o.usable(w); ok {
+			room += w.Room.CPU
+			used += w.used.CPU
+		}
+	}
+	return 2*used < room
+}
+
+// prospect is what a job can still reach.
+type prospect string
+
+// Prospects, the best first.
+const (
+	prospectTimely   prospect = "1 timely"   // it can meet its objective
+	prospectLate     prospect = "2 late"     // it can end within lateFactor times its objective
+	prospectHopeless prospect = "3 hopeless" // it must end all the same
+)
+
+// lateFactor is how many times its objective a job may take and still be of some use, by
+// the platform's accounts.
+const lateFactor = 3
+
+// prospectEvery bounds the age of a prospect.
+const prospectEvery = 250 * time.Millisecond
+
+// outlast returns an occurrence's prospect and the run time of its longest remaining
+// chain of steps.
+func (o *Orchestrator) outlast(oc *occurrence) (prospect, time.Duration) {
+	if oc.prospect != "" && o.now.Sub(oc.prospectAt) < prospectEvery {
+		return oc.prospect, oc.remaining
+	}
+	ratio := o.shape(oc.job.Policy.Queue).ratio
+	ends := make([]time.Duration, len(oc.steps))
+	oc.remaining = 0
+	for i, s := range oc.steps {
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		if s.left > 0 {
+			ends[i] += s.expected(ratio) / 2 // some of it may have been done
+			if s.left == s.Count {
+				ends[i] += s.expected(ratio) / 2
+			}
+		}
+		oc.remaining = max(oc.remaining, ends[i])
+	}
+	end := o.now.Add(oc.remaining)
+	oc.prospectAt = o.now
+	switch {
+	case !end.After(oc.deadline()):
+		oc.prospect = prospectTimely
+	case !end.After(oc.due.Add(lateFactor * oc.deadline().Sub(oc.due))):
+		oc.prospect = prospectLate
+	default:
+		oc.prospect = prospectHopeless
+	}
+	return oc.prospect, oc.remaining
+}
+
+// compareUrgency orders steps: by priority, then by what their jobs can still reach.
+// Timely jobs go by their objective. Of the others, those that end soonest go first: many
+// jobs that are all begun would all end late.
 func (o *Orchestrator) compareUrgency(a, b *step) int {
 	ja, jb := a.occurrence.job, b.occurrence.job
 	if c := cmp.Compare(ja.Policy.Priority, jb.Policy.Priority); c != 0 {
 		return c
 	}
-	da, db := a.occurrence.deadline(), b.occurrence.deadline()
-	lateA, lateB := o.now.After(da), o.now.After(db)
-	if lateA != lateB {
-		if lateA {
-			return 1
+	pa, ra := o.outlast(a.occurrence)
+	pb, rb := o.outlast(b.occurrence)
+	if c := cmp.Compare(pa, pb); c != 0 {
+		return c
+	}
+	if pa == prospectTimely {
+		if c := a.occurrence.deadline().Compare(b.occurrence.deadline()); c != 0 {
+			return c
 		}
-		return -1
+	} else if c := cmp.Compare(ra, rb); c != 0 {
+		return c
 	}
-	return cmp.Or(da.Compare(db), cmp.Compare(ja.ID, jb.ID), cmp.Compare(a.index, b.index))
+	return cmp.Or(a.occurrence.deadline().Compare(b.occurrence.deadline()), cmp.Compare(ja.ID, jb.ID), cmp.Compare(a.index, b.index))
 }
 
 func (oc *occurrence) deadline() time.Time {
@@ -134,8 +205,9 @@
 	}
 	o.do(Note{Event: EventStart, Job: t.job().ID, Task: t.name, Run: number, Worker: w.ID, Age: o.now.Sub(w.answeredAt),
 		Figures: fmt.Sprintf("Score=%.2f FreeCores=%.1f Waited=%s", score, float64(w.Room.CPU-w.used.CPU)/1000, o.now.Sub(t.since).Round(time.Millisecond))})
+	pace := o.startPace(s, w)
 	o.try(s, w)
-	o.start(t, w, number, s.advice.tickets[w.ID])
+	o.start(t, w, number, s.advice.tickets[w.ID]).setWish(pace)
 }
 
 // held returns why a task can not start anywhere yet, empty if it can. An earlier
@@ -239,20 +311,20 @@
 // processors is unused, unless it has waited for long, and where no tail is predicted to
 // come near its target.
 func (o *Orchestrator) fillsInto(t *task, w *worker) bool {
-	if o.starves(t.job()) {
+	if o.spare && o.starves(t.job()) {
 		return true
 	}
 	if w.unused() < int(fillShare*float64(t.step.Size.CPU)) && o.now.Sub(t.since) < fillWait {
 		return false
 	}
-	if w.load.serving > 0 && (w.tail >= tailHigh || o.besides(t.step, w) < 0) {
+	if w.load.serving > 0 && o.besides(t.step, w) < 0 {
 		return false
 	}
 	return true
 }
 
 // starves reports whether a job has had nothing running for so long that one of its tasks
-// must start even where it is slowed by others.
+// must start even where it is slowed by others, if there is room at all.
 func (o *Orchestrator) starves(j *job) bool {
 	return j.runs == 0 && o.now.Sub(j.idleSince) > starveAfter
 }
@@ -289,10 +361,13 @@
 	room := float64(max(1, w.Room.CPU))
 	score := float64(w.unused()) / room
 	switch {
-	case s.Fills:
+	case s.Fills && w.load.serving > 0:
 		score += weightBeside * o.besides(s, w)
+	case s.Fills:
+		score += weightBeside*pressureBudget - weightReserve*(1-o.disturbs(s))
 	case s.LatencyTarget > 0:
-		score -= weightBeside*o.endures(s, w) + weightImage*float64(o.strangers(s, w))
+		// Packed on few workers, so that others are left to fillers that disturb.
+		score = float64(w.used.CPU)/room - weightBeside*o.endures(s, w) - weightImage*float64(o.strangers(s, w))
 	}
 	if s.RackAffinity != "" && s.RackAffinity == w.Rack || s.SameRack && s.rack == w.Rack {
 		score += weightNear
--- a/internal/orchestrator/pressure.go
+++ b/internal/orchestrator/pressure.go
@@ -1,7 +1,6 @@
 package orchestrator
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -13,19 +12,35 @@
 	// idleTail is the tail latency of an idle task as a share of its target, until a
 	// lower one is seen.
 	idleTail = 0.22
-	// A task's own load varies between these utilizations. Beyond them, fillers must
-	// take part.
-	ownLow, ownHigh = 0.18, 0.66
-	// pressureBudget is the utilization that fillers may add for a task: its own peak
-	// and the budget together stay below the utilization at which the target is reached.
-	pressureBudget = 0.12
-	// pressureMemory is the time in which an unconfirmed coefficient falls to a third.
-	pressureMemory = 40 * time.Second
+	// usualLoad is the utilization that a task's own callers cause, until it was measured,
+	// and ownWeight the weight of one measurement in it. It varies within seconds; loads
+	// outside of leastLoad and mostLoad are taken as errors.
+	usualLoad, leastLoad, mostLoad = 0.44, 0.15, 0.72
+	ownWeight                      = 0.5
+	// limitLoad is the utilization at which a tail is near its target, and loadRise what a
+	// task's own load may rise by while a filler runs.
+	limitLoad = 0.76
+	loadRise  = 0.08
+	// pressureBudget is the utilization that fillers may add even for a task whose own
+	// load is low at the moment.
+	pressureBudget = 0.06
+	// firstCoefficient is taken for pairs of which nothing is known. Most are near 0, some
+	// between 1 and 3.
+	firstCoefficient = 0.4
+	maxCoefficient   = 20.0
+	// pressureGain is the part of a prediction's error that one sample corrects, surprise
+	// the error from which surpriseGain takes its place, pressureNoise what keeps samples
+	// of small loads from large corrections.
+	pressureGain  = 0.06
+	surprise      = 0.35
+	surpriseGain  = 0.25
+	pressureNoise = 0.003
+	// meanWeight is the weight of one sample in an image's mean own load.
+	meanWeight = 0.02
 	// pressureTrials bounds the fillers that are started at the same time beside tasks
 	// of an image whose reaction to them is not known.
-	pressureTrials = 2
-	trialTime      = 1500 * time.Millisecond
-	maxCoefficient = 40.0
+	pressureTrials = 3
+	trialTime      = 1200 * time.Millisecond
 )
 
 // pair is an image with a latency target and one that fills beside it.
@@ -34,7 +49,6 @@
 // reaction is what was learnt of a pair.
 type reaction struct {
 	coefficient float64
-	at          time.Time // of the last correction
 	samples     int
 	trials      []time.Time // starts before there was a sample
 }
@@ -47,17 +61,18 @@
 type pressure struct {
 	reactions map[pair]*reaction
 	idle      map[string]float64 // lowest tail of an image as a share of its target
+	mean      map[string]float64 // mean own load of an image
 }
 
 func newPressure() pressure {
-	return pressure{reactions: make(map[pair]*reaction), idle: make(map[string]float64)}
+	return pressure{reactions: make(map[pair]*reaction), idle: make(map[string]float64), mean: make(map[string]float64)}
 }
 
 func (p pressure) reaction(serving, filler string) *reaction {
 	k := pair{serving, filler}
 	r := p.reactions[k]
 	if r == nil {
-		r = &reaction{}
+		r = &reaction{coefficient: firstCoefficient}
 		p.reactions[k] = r
 	}
 	return r
@@ -85,42 +100,34 @@
 	return 1 - idle/tail
 }
 
-// learn takes up a measured tail. It corrects the coefficients only as far as the
-// measurement can not be explained by the task's own load.
-func (p pressure) learn(serving string, tail float64, loads map[string]float64, now time.Time) {
-	u := p.utilization(serving, tail)
-	if len(loads) == 0 {
-		return
+// learn takes up a measured tail. What the fillers do not explain is the task's own load,
+// which varies around the image's mean.
+func (p pressure) learn(serving string, tail float64, loads map[string]float64) {
+	mean, ok := p.mean[serving]
+	if !ok {
+		mean = usualLoad
 	}
-	predicted := p.added(serving, loads)
-	wanted := min(max(predicted, u-ownHigh), max(0, u-ownLow))
-	square := 0.0
+	failure := p.utilization(serving, tail) - mean - p.added(serving, loads)
+	p.mean[serving] = min(mostLoad, max(leastLoad, mean+meanWeight*failure))
+	gain := pressureGain
+	if failure > surprise {
+		gain = surpriseGain
+	}
+	square := pressureNoise
 	for _, x := range loads {
 		square += x * x
 	}
 	for f, x := range loads {
-		r := p.reaction(serving, f)
 		if x > 0 {
+			r := p.reaction(serving, f)
 			r.samples++
 			r.trials = nil
-			r.coefficient = min(maxCoefficient, max(0, r.coefficient+(wanted-predicted)*x/square))
-		}
-		if wanted > predicted {
-			r.at = now
+			r.coefficient = min(maxCoefficient, max(0, r.coefficient+gain*failure*x/square))
 		}
 	}
 }
 
-// fade lets coefficients fall that nothing has confirmed for a while.
-func (p pressure) fade(now time.Time, elapsed time.Duration) {
-	for _, r := range p.reactions {
-		if now.Sub(r.at) > pressureMemory/4 {
-			r.coefficient *= math.Exp(-float64(elapsed) / float64(pressureMemory))
-		}
-	}
-}
-
-// outlook is what is predicted for a task with a latency target.
+// outlook is what is predicted for the tasks of an image with a latency target.
 type outlook struct {
 	image string
 	left  float64 // utilization that fillers may still add
@@ -134,7 +141,7 @@
 	loads := make(map[string]float64)
 	for _, r := range w.runs {
 		if r.task.step.Fills {
-			loads[r.task.step.Image] += w.fillLoad(r.task.step.Step, max(0, r.pace))
+			loads[r.task.step.Image] += w.fillLoad(r.task.step.Step, r.speed())
 		}
 	}
 	return loads
@@ -155,11 +162,16 @@
 	w.foreseen, w.foreseenAt, w.outlooks = true, o.now, w.outlooks[:0]
 	loads := w.fillLoads()
 	for _, r := range w.runs {
+		if r.task.step.LatencyTarget <= 0 {
+			continue
+		}
 		image := r.task.step.Image
-		if r.task.step.LatencyTarget <= 0 || slices.ContainsFunc(w.outlooks, func(k outlook) bool { return k.image == image }) {
+		left := min(pressureBudget, limitLoad-loadRise-r.own) - o.pressure.added(image, loads)
+		if i := slices.IndexFunc(w.outlooks, func(k outlook) bool { return k.image == image }); i >= 0 {
+			w.outlooks[i].left = min(w.outlooks[i].left, left)
 			continue
 		}
-		w.outlooks = append(w.outlooks, outlook{image: image, left: pressureBudget - o.pressure.added(image, loads)})
+		w.outlooks = append(w.outlooks, outlook{image: image, left: left})
 	}
 	return w.outlooks
 }
@@ -181,7 +193,10 @@
 		if r == nil || r.task.step.LatencyTarget <= 0 || row.Figure <= 0 {
 			continue
 		}
-		o.pressure.learn(r.task.step.Image, r.tail, loads, o.now)
+		image := r.task.step.Image
+		o.pressure.learn(image, r.tail, loads)
+		own := min(mostLoad, max(leastLoad, o.pressure.utilization(image, r.tail)-o.pressure.added(image, loads)))
+		r.own += ownWeight * (own - r.own)
 	}
 }
 
@@ -193,13 +208,48 @@
 	for _, k := range o.outlooks(w) {
 		r := o.pressure.reaction(k.image, s.Image)
 		if r.samples == 0 && r.trying(o.now) >= pressureTrials {
-			return -pressureBudget
+			return -limitLoad
 		}
 		left = min(left, k.left-r.coefficient*x)
 	}
 	return left
 }
 
+// startPace returns the pace at which a filler of the step starts on a worker: the whole,
+// unless a task there would come near its target.
+func (o *Orchestrator) startPace(s *step, w *worker) int {
+	if !s.Fills {
+		return 100
+	}
+	pace := 1.0
+	x := w.fillLoad(s.Step, 100)
+	for _, k := range o.outlooks(w) {
+		if add := o.pressure.reaction(k.image, s.Image).coefficient * x; add > k.left {
+			pace = min(pace, k.left/add)
+		}
+	}
+	return max(paceFloor, int(100*pace))
+}
+
+// disturbs returns the share of the images with a latency target that a filler of the
+// step would disturb.
+func (o *Orchestrator) disturbs(s *step) float64 {
+	if len(o.pressure.mean) == 0 {
+		return 0
+	}
+	n := 0
+	for image := range o.pressure.mean {
+		if o.pressure.reaction(image, s.Image).coefficient >= disturbing {
+			n++
+		}
+	}
+	return float64(n) / float64(len(o.pressure.mean))
+}
+
+// disturbing is the coefficient from which a pair is kept apart if possible: with it a
+// filler of a tenth of a worker uses up most of the budget.
+const disturbing = 0.6
+
 // trying returns the number of recent starts of a filler whose effect is not known.
 func (r *reaction) trying(now time.Time) int {
 	r.trials = slices.DeleteFunc(r.trials, func(t time.Time) bool { return now.Sub(t) > trialTime })
--- a/internal/orchestrator/relief.go
+++ b/internal/orchestrator/relief.go
@@ -17,14 +17,16 @@
 	tailOver = 1.0
 	tailLow  = 0.65
 	// paceStep is the percent by which a pace rises again.
-	paceStep = 15
+	paceStep = 25
 	// overLimit is how long a task may be over its target before all fillers beside it
 	// are halted. Callers of the platform count four seconds as harm.
 	overLimit = 1800 * time.Millisecond
 	// knownPressure is the predicted utilization from which the fillers' parts in it are
 	// believed, and blameShare the part of it from which a filler is slowed.
-	knownPressure = 0.05
-	blameShare    = 0.2
+	knownPressure = 0.02
+	blameShare    = 0.15
+	// calmLoad is the utilization to which a task is relieved.
+	calmLoad = 0.68
 	// paceProbe is the time after which a slowed filler may run faster although that is
 	// predicted to disturb: conditions change.
 	paceProbe = 6 * time.Second
@@ -33,6 +35,8 @@
 	releasePace  = 50
 	releaseAfter = 1200 * time.Millisecond
 	releaseLimit = 30
+	// releaseMargin is the utilization that must be left on the other worker.
+	releaseMargin = 0.05
 	// paceFloor is the pace below which tasks that fill are halted.
 	paceFloor = 12
 
@@ -96,23 +100,22 @@
 	return worst
 }
 
-// slow lowers the pace of the fillers that probably disturb a task.
+// slow lowers the pace of the fillers that disturb a task, as far as its utilization is
+// too high.
 func (o *Orchestrator) slow(w *worker, worst *run) {
 	image := worst.task.step.Image
+	excess := o.pressure.utilization(image, worst.tail) - calmLoad
 	total := o.pressure.added(image, w.fillLoads())
-	known := total >= knownPressure
-	if !known && worst.tail < tailOver {
-		return // probably the task's own load
+	if total < knownPressure {
+		return // its own load; overLimit holds if that is wrong
 	}
+	keep := max(0, 1-excess/total)
 	w.wish(func(r *run) int {
-		part := o.pressure.reaction(image, r.task.step.Image).coefficient * w.fillLoad(r.task.step.Step, max(0, r.pace))
-		if known && part < blameShare*total {
+		part := o.pressure.reaction(image, r.task.step.Image).coefficient * w.fillLoad(r.task.step.Step, r.speed())
+		if part < blameShare*total {
 			return r.wish
 		}
-		if worst.tail < tailOver {
-			return halt(r.wish * 2 / 3)
-		}
-		return halt(r.wish / 3)
+		return halt(int(keep * float64(r.wish)))
 	})
 }
 
@@ -123,7 +126,7 @@
 	return percent
 }
 
-// unpace lets slowed fillers run faster where no tail is predicted to come near its
+// unpace lets slowed fillers run faster as far as no tail is predicted to come near its
 // target.
 func (o *Orchestrator) unpace(w *worker) {
 	for _, r := range w.runs {
@@ -131,14 +134,13 @@
 			continue
 		}
 		next := min(100, r.wish+paceStep)
-		loads := w.fillLoads()
-		loads[r.task.step.Image] += w.fillLoad(r.task.step.Step, next-r.wish)
+		x := w.fillLoad(r.task.step.Step, next-r.wish)
 		calm := true
-		for _, k := range w.runs {
-			calm = calm && (k.task.step.LatencyTarget <= 0 || o.pressure.added(k.task.step.Image, loads) < pressureBudget)
+		for _, k := range o.outlooks(w) {
+			calm = calm && k.left+loadRise > o.pressure.reaction(k.image, r.task.step.Image).coefficient*x
 		}
 		if calm || o.now.Sub(r.paceSent) > paceProbe {
-			r.wish = next
+			r.setWish(next)
 		}
 	}
 }
@@ -147,7 +149,7 @@
 func (w *worker) wish(f func(*run) int) {
 	for _, r := range w.runs {
 		if r.task.step.Fills {
-			r.wish = f(r)
+			r.setWish(f(r))
 		}
 	}
 }
@@ -174,7 +176,7 @@
 	}
 	workers, _ := o.candidates(s)
 	for _, w := range workers {
-		if w != r.worker && o.fits(t, w) && w.unused() >= s.Size.CPU && o.besides(s, w) > 0 {
+		if w != r.worker && o.fits(t, w) && w.unused() >= s.Size.CPU && o.besides(s, w) > releaseMargin {
 			t.moves++
 			o.stop(r, "slowed for the sake of a task with a latency target")
 			return
@@ -194,15 +196,16 @@
 	r.paceBusy = false
 	if e.Answered {
 		r.pace = e.Percent
+		r.percentAt = o.now // progress counts from the new pace on
 	} else {
-		r.pace = -1 // unknown: sent again
+		r.pace = unknownPace
 	}
 }
 
 // straggle moves or copies a run that stands still or is much slower than expected.
 func (o *Orchestrator) straggle(r *run) {
 	t, s, w := r.task, r.task.step, r.worker
-	if s.LongRunning || s.Gang || r.phase != phaseRunning || len(t.runs) > 1 || r.wish < 100 {
+	if s.LongRunning || s.Gang || r.phase != phaseRunning || len(t.runs) > 1 || s.Fills && (r.wish < 100 || r.pace < 100) {
 		return
 	}
 	elapsed := o.now.Sub(r.startedAt)
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -16,6 +16,10 @@
 	phaseStopping phase = "stopping"
 )
 
+// unknownPace is the pace of a run whose last order got no answer or came from an
+// earlier leader.
+const unknownPace = -1
+
 type run struct {
 	task      *task
 	worker    *worker
@@ -30,9 +34,10 @@
 	ticket    string
 	percent   int
 	percentAt time.Time // of the last progress
+	own       float64   // utilization by its own callers, of a task with a latency target
 	tail      float64   // measured tail as a share of the latency target
 	wish      int       // percent of its speed that the run may use
-	pace      int       // percent that the worker has confirmed; -1: unknown
+	pace      int       // percent that the worker has confirmed, or unknownPace
 	paceSent  time.Time
 	paceBusy  bool
 }
@@ -41,21 +46,44 @@
 
 // attach makes a run known to its task and worker.
 func (o *Orchestrator) attach(t *task, w *worker, number int, p phase) *run {
-	r := &run{task: t, worker: w, number: number, phase: p, sentAt: o.now, startedAt: o.now, percentAt: o.now, pace: 100, wish: 100}
+	r := &run{task: t, worker: w, number: number, phase: p, sentAt: o.now, startedAt: o.now, percentAt: o.now, pace: 100, wish: 100, own: usualLoad}
 	t.runs = append(t.runs, r)
 	t.nextRun, t.owned = max(t.nextRun, number+1), true
 	w.runs[r.key()] = r
 	w.foreseen = false
 	t.job().runs++
 	w.account(t.step.Step, 1)
+	w.load.filling += r.filling()
 	return r
 }
 
+// filling returns the millicores that a run takes of what others leave unused.
+func (r *run) filling() int {
+	if !r.task.step.Fills {
+		return 0
+	}
+	return r.task.step.Size.CPU * r.wish / 100
+}
+
+// setWish sets the share of its speed that a run may use.
+func (r *run) setWish(percent int) {
+	r.worker.load.filling -= r.filling()
+	r.wish = percent
+	r.worker.load.filling += r.filling()
+}
+
+// speed returns the percent of its speed that a run uses, as far as is known.
+func (r *run) speed() int {
+	if r.pace < 0 {
+		return r.wish
+	}
+	return r.pace
+}
+
 func (w *worker) account(s *Step, sign int) {
 	size := s.Size
 	if s.Fills {
-		w.load.filling += sign * size.CPU
-		size.CPU = 0
+		size.CPU = 0 // counted by run, because it changes with the pace
 	} else if s.LatencyTarget > 0 {
 		w.load.serving += sign * size.CPU
 	}
@@ -74,6 +102,7 @@
 	}
 	delete(w.runs, r.key())
 	w.account(t.step.Step, -1)
+	w.load.filling -= r.filling()
 	t.runs = slices.DeleteFunc(t.runs, func(k *run) bool { return k == r })
 	t.since = o.now
 	o.pass = true
@@ -98,10 +127,11 @@
 }
 
 // start sends a task to a worker.
-func (o *Orchestrator) start(t *task, w *worker, number int, ticket string) {
+func (o *Orchestrator) start(t *task, w *worker, number int, ticket string) *run {
 	r := o.attach(t, w, number, phaseStarting)
 	r.saved, r.ticket = t.saved, ticket
 	o.send(r)
+	return r
 }
 
 func (o *Orchestrator) send(r *run) {
@@ -261,7 +291,7 @@
 	}
 	r := o.attach(t, w, row.Run, phaseRunning)
 	o.accepted(r)
-	r.percent = row.Percent
+	r.percent, r.pace = row.Percent, unknownPace
 	o.do(Note{Event: EventAdopt, Job: t.job().ID, Task: t.name, Run: row.Run, Worker: w.ID, Figures: fmt.Sprintf("Percent=%d", row.Percent)})
 	return r
 }
--- a/internal/orchestrator/vocabulary.go
+++ b/internal/orchestrator/vocabulary.go
@@ -14,6 +14,7 @@
 	EventWait          = "Wait"
 	EventPace          = "Pace"
 	EventAdvice        = "Advice"
+	EventLoad          = "Load"
 	EventWorkerListed  = "WorkerListed"
 	EventWorkerReached = "WorkerReached"
 	EventWorkerLost    = "WorkerLost"
@@ -24,6 +25,6 @@
 func Events() []string {
 	return []string{
 		EventJobAdded, EventJobFinished, EventStart, EventStartRefused, EventStop, EventCopy, EventEnd, EventAdopt,
-		EventRunLost, EventWait, EventPace, EventAdvice, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerAvoided,
+		EventRunLost, EventWait, EventPace, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerAvoided,
 	}
 }
