--- a/internal/orchestrator/relief.go
+++ b/internal/orchestrator/relief.go
@@ -9,36 +9,32 @@
 const (
 	// paceEvery is the pause between two changes of a worker's pace. Figures cover the
 	// last half second, so that earlier changes would be answers to old figures.
-	paceEvery = 650 * time.Millisecond
+	paceEvery = 600 * time.Millisecond
 	// paceRepeat is how often a pace that got no answer is sent again.
 	paceRepeat = 500 * time.Millisecond
-	// Shares of the latency target between which the pace is kept.
-	tailHigh = 0.85
-	tailOver = 1.0
-	tailLow  = 0.65
-	// paceStep is the percent by which a pace rises again.
-	paceStep = 25
-	// overLimit is how long a task may be over its target before all fillers beside it
-	// are halted. Callers of the platform count four seconds as harm.
-	overLimit = 1800 * time.Millisecond
-	// knownPressure is the predicted utilization from which the fillers' parts in it are
-	// believed, and blameShare the part of it from which a filler is slowed.
-	knownPressure = 0.02
-	blameShare    = 0.15
-	// calmLoad is the utilization to which a task is relieved.
-	calmLoad = 0.68
-	// paceProbe is the time after which a slowed filler may run faster although that is
-	// predicted to disturb: conditions change.
-	paceProbe = 6 * time.Second
+	// tailOver is the share of the latency target that is harm, and overLimit how long a
+	// task may be over it before all fillers beside it are halted. Callers of the platform
+	// count four seconds as harm.
+	tailOver  = 1.0
+	overLimit = 1500 * time.Millisecond
+	// calmLoad is the utilization to which fillers may raise a task.
+	calmLoad = 0.73
+	// blameShare is the part of the fillers' disturbance from which a filler is slowed,
+	// negligible the utilization below which none is.
+	blameShare = 0.15
+	negligible = 0.01
+	// paceStep is the percent by which a pace rises at once, paceChange the smallest
+	// change, paceFloor the pace below which fillers are halted.
+	paceStep   = 40
+	paceChange = 10
+	paceFloor  = 12
 	// Fillers below releasePace are moved after releaseAfter, those that save no
 	// progress only while they have done less than releaseLimit percent.
-	releasePace  = 50
-	releaseAfter = 1200 * time.Millisecond
+	releasePace  = 40
+	releaseAfter = 1500 * time.Millisecond
 	releaseLimit = 30
 	// releaseMargin is the utilization that must be left on the other worker.
-	releaseMargin = 0.05
-	// paceFloor is the pace below which tasks that fill are halted.
-	paceFloor = 12
+	releaseMargin = 0.02
 
 	// hangAfter is how long a run may stand still, beyond its expected run time, before
 	// it is started elsewhere.
@@ -54,27 +50,12 @@
 	maxCopies = 2
 )
 
-// pacing slows the tasks that fill on a worker while a task with a latency target is
-// near or over it, and lets them run again afterwards. It slows first those whose images
-// are known to disturb the task.
+// pacing sets the pace of the tasks that fill on a worker: as fast as the tasks with a
+// latency target beside them allow.
 func (o *Orchestrator) pacing(w *worker) {
-	if w.load.filling > 0 && w.load.serving > 0 && w.tailAt.After(w.pacedAt) && o.now.Sub(w.pacedAt) >= paceEvery {
+	if w.load.serving > 0 && w.tailAt.After(w.pacedAt) && o.now.Sub(w.pacedAt) >= paceEvery {
 		before := w.pace
-		worst := w.worstTail()
-		if worst == nil || worst.tail < tailOver {
-			w.overSince = time.Time{}
-		} else if w.overSince.IsZero() {
-			w.overSince = w.tailAt
-		}
-		switch {
-		case worst == nil || worst.tail < tailLow:
-			o.unpace(w)
-		case worst.tail >= tailOver && o.now.Sub(w.overSince) >= overLimit:
-			w.wish(func(*run) int { return 0 })
-		case worst.tail >= tailHigh:
-			o.slow(w, worst)
-		}
-		w.pace = w.lowestPace()
+		o.setPaces(w)
 		if w.pace != before {
 			w.pacedAt = o.now
 			o.do(Note{Event: EventPace, Worker: w.ID, Outcome: fmt.Sprintf("%d%%", w.pace), Age: o.now.Sub(w.tailAt),
@@ -89,79 +70,67 @@
 	}
 }
 
-// worstTail returns the run with the highest tail, nil if none was measured.
-func (w *worker) worstTail() *run {
-	var worst *run
+// setPaces chooses the pace of each filler on a worker. What a task's own load leaves
+// below the limit is divided among the fillers that disturb it.
+func (o *Orchestrator) setPaces(w *worker) {
+	if w.tail < tailOver {
+		w.overSince = time.Time{}
+	} else if w.overSince.IsZero() {
+		w.overSince = w.tailAt
+	}
+	whole := make(map[string]float64) // loads at full pace
 	for _, r := range w.runs {
-		if r.task.step.LatencyTarget > 0 && r.tail > 0 && (worst == nil || r.tail > worst.tail) {
-			worst = r
+		if r.task.step.Fills {
+			whole[r.task.step.Image] += w.fillLoad(r.task.step.Step, 100)
 		}
 	}
-	return worst
-}
-
-// slow lowers the pace of the fillers that disturb a task, as far as its utilization is
-// too high.
-func (o *Orchestrator) slow(w *worker, worst *run) {
-	image := worst.task.step.Image
-	excess := o.pressure.utilization(image, worst.tail) - calmLoad
-	total := o.pressure.added(image, w.fillLoads())
-	if total < knownPressure {
-		return // its own load; overLimit holds if that is wrong
-	}
-	keep := max(0, 1-excess/total)
-	w.wish(func(r *run) int {
-		part := o.pressure.reaction(image, r.task.step.Image).coefficient * w.fillLoad(r.task.step.Step, r.speed())
-		if part < blameShare*total {
-			return r.wish
-		}
-		return halt(int(keep * float64(r.wish)))
-	})
-}
-
-func halt(percent int) int {
-	if percent < paceFloor {
-		return 0
+	if len(whole) == 0 {
+		w.pace = 100
+		return
 	}
-	return percent
-}
-
-// unpace lets slowed fillers run faster as far as no tail is predicted to come near its
-// target.
-func (o *Orchestrator) unpace(w *worker) {
+	w.pace = 100
+	now := w.fillLoads()
 	for _, r := range w.runs {
-		if !r.task.step.Fills || r.wish >= 100 {
+		if !r.task.step.Fills {
 			continue
 		}
-		next := min(100, r.wish+paceStep)
-		x := w.fillLoad(r.task.step.Step, next-r.wish)
-		calm := true
-		for _, k := range o.outlooks(w) {
-			calm = calm && k.left+loadRise > o.pressure.reaction(k.image, r.task.step.Image).coefficient*x
+		next := 100
+		if !w.overSince.IsZero() && o.now.Sub(w.overSince) >= overLimit {
+			next = 0 // whatever was learnt, something here disturbs
+		} else {
+			next = o.allowedPace(w, r, whole, now)
 		}
-		if calm || o.now.Sub(r.paceSent) > paceProbe {
+		if next > r.wish {
+			next = min(next, r.wish+paceStep)
+		}
+		if d := next - r.wish; d <= -paceChange || d >= paceChange || next == 0 || next == 100 {
 			r.setWish(next)
 		}
+		w.pace = min(w.pace, r.wish)
 	}
 }
 
-// wish sets the pace of all fillers on a worker.
-func (w *worker) wish(f func(*run) int) {
-	for _, r := range w.runs {
-		if r.task.step.Fills {
-			r.setWish(f(r))
+// allowedPace returns the pace at which a filler keeps all tasks beside it below the
+// limit, if the other fillers are slowed alike.
+func (o *Orchestrator) allowedPace(w *worker, filler *run, whole, now map[string]float64) int {
+	pace := 1.0
+	for _, k := range w.runs {
+		if k.task.step.LatencyTarget <= 0 || k.tail <= 0 {
+			continue
 		}
-	}
-}
-
-func (w *worker) lowestPace() int {
-	lowest := 100
-	for _, r := range w.runs {
-		if r.task.step.Fills {
-			lowest = min(lowest, r.wish)
+		image := k.task.step.Image
+		total := o.pressure.added(image, whole)
+		part := o.pressure.reaction(image, filler.task.step.Image).coefficient * w.fillLoad(filler.task.step.Step, 100)
+		if part < blameShare*total || part < negligible {
+			continue
 		}
+		own := o.pressure.utilization(image, k.tail) - o.pressure.added(image, now)
+		pace = min(pace, max(0, calmLoad-own)/total)
+	}
+	if percent := int(100 * pace); percent >= paceFloor {
+		return percent
 	}
-	return lowest
+	return 0
 }
 
 // release moves a filler that is slowed for the sake of a task beside it to a worker
