Do not start fillers beside slowed ones; add doubt to each coefficient

Cause: slowed fillers freed room by the leader's own account, and more joined them: workers with 8 fillers or more had 34% of the task-seconds over the target, those with up to 4 at most 3%.

--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -207,7 +207,7 @@
 		Figures: fmt.Sprintf("Score=%.2f FreeCores=%.1f Waited=%s", score, float64(w.Room.CPU-w.used.CPU)/1000, o.now.Sub(t.since).Round(time.Millisecond))})
 	pace := o.startPace(s, w)
 	o.try(s, w)
-	o.start(t, w, number, s.advice.tickets[w.ID]).setWish(pace)
+	o.start(t, w, number, s.advice.tickets[w.ID]).wish = pace
 }
 
 // held returns why a task can not start anywhere yet, empty if it can. An earlier
@@ -317,7 +317,8 @@
 	if w.unused() < int(fillShare*float64(t.step.Size.CPU)) && o.now.Sub(t.since) < fillWait {
 		return false
 	}
-	if w.load.serving > 0 && o.besides(t.step, w) < 0 {
+	// Slowed fillers are to run at full pace again: others would only join them.
+	if w.load.serving > 0 && (w.pace < 100 || o.besides(t.step, w) < 0) {
 		return false
 	}
 	return true
--- a/internal/orchestrator/pressure.go
+++ b/internal/orchestrator/pressure.go
@@ -21,6 +21,9 @@
 	// task's own load may rise by while a filler runs.
 	limitLoad = 0.76
 	loadRise  = 0.08
+	// doubt is added to each coefficient before a filler starts: small errors of many
+	// fillers on one worker add up.
+	doubt = 0.08
 	// pressureBudget is the utilization that fillers may add even for a task whose own
 	// load is low at the moment.
 	pressureBudget = 0.06
@@ -161,12 +164,13 @@
 	}
 	w.foreseen, w.foreseenAt, w.outlooks = true, o.now, w.outlooks[:0]
 	loads := w.fillLoads()
+	total := float64(w.load.filling) / float64(max(1, w.Room.CPU))
 	for _, r := range w.runs {
 		if r.task.step.LatencyTarget <= 0 {
 			continue
 		}
 		image := r.task.step.Image
-		left := min(pressureBudget, limitLoad-loadRise-r.own) - o.pressure.added(image, loads)
+		left := min(pressureBudget, limitLoad-loadRise-r.own) - o.pressure.added(image, loads) - doubt*total
 		if i := slices.IndexFunc(w.outlooks, func(k outlook) bool { return k.image == image }); i >= 0 {
 			w.outlooks[i].left = min(w.outlooks[i].left, left)
 			continue
@@ -210,7 +214,7 @@
 		if r.samples == 0 && r.trying(o.now) >= pressureTrials {
 			return -limitLoad
 		}
-		left = min(left, k.left-r.coefficient*x)
+		left = min(left, k.left-(r.coefficient+doubt)*x)
 	}
 	return left
 }
--- a/internal/orchestrator/relief.go
+++ b/internal/orchestrator/relief.go
@@ -104,7 +104,7 @@
 			next = min(next, r.wish+paceStep)
 		}
 		if d := next - r.wish; d <= -paceChange || d >= paceChange || next == 0 || next == 100 {
-			r.setWish(next)
+			r.wish = next
 		}
 		w.pace = min(w.pace, r.wish)
 	}
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -53,25 +53,9 @@
 	w.foreseen = false
 	t.job().runs++
 	w.account(t.step.Step, 1)
-	w.load.filling += r.filling()
 	return r
 }
 
-// filling returns the millicores that a run takes of what others leave unused.
-func (r *run) filling() int {
-	if !r.task.step.Fills {
-		return 0
-	}
-	return r.task.step.Size.CPU * r.wish / 100
-}
-
-// setWish sets the share of its speed that a run may use.
-func (r *run) setWish(percent int) {
-	r.worker.load.filling -= r.filling()
-	r.wish = percent
-	r.worker.load.filling += r.filling()
-}
-
 // speed returns the percent of its speed that a run uses, as far as is known.
 func (r *run) speed() int {
 	if r.pace < 0 {
@@ -83,7 +67,8 @@
 func (w *worker) account(s *Step, sign int) {
 	size := s.Size
 	if s.Fills {
-		size.CPU = 0 // counted by run, because it changes with the pace
+		w.load.filling += sign * size.CPU
+		size.CPU = 0
 	} else if s.LatencyTarget > 0 {
 		w.load.serving += sign * size.CPU
 	}
@@ -102,7 +87,6 @@
 	}
 	delete(w.runs, r.key())
 	w.account(t.step.Step, -1)
-	w.load.filling -= r.filling()
 	t.runs = slices.DeleteFunc(t.runs, func(k *run) bool { return k == r })
 	t.since = o.now
 	o.pass = true
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -51,7 +51,7 @@
 	used Resources // of runs whose processors count
 	load struct {
 		serving int // millicores of tasks with a latency target
-		filling int // millicores of tasks that fill, at their pace
+		filling int // millicores of tasks that fill, at full pace
 	}
 
 	seen  int // highest number of an end that was applied
