--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -41,7 +41,7 @@
 	weightFailedOn = 5.0 // an earlier run of the task failed there
 	weightSlow     = 0.7 // for each multiple of the expected run time
 	weightWarmup   = 0.3
-	weightReserve  = 0.6 // fillers that disturb nobody on workers without latency targets
+	weightReserve  = 0.2 // fillers that disturb nobody on workers without latency targets
 	weightImage    = 1.5 // other images with a latency target on the worker
 	weightBeside   = 4.0 // utilization that fillers add for tasks with a latency target
 )
