--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -58,6 +58,7 @@
 	rosterWritten uint64
 	dirty         map[string]*job
 	expired       []string // finished jobs whose records are to be deleted
+	scarce        bool     // little is left beyond the reserve for short jobs
 	spare         bool     // less than half of the workers' processors are taken
 	pass          bool     // something changed that may let a task start
 	loadNoted     time.Time
@@ -127,18 +128,19 @@
 }
 
 type task struct {
-	step    *step
-	index   int
-	name    string
-	nextRun int
-	done    bool
-	failed  []int
-	saved   string
-	runs    []*run
-	lapsed  map[int]bool // runs that ended unseen with their worker's lease
-	moves   int
-	avoid   map[string]bool // workers on which a run failed
-	since   time.Time       // when the last run ended
+	step      *step
+	index     int
+	name      string
+	nextRun   int
+	done      bool
+	failed    []int
+	saved     string
+	runs      []*run
+	lapsed    map[int]bool // runs that ended unseen with their worker's lease
+	moves     int
+	avoid     map[string]bool // workers on which a run failed
+	since     time.Time       // when the last run ended
+	preempted time.Time       // when others were last stopped for its sake
 
 	owned            bool     // this leader has seen or started a run of it
 	inheritedWorkers []string // where an earlier leader had placed it
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -23,12 +23,19 @@
 	// starveAfter is how long a job that fills may have nothing running. The platform
 	// takes a job as lost after 3 s.
 	starveAfter = 2 * time.Second
+	// lastingWait is how long a long-running task may be away before it goes before
+	// others and takes the last room. While workers are missing, short jobs that would be
+	// late are worth more than seconds of its work; the platform takes a task as lost
+	// after 7 s.
+	lastingWait = 4500 * time.Millisecond
+	// reserve is the share of the processors that is kept for short jobs meanwhile.
+	reserve = 0.08
 	// noteEvery bounds how often a step's reason for waiting is noted.
 	noteEvery = 2 * time.Second
 	// passEvery is the pause between two passes. Answers of workers come in faster.
 	passEvery = 15 * time.Millisecond
-	// blockedLimit is the number of steps without room after which a pass ends, except
-	// for a whole pass every wholePassEvery: with a long queue most steps find no room.
+	// blockedLimit is the number of steps that fill and find no room after which a pass
+	// ends, except for a whole pass every wholePassEvery: in a long queue most find none.
 	blockedLimit   = 12
 	wholePassEvery = 200 * time.Millisecond
 	// passLimit bounds the starts of one pass, so that a burst does not delay looks.
@@ -68,14 +75,15 @@
 		}
 		n := o.scheduleStep(s)
 		starts += n
-		if n == 0 {
+		if n == 0 && s.Fills {
 			blocked++
 		}
 	}
 }
 
 // spareRoom reports whether less than half of the workers' processors are taken by tasks
-// whose processors count. Beyond that, waiting is no fault.
+// whose processors count. Beyond that, waiting is no fault. It also notes whether room is
+// scarce.
 func (o *Orchestrator) spareRoom() bool {
 	room, used := 0, 0
 	for _, w := range o.workers {
@@ -84,6 +92,7 @@
 			used += w.used.CPU
 		}
 	}
+	o.scarce = float64(used) > (1-reserve)*float64(room)
 	return 2*used < room
 }
 
@@ -110,6 +119,10 @@
 	if oc.prospect != "" && o.now.Sub(oc.prospectAt) < prospectEvery {
 		return oc.prospect, oc.remaining
 	}
+	if oc.steps[0].LongRunning {
+		// Each moment that such a task is away counts: it never gets late.
+		return prospectTimely, 0
+	}
 	ratio := o.shape(oc.job.Policy.Queue).ratio
 	ends := make([]time.Duration, len(oc.steps))
 	oc.remaining = 0
@@ -152,7 +165,7 @@
 		return c
 	}
 	if pa == prospectTimely {
-		if c := a.occurrence.deadline().Compare(b.occurrence.deadline()); c != 0 {
+		if c := a.deadline().Compare(b.deadline()); c != 0 {
 			return c
 		}
 	} else if c := cmp.Compare(ra, rb); c != 0 {
@@ -161,6 +174,20 @@
 	return cmp.Or(a.occurrence.deadline().Compare(b.occurrence.deadline()), cmp.Compare(ja.ID, jb.ID), cmp.Compare(a.index, b.index))
 }
 
+// deadline returns when the step's tasks should have started or ended.
+func (s *step) deadline() time.Time {
+	if !s.LongRunning {
+		return s.occurrence.deadline()
+	}
+	oldest := s.readyAt
+	for _, t := range s.tasks {
+		if len(t.runs) == 0 && t.since.After(oldest) {
+			oldest = t.since
+		}
+	}
+	return oldest.Add(lastingWait)
+}
+
 func (oc *occurrence) deadline() time.Time {
 	return oc.job.deadline.Add(oc.due.Sub(oc.job.Submitted))
 }
@@ -189,7 +216,9 @@
 		}
 		w, score := o.choose(t, workers)
 		if w == nil {
-			o.noteWait(s, "no worker has room")
+			if !o.preempt(t, workers) {
+				o.noteWait(s, "no worker has room")
+			}
 			return starts
 		}
 		o.launch(t, w, t.nextRun, score)
@@ -298,6 +327,9 @@
 	if s.MaxPerWorker > 0 && w.countStep(s) >= s.MaxPerWorker {
 		return false
 	}
+	if s.LongRunning && o.scarce && o.now.Sub(t.since) < lastingWait {
+		return false
+	}
 	if s.RackAffinity != "" && w.Rack != s.RackAffinity {
 		wait := time.Duration(nearWait * float64(s.expected(o.shape(s.occurrence.job.Policy.Queue).ratio)))
 		if o.now.Sub(t.since) < wait && o.rackExists(s) {
--- /dev/null
+++ b/internal/orchestrator/preempt.go
@@ -0,0 +1,88 @@
+package orchestrator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// preemptAfter is how long a task waits for room before tasks of lower priority make
+	// room for it. Most waits for a single task end sooner by themselves.
+	preemptAfter = 300 * time.Millisecond
+	// preemptEvery is the pause between two preemptions for one task: stops take up to a
+	// second.
+	preemptEvery = 1500 * time.Millisecond
+	// Costs of stopping a run, in the order of preference.
+	costCheckpoint = 1.0 // its progress is saved
+	costLost       = 4.0 // for each whole run of work that is lost
+)
+
+// victims are the runs that must stop on a worker to make room.
+type victims struct {
+	worker *worker
+	runs   []*run
+	cost   float64
+}
+
+// preempt stops runs of lower priority where that makes room for a task at the least
+// cost. It reports whether it did.
+func (o *Orchestrator) preempt(t *task, workers []*worker) bool {
+	if t.step.Fills || t.step.LongRunning && o.scarce || o.now.Sub(t.since) < preemptAfter || o.now.Sub(t.preempted) < preemptEvery {
+		return false
+	}
+	var best *victims
+	for _, w := range workers {
+		if t.avoid[w.ID] || t.step.MaxPerWorker > 0 && w.countStep(t.step) >= t.step.MaxPerWorker {
+			continue
+		}
+		if v := o.victimsOn(w, t); v != nil && (best == nil || v.cost < best.cost) {
+			best = v
+		}
+	}
+	if best == nil {
+		return false
+	}
+	t.preempted = o.now
+	for _, r := range best.runs {
+		r.task.moves-- // not a sign of a bad place
+		o.stop(r, "makes room for task "+t.name+" of higher priority")
+	}
+	return true
+}
+
+// victimsOn returns the cheapest runs whose end makes room for a task on a worker, nil
+// if all of lower priority do not suffice.
+func (o *Orchestrator) victimsOn(w *worker, t *task) *victims {
+	var lower []*run
+	for _, r := range w.runs {
+		if r.phase == phaseRunning && !r.task.step.LongRunning && !r.task.step.Gang && r.task.job().Policy.Priority > t.job().Policy.Priority {
+			lower = append(lower, r)
+		}
+	}
+	slices.SortFunc(lower, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.stopCost(), b.stopCost()), cmp.Compare(a.task.name, b.task.name))
+	})
+	v := &victims{worker: w}
+	free := w.Room.subtract(w.used)
+	for _, r := range lower {
+		if free.covers(t.step.sizeOn()) {
+			break
+		}
+		free = free.add(r.task.step.sizeOn())
+		v.runs = append(v.runs, r)
+		v.cost += r.stopCost()
+	}
+	if len(v.runs) == 0 || !free.covers(t.step.sizeOn()) {
+		return nil
+	}
+	return v
+}
+
+// stopCost rates what is lost by stopping a run.
+func (r *run) stopCost() float64 {
+	if r.task.step.Checkpoints {
+		return costCheckpoint
+	}
+	return costCheckpoint + costLost*float64(r.percent)/100
+}
