--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -480,13 +480,35 @@
 				best = plan
 			}
 		}
-		if best != nil {
+		if best != nil || o.now.Sub(s.readyAt) < o.rackWait(s, racks) {
 			return best
 		}
 	}
 	return o.planMembers(s, workers)
 }
 
+// rackWait returns how long a gang waits for room on one rack: as long as running on
+// several would take longer. It does not wait if no rack is large enough.
+func (o *Orchestrator) rackWait(s *step, racks map[string][]*worker) time.Duration {
+	for _, ws := range racks {
+		fit := 0
+		for _, w := range ws {
+			n := s.Count
+			if s.Size.CPU > 0 {
+				n = w.Room.CPU / s.Size.CPU
+			}
+			if s.MaxPerWorker > 0 {
+				n = min(n, s.MaxPerWorker)
+			}
+			fit += n
+		}
+		if fit >= s.Count {
+			return time.Duration((o.settings.FarFactor - 1) * float64(s.expected(o.shape(s.occurrence.job.Policy.Queue).ratio)))
+		}
+	}
+	return 0
+}
+
 func (o *Orchestrator) planMembers(s *step, workers []*worker) []*worker {
 	taken := make(map[*worker]int, len(s.tasks))
 	defer func() {
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -54,6 +54,8 @@
 		filling int // millicores of tasks that fill, at full pace
 	}
 
+	strange int // listed runs that are being stopped and whose size is not known
+
 	seen  int // highest number of an end that was applied
 	ends  []appliedEnd
 	acked int // ends up to this number stand in the store
@@ -219,6 +221,8 @@
 		return false, "does not answer"
 	case !w.rostered:
 		return false, "its place in the roster is not written yet"
+	case w.strange > 0:
+		return false, "it still runs tasks of jobs that have ended"
 	case o.now.Before(w.avoidUntil):
 		return false, "its tasks failed"
 	case w.probing && len(w.runs) > 0:
@@ -233,7 +237,7 @@
 		return // without the jobs, ends would be acknowledged and runs stopped
 	}
 	if w.born != 0 && w.born != e.Born {
-		o.workerRestarted(w)
+		o.workerRestarted(w, e)
 	}
 	if w.failing {
 		o.do(Note{Event: EventWorkerReached, Worker: w.ID, Outcome: "answers again", Age: o.now.Sub(w.answeredAt)})
@@ -262,6 +266,7 @@
 func (o *Orchestrator) applyRunning(w *worker, e LookAnswered) {
 	listed := make(map[runKey]bool, len(e.Running))
 	tail := 0.0
+	w.strange = 0
 	for _, row := range e.Running {
 		k := runKey{row.Task, row.Run}
 		listed[k] = true
@@ -270,13 +275,14 @@
 			r = o.adopt(w, row)
 		}
 		if r == nil {
+			w.strange++
 			continue
 		}
 		o.observe(r, row)
 		tail = max(tail, r.tail)
 	}
 	for k, r := range w.runs {
-		if !listed[k] && !r.settledAt.IsZero() && r.settledAt.Before(e.SentAt) {
+		if !listed[k] && r.settledBefore(e.SentAt) {
 			o.do(Note{Event: EventRunLost, Job: r.task.job().ID, Task: k.task, Run: k.number, Worker: w.ID,
 				Outcome: "not listed", Reason: "the worker lists it neither as running nor as ended"})
 			o.drop(r)
@@ -291,12 +297,19 @@
 	o.pacing(w)
 }
 
-// workerRestarted drops what an earlier incarnation of the worker ran.
-func (o *Orchestrator) workerRestarted(w *worker) {
+// workerRestarted starts the account of a new incarnation of a worker. Its look decides
+// which runs are left: a start may have reached the new incarnation already.
+func (o *Orchestrator) workerRestarted(w *worker, e LookAnswered) {
 	o.do(Note{Event: EventWorkerLost, Worker: w.ID, Outcome: "restarted", Reason: "a new incarnation answers",
 		Figures: fmt.Sprintf("Runs=%d", len(w.runs))})
-	for _, r := range w.runs {
-		o.lapsed(r)
+	listed := make(map[runKey]bool, len(e.Running))
+	for _, row := range e.Running {
+		listed[runKey{row.Task, row.Run}] = true
+	}
+	for k, r := range w.runs {
+		if !listed[k] && r.settledBefore(e.SentAt) {
+			o.lapsed(r)
+		}
 	}
 	w.seen, w.acked, w.ends = 0, 0, nil
 	w.streak, w.avoidUntil, w.probing, w.slow = 0, time.Time{}, false, 1
@@ -304,6 +317,12 @@
 	w.expiry = o.now.Add(lapse(o.settings.MaxLease))
 }
 
+// settledBefore reports whether a look that was sent at a time must list the run if it
+// still runs.
+func (r *run) settledBefore(t time.Time) bool {
+	return !r.settledAt.IsZero() && r.settledAt.Before(t)
+}
+
 func (o *Orchestrator) lookFailed(e LookFailed) {
 	w := o.workers[e.Worker]
 	if w == nil {
