Keep a leader's experience; never share processors among fillers; soak and end-to-end tests

Records of expired jobs were dropped from the list by a look at it, and stayed in the store; they now go with the write that was answered. platform/emulator stands in for the platform; the tests run the program as processes.

--- a/internal/coordinator/doc.go
+++ b/internal/coordinator/doc.go
@@ -6,6 +6,7 @@
 //	peridot/lead/term      who leads; rewritten at each election only
 //	peridot/lead/head      rewritten by each of the leader's writes
 //	peridot/roster         workers that the leader may have started tasks on
+//	peridot/learnt         what the leader has learnt of images
 //	peridot/in/job/ID      a submitted job, created if absent by the host that accepts it
 //	peridot/in/cancel/ID   a request to cancel it
 //	peridot/record/ID      its progress, written by the leader; a final state replaces the job
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -19,6 +19,7 @@
 	keyTerm      = prefixLead + "term"
 	keyHead      = prefixLead + "head"
 	keyRoster    = "peridot/roster"
+	keyLearnt    = "peridot/learnt"
 	prefixInput  = "peridot/in/"
 	prefixJob    = prefixInput + "job/"
 	prefixCancel = prefixInput + "cancel/"
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -166,6 +166,9 @@
 			return inherited, 0, err
 		}
 	}
+	if inherited.Learnt, err = ld.readLearnt(ctx); err != nil {
+		return inherited, 0, err
+	}
 	known := make(map[string]*orchestrator.Record)
 	for _, e := range records {
 		r, err := orchestrator.DecodeRecord(e.Value)
@@ -197,6 +200,21 @@
 	return inherited, revision, nil
 }
 
+func (ld *leader) readLearnt(ctx context.Context) (orchestrator.Experience, error) {
+	e, err := ld.c.peers.Store.Get(ctx, keyLearnt)
+	ld.c.storeAnswered(err)
+	if err != nil || e.Revision == 0 {
+		return orchestrator.Experience{}, err
+	}
+	learnt, err := orchestrator.DecodeExperience(e.Value)
+	if err != nil {
+		// It only saves time: the leader learns anew.
+		ld.c.log.Error("ExperienceUnreadable", "Cause", err.Error())
+		return orchestrator.Experience{}, nil
+	}
+	return learnt, nil
+}
+
 func (ld *leader) list(ctx context.Context, prefix string) ([]storer.Entry, uint64, error) {
 	es, revision, err := ld.c.peers.Store.List(ctx, prefix)
 	ld.c.storeAnswered(err)
@@ -383,6 +401,13 @@
 		}
 		tx.Puts = append(tx.Puts, storer.Entry{Key: keyRoster, Value: value})
 	}
+	if batch.Learnt != nil {
+		value, err := orchestrator.EncodeExperience(*batch.Learnt)
+		if err != nil {
+			return storer.Transaction{}, err
+		}
+		tx.Puts = append(tx.Puts, storer.Entry{Key: keyLearnt, Value: value})
+	}
 	return tx, nil
 }
 
@@ -551,8 +576,7 @@
 func (ld *leader) unwritten() bool {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	_, more := ld.o.NextBatch(batchLimit, true, timekeeper.Now())
-	return more
+	return ld.o.Unwritten()
 }
 
 // vacate writes a term that names no leader.
--- a/internal/orchestrator/event.go
+++ b/internal/orchestrator/event.go
@@ -13,6 +13,7 @@
 	Jobs      []InheritedJob
 	Finished  []Record // jobs in a final state
 	Roster    Roster
+	Learnt    Experience
 	HandedOff bool // the earlier leader stopped sending before it wrote its last records
 }
 
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -54,6 +54,7 @@
 	inherited     bool // Inherited has been applied
 	handedOff     bool
 	confirmedAt   time.Time
+	learntAt      time.Time // when the experience was last handed out for a write
 	rosterVersion uint64
 	rosterWritten uint64
 	dirty         map[string]*job
@@ -293,6 +294,7 @@
 
 func (o *Orchestrator) inherit(e Inherited) {
 	o.inherited, o.handedOff, o.pass = true, e.HandedOff, true
+	o.recall(e.Learnt)
 	for _, r := range e.Finished {
 		o.finished[r.ID] = finishedJob{queue: r.Queue, state: r.State, at: r.FinishedAt}
 	}
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -17,9 +17,6 @@
 	// fillShare is the part of its declared processors that must be unused on a worker
 	// before a task that fills starts there.
 	fillShare = 0.7
-	// fillWait is how long a step that fills waits for unused processors before any
-	// worker with enough memory will do.
-	fillWait = 1500 * time.Millisecond
 	// starveAfter is how long a job that fills may have nothing running. The platform
 	// takes a job as lost after 3 s.
 	starveAfter = 2 * time.Second
@@ -340,14 +337,13 @@
 }
 
 // fillsInto reports whether a task that fills may start on a worker: where enough of the
-// processors is unused, unless it has waited for long, and where no tail is predicted to
-// come near its target.
+// processors is unused, and where no tail is predicted to come near its target.
 func (o *Orchestrator) fillsInto(t *task, w *worker) bool {
 	if o.spare && o.starves(t.job()) {
 		return true
 	}
-	if w.unused() < int(fillShare*float64(t.step.Size.CPU)) && o.now.Sub(t.since) < fillWait {
-		return false
+	if w.unused() < int(fillShare*float64(t.step.Size.CPU)) {
+		return false // shared processors would make all their tasks late
 	}
 	// Slowed fillers are to run at full pace again: others would only join them.
 	if w.load.serving > 0 && (w.pace < 100 || o.besides(t.step, w) < 0) {
--- a/internal/orchestrator/pressure.go
+++ b/internal/orchestrator/pressure.go
@@ -90,12 +90,17 @@
 	return sum
 }
 
+// idleOf returns the tail of an idle task of an image as a share of its target.
+func (p pressure) idleOf(serving string) float64 {
+	if idle, ok := p.idle[serving]; ok {
+		return idle
+	}
+	return idleTail
+}
+
 // utilization returns the utilization that a tail, as a share of the target, stands for.
 func (p pressure) utilization(serving string, tail float64) float64 {
-	idle, ok := p.idle[serving]
-	if !ok {
-		idle = idleTail
-	}
+	idle := p.idleOf(serving)
 	if tail < idle {
 		idle = tail
 		p.idle[serving] = tail
--- a/internal/orchestrator/record.go
+++ b/internal/orchestrator/record.go
@@ -161,3 +161,71 @@
 	}
 	return r, nil
 }
+
+// Experience is what a leader has learnt of images. It saves its successor from learning
+// it at the expense of tasks with a latency target.
+type Experience struct {
+	Pairs  []PairExperience
+	Images []ImageExperience
+	Ratios map[string]float64 // of measured run times to estimates, by queue
+}
+
+// PairExperience is how a filler's image disturbs one with a latency target.
+type PairExperience struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the encoder
+	Serving     string
+	Filler      string
+	Coefficient float64
+	Samples     int
+}
+
+// ImageExperience is what is known of an image with a latency target.
+type ImageExperience struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the encoder
+	Image    string
+	Idle     float64 // lowest tail as a share of the target
+	Mean     float64 // mean own utilization
+}
+
+// EncodeExperience returns an experience's value in the store.
+func EncodeExperience(e Experience) ([]byte, error) { return msgpack.Marshal(&e) }
+
+// DecodeExperience reads a value that EncodeExperience wrote.
+func DecodeExperience(b []byte) (Experience, error) {
+	var e Experience
+	if err := msgpack.Unmarshal(b, &e); err != nil {
+		return Experience{}, fmt.Errorf("decode experience: %w", err)
+	}
+	return e, nil
+}
+
+// experience returns what this leader knows.
+func (o *Orchestrator) experience() *Experience {
+	e := &Experience{Ratios: make(map[string]float64)}
+	for k, r := range o.pressure.reactions {
+		if r.samples > 0 {
+			e.Pairs = append(e.Pairs, PairExperience{Serving: k.serving, Filler: k.filler, Coefficient: r.coefficient, Samples: r.samples})
+		}
+	}
+	for image, mean := range o.pressure.mean {
+		e.Images = append(e.Images, ImageExperience{Image: image, Idle: o.pressure.idleOf(image), Mean: mean})
+	}
+	for queue, s := range o.shapes {
+		e.Ratios[queue] = s.ratio
+	}
+	return e
+}
+
+// recall takes over what an earlier leader knew.
+func (o *Orchestrator) recall(e Experience) {
+	for _, p := range e.Pairs {
+		r := o.pressure.reaction(p.Serving, p.Filler)
+		r.coefficient, r.samples = p.Coefficient, p.Samples
+	}
+	for _, i := range e.Images {
+		o.pressure.idle[i.Image], o.pressure.mean[i.Image] = i.Idle, i.Mean
+	}
+	for queue, ratio := range e.Ratios {
+		o.shape(queue).ratio = ratio
+	}
+}
--- /dev/null
+++ b/internal/orchestrator/record_test.go
@@ -0,0 +1,56 @@
+package orchestrator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpitch/internal/orchestrator"
+)
+
+// Guards against records that stay in the store for ever: a final state goes after its
+// retention, also if the first write that deletes it fails.
+func TestFinalStatesExpire(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	w.addWorker("w0", cores(4, 16), "r0")
+	w.elect(false)
+	w.run(time.Second)
+	w.submit(simple("j1", 1, cores(1, 1)))
+	w.run(2 * time.Second)
+	is.Equal(w.state("j1"), orchestrator.StateSucceeded)
+	l := w.leader()
+	w.now = w.now.Add(2 * time.Hour)
+	l.step(orchestrator.Tick{})
+	is.True(l.o.Unwritten())
+	for range 2 { // the first write is not answered
+		b, _ := l.o.NextBatch(9, true, w.now)
+		is.Equal(len(b.Entries), 1)
+		is.True(b.Entries[0].Delete)
+	}
+	b, _ := l.o.NextBatch(9, true, w.now)
+	l.step(orchestrator.Written{Batch: b})
+	is.True(!l.o.Unwritten())
+	is.Equal(w.state("j1"), orchestrator.State(""))
+}
+
+// Guards against a successor that learns anew which images disturb each other.
+func TestExperienceOutlivesItsLeader(t *testing.T) {
+	is := is.New(t)
+	e := orchestrator.Experience{
+		Pairs:  []orchestrator.PairExperience{{Serving: "web", Filler: "loud", Coefficient: 3, Samples: 40}},
+		Images: []orchestrator.ImageExperience{{Image: "web", Idle: 0.22, Mean: 0.5}},
+		Ratios: map[string]float64{"q": 1.5},
+	}
+	b, err := orchestrator.EncodeExperience(e)
+	is.NoErr(err)
+	back, err := orchestrator.DecodeExperience(b)
+	is.NoErr(err)
+	is.Equal(back, e)
+	w := newWorld(t, 1)
+	l := w.elect(false)
+	l.step(orchestrator.Inherited{Learnt: back})
+	next, _ := l.o.NextBatch(9, true, w.now.Add(time.Minute))
+	is.Equal(*next.Learnt, e)
+}
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -443,7 +443,8 @@
 // Batch is a group of writes that succeed or fail together.
 type Batch struct {
 	Entries       []BatchEntry
-	Roster        *Roster // nil: unchanged
+	Roster        *Roster     // nil: unchanged
+	Learnt        *Experience // nil: not due
 	rosterVersion uint64
 	enrolled      []string
 }
@@ -459,6 +460,9 @@
 // runs are acknowledged after it, and until then each look lists them again.
 const batchDelay = 80 * time.Millisecond
 
+// learntEvery is the interval at which a leader's experience is written.
+const learntEvery = 2 * time.Second
+
 // NextBatch returns the most urgent changes, at most limit jobs, and false if there are
 // none. all includes those that could still be collected.
 func (o *Orchestrator) NextBatch(limit int, all bool, now time.Time) (Batch, bool) {
@@ -471,9 +475,8 @@
 			}
 		}
 	}
-	for len(o.expired) > 0 && len(b.Entries) < limit {
-		b.Entries = append(b.Entries, BatchEntry{Record: Record{ID: o.expired[0]}, Delete: true})
-		o.expired = o.expired[1:]
+	for _, id := range o.expired[:min(len(o.expired), limit-len(b.Entries))] {
+		b.Entries = append(b.Entries, BatchEntry{Record: Record{ID: id}, Delete: true})
 	}
 	if o.rosterWritten < o.rosterVersion {
 		b.Roster, b.rosterVersion = &Roster{}, o.rosterVersion
@@ -485,11 +488,23 @@
 			}
 		}
 	}
+	if now.Sub(o.learntAt) >= learntEvery {
+		o.learntAt = now
+		b.Learnt = o.experience()
+	}
 	return b, len(b.Entries) > 0 || b.Roster != nil
 }
 
+// Unwritten reports whether the store lacks changes.
+func (o *Orchestrator) Unwritten() bool {
+	return len(o.dirty) > 0 || len(o.expired) > 0 || o.rosterWritten < o.rosterVersion
+}
+
 func (o *Orchestrator) batchWritten(b Batch) {
 	for _, e := range b.Entries {
+		if e.Delete {
+			o.expired = slices.DeleteFunc(o.expired, func(id string) bool { return id == e.Record.ID })
+		}
 		j := o.jobs[e.Record.ID]
 		if e.Delete || j == nil {
 			continue
