--- a/cmd/peridotpitch/entry.go
+++ b/cmd/peridotpitch/entry.go
@@ -70,6 +70,11 @@
 	return err
 }
 
+func checkEntry(path string) error {
+	_, err := platform.LoadSettings(path)
+	return err
+}
+
 // shutdownTimeout bounds the wait for requests that are being answered when the process
 // ends. Answers take milliseconds; the store's timeout is the longest part.
 const shutdownTimeout = 2 * time.Second
--- a/internal/commandline/operate.go
+++ b/internal/commandline/operate.go
@@ -43,6 +43,7 @@
 	name: "entry", summary: "Run an entry host on the users' platform.",
 	setup: func(fs *flag.FlagSet) func(*call) error {
 		path := fs.String("settings", "", "settings `file`; by default the one that the platform names")
+		check := fs.Bool("check", false, "check the settings file and exit")
 		return func(c *call) error {
 			file := *path
 			if file == "" {
@@ -51,6 +52,13 @@
 			if file == "" {
 				return usagef("flag -settings is required")
 			}
+			if *check {
+				if err := c.CheckEntry(file); err != nil {
+					return err
+				}
+				_, err := fmt.Fprintf(c.Stdout, "%s: settings are valid\n", file)
+				return err
+			}
 			return c.Entry(c.ctx, file)
 		}
 	},
--- a/internal/commandline/run.go
+++ b/internal/commandline/run.go
@@ -44,6 +44,8 @@
 	Getenv func(string) string
 	Serve  Serve
 	Entry  Entry
+	// CheckEntry checks the settings file of an entry host on the users' platform.
+	CheckEntry func(path string) error
 	// SettingsVariable names the environment variable with the default settings file of
 	// the entry subcommand.
 	SettingsVariable string
--- a/internal/coordinator/looker.go
+++ b/internal/coordinator/looker.go
@@ -163,13 +163,15 @@
 	switch a := a.(type) {
 	case orchestrator.StartRun:
 		o := ld.c.peers.Workers.Start(k.ctx, k.target, fence, a)
-		ld.c.metrics.orders.WithLabelValues("start").Observe(time.Since(begin).Seconds())
+		ld.c.metrics.order("start", begin)
 		ld.step(orchestrator.StartAnswered{Worker: a.Worker, Task: a.Task, Run: a.Run, Outcome: o})
 	case orchestrator.StopRun:
 		answered, fenced := ordered(ld.c.peers.Workers.Stop(k.ctx, k.target, fence, a))
+		ld.c.metrics.order("stop", begin)
 		ld.step(orchestrator.StopAnswered{Worker: a.Worker, Task: a.Task, Run: a.Run, Answered: answered, Fenced: fenced})
 	case orchestrator.PaceRun:
 		answered, _ := ordered(ld.c.peers.Workers.Pace(k.ctx, k.target, fence, a))
+		ld.c.metrics.order("pace", begin)
 		ld.step(orchestrator.PaceAnswered{Worker: a.Worker, Task: a.Task, Run: a.Run, Percent: a.Percent, Answered: answered})
 	}
 }
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -60,6 +60,10 @@
 	m.requests.WithLabelValues(call, queue, outcome).Observe(took.Seconds())
 }
 
+func (m *metrics) order(kind string, begin time.Time) {
+	m.orders.WithLabelValues(kind).Observe(time.Since(begin).Seconds())
+}
+
 // metricsShutdown bounds the end of the metrics server.
 const metricsShutdown = 200 * time.Millisecond
 
--- a/internal/coordinator/note.go
+++ b/internal/coordinator/note.go
@@ -11,6 +11,9 @@
 // note logs a decision and counts it.
 func (c *Coordinator) note(n orchestrator.Note) {
 	c.metrics.decisions.WithLabelValues(n.Event).Inc()
+	if n.Event == orchestrator.EventJobFinished {
+		c.metrics.jobTime.WithLabelValues(n.Queue, n.Outcome).Observe(n.Age.Seconds())
+	}
 	attrs := make([]slog.Attr, 0, 8)
 	add := func(key, value string) {
 		if value != "" {
@@ -18,6 +21,7 @@
 		}
 	}
 	add("Job", n.Job)
+	add("Queue", n.Queue)
 	add("Task", n.Task)
 	if n.Run > 0 {
 		attrs = append(attrs, slog.Int("Run", n.Run))
--- a/internal/orchestrator/action.go
+++ b/internal/orchestrator/action.go
@@ -56,6 +56,7 @@
 type Note struct {
 	Event   string // a name from Events
 	Job     string
+	Queue   string // of a finished job
 	Task    string
 	Run     int
 	Worker  string
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -523,7 +523,7 @@
 			}
 		}
 	}
-	o.do(Note{Event: EventJobFinished, Job: j.ID, Outcome: string(s), Reason: reason, Age: o.now.Sub(j.Submitted),
+	o.do(Note{Event: EventJobFinished, Job: j.ID, Queue: j.Policy.Queue, Outcome: string(s), Reason: reason, Age: o.now.Sub(j.Submitted),
 		Figures: fmt.Sprintf("Late=%t", o.now.After(j.deadline))})
 	o.do(WriteSoon{})
 }
