--- a/internal/orchestrator/pressure.go
+++ b/internal/orchestrator/pressure.go
@@ -24,9 +24,12 @@
 	// doubt is added to each coefficient before a filler starts: small errors of many
 	// fillers on one worker add up.
 	doubt = 0.08
-	// pressureBudget is the utilization that fillers may add even for a task whose own
-	// load is low at the moment.
+	// pressureBudget is the utilization that fillers may add. While a task's own load is
+	// below idleLoad they may add the difference, up to idleBudget: as it rises, they are
+	// slowed.
 	pressureBudget = 0.06
+	idleLoad       = 0.60
+	idleBudget     = 0.16
 	// firstCoefficient is taken for pairs of which nothing is known. Most are near 0, some
 	// between 1 and 3.
 	firstCoefficient = 0.4
@@ -175,7 +178,7 @@
 			continue
 		}
 		image := r.task.step.Image
-		left := min(pressureBudget, limitLoad-loadRise-r.own) - o.pressure.added(image, loads) - doubt*total
+		left := min(max(pressureBudget, idleLoad-r.own), idleBudget, limitLoad-loadRise-r.own) - o.pressure.added(image, loads) - doubt*total
 		if i := slices.IndexFunc(w.outlooks, func(k outlook) bool { return k.image == image }); i >= 0 {
 			w.outlooks[i].left = min(w.outlooks[i].left, left)
 			continue
