See the whole queue in each pass, at a cost that grows with it slowly

Steps of an image that found no room, and larger ones, are skipped; candidates, the order of the queue and unreached workers are computed once in a pass.

--- /dev/null
+++ b/internal/orchestrator/bench_test.go
@@ -0,0 +1,35 @@
+package orchestrator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"peridotpitch/internal/orchestrator"
+)
+
+// BenchmarkPass measures one scheduling pass over a long queue: 800 steps that wait and
+// find no room, on 490 workers with tasks of five images with a latency target.
+func BenchmarkPass(b *testing.B) {
+	w := newWorld(b, 1)
+	for i := range 490 {
+		w.addWorker(fmt.Sprintf("w%03d", i), cores(16, 64), "r0")
+	}
+	w.elect(false)
+	w.run(2 * time.Second)
+	for i := range 350 {
+		w.submit(serving(fmt.Sprintf("s%d", i), fmt.Sprintf("image%d", i%5), 6, cores(3, 6)))
+	}
+	w.run(2 * time.Second)
+	w.took = func(string, *fakeWorker) time.Duration { return time.Hour }
+	for i := range 800 {
+		w.submit(filler(fmt.Sprintf("b%d", i), fmt.Sprintf("filler%d", i%9), 20, cores(2, 2)))
+	}
+	w.run(3 * time.Second)
+	l := w.leader()
+	b.ResetTimer()
+	for b.Loop() {
+		w.now = w.now.Add(200 * time.Millisecond)
+		l.step(orchestrator.Tick{})
+	}
+}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -48,6 +48,7 @@
 	finished map[string]finishedJob
 	ready    map[*step]bool // steps with tasks that could start
 	workers  map[string]*worker
+	order    []*worker // all workers by ID; nil: to be sorted again
 	shapes   map[string]*shape // by queue
 	pressure pressure
 
@@ -64,7 +65,6 @@
 	pass          bool     // something changed that may let a task start
 	loadNoted     time.Time
 	lastPass      time.Time
-	wholePass     time.Time
 	deposed       bool
 	leaving       bool
 	wallOffset    time.Duration
@@ -205,7 +205,7 @@
 	if o.leaving {
 		return nil
 	}
-	if o.pass && o.inherited && !o.deposed && o.now.Sub(o.lastPass) >= passEvery {
+	if o.pass && o.inherited && !o.deposed && o.now.Sub(o.lastPass) >= o.passPause() {
 		o.pass, o.lastPass = false, o.now
 		o.schedule()
 	}
@@ -248,7 +248,7 @@
 
 // tick lets time pass: leases end, occurrences fall due, orders are repeated.
 func (o *Orchestrator) tick() {
-	for _, w := range o.workers {
+	for _, w := range o.ordered() {
 		o.tickWorker(w)
 	}
 	for _, j := range o.jobs {
@@ -268,7 +268,7 @@
 // noteLoad notes what the workers have and what waits.
 func (o *Orchestrator) noteLoad() {
 	var cores, counted, serving, filling, unused, usable int
-	for _, w := range o.workers {
+	for _, w := range o.ordered() {
 		if ok, _ := o.usable(w); !ok {
 			continue
 		}
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -31,12 +31,11 @@
 	noteEvery = 2 * time.Second
 	// passEvery is the pause between two passes. Answers of workers come in faster.
 	passEvery = 15 * time.Millisecond
-	// blockedLimit is the number of steps that fill and find no room after which a pass
-	// ends, except for a whole pass every wholePassEvery: in a long queue most find none.
-	blockedLimit   = 12
-	wholePassEvery = 200 * time.Millisecond
+	// passPerStep lengthens the pause with the queue: passes are to take at most a few
+	// hundredths of a core.
+	passPerStep = 100 * time.Microsecond
 	// passLimit bounds the starts of one pass, so that a burst does not delay looks.
-	passLimit = 64
+	passLimit = 160
 )
 
 // Weights of a worker's score. Free room counts from 0 to 1.
@@ -50,32 +49,76 @@
 	weightBeside   = 4.0 // utilization that fillers add for tasks with a latency target
 )
 
+// pass is what one scheduling pass has found out.
+type pass struct {
+	candidates map[string][]*worker // by service and label
+	reasons    map[string]string    // why there are none
+	refused    map[string]Resources // by service and image, the smallest filler without room
+	unreached  []*worker            // on which an earlier leader's runs may be
+}
+
 // schedule starts tasks on workers, the most urgent first.
 func (o *Orchestrator) schedule() {
-	steps := make([]*step, 0, len(o.ready))
-	for s := range o.ready {
-		if s.left > 0 {
-			steps = append(steps, s)
+	o.spare = o.spareRoom()
+	p := &pass{candidates: make(map[string][]*worker), reasons: make(map[string]string), refused: make(map[string]Resources)}
+	for _, w := range o.ordered() {
+		if w.inherited && !w.resolved && !w.idle {
+			p.unreached = append(p.unreached, w)
 		}
 	}
-	o.spare = o.spareRoom()
-	slices.SortFunc(steps, o.compareUrgency)
-	whole := o.now.Sub(o.wholePass) >= wholePassEvery
-	if whole {
-		o.wholePass = o.now
-	}
-	starts, blocked := 0, 0
-	for _, s := range steps {
-		if starts >= passLimit || blocked >= blockedLimit && !whole {
+	starts := 0
+	for _, u := range o.queue() {
+		if starts >= passLimit {
 			o.pass = true // a later event goes on
 			return
 		}
-		n := o.scheduleStep(s)
-		starts += n
-		if n == 0 && s.Fills {
-			blocked++
+		starts += o.scheduleStep(p, u.step)
+	}
+}
+
+// passPause returns the pause between two passes. A pass looks at all steps that wait.
+func (o *Orchestrator) passPause() time.Duration {
+	return passEvery + time.Duration(len(o.ready))*passPerStep
+}
+
+// urgency is what decides a step's place in the queue.
+type urgency struct {
+	step      *step
+	priority  int
+	prospect  prospect
+	remaining time.Duration
+	deadline  time.Time
+}
+
+// queue returns the steps with tasks that wait, the most urgent first.
+func (o *Orchestrator) queue() []urgency {
+	us := make([]urgency, 0, len(o.ready))
+	for s := range o.ready {
+		if s.waiting() {
+			u := urgency{step: s, priority: s.occurrence.job.Policy.Priority, deadline: s.deadline()}
+			u.prospect, u.remaining = o.outlast(s.occurrence)
+			us = append(us, u)
 		}
 	}
+	slices.SortFunc(us, compareUrgency)
+	return us
+}
+
+// waiting reports whether a task of the step neither runs nor has ended well.
+func (s *step) waiting() bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.done && len(t.runs) == 0 })
+}
+
+// plain reports whether only a filler's image and size decide where it can start, so that
+// a larger one of the image has no room where a smaller one has none.
+func (o *Orchestrator) plain(s *step) bool {
+	return s.Fills && !o.spare && s.RequiredLabel == "" && s.RackAffinity == "" && s.MaxPerWorker == 0 && !s.Gang && !s.occurrence.job.Policy.Advised
+}
+
+// hopeless reports whether an earlier step of the pass has shown that there is no room.
+func (p *pass) hopeless(s *step) bool {
+	least, ok := p.refused[s.occurrence.job.Policy.Service+"/"+s.Image]
+	return ok && s.Size.CPU >= least.CPU && s.Size.Memory >= least.Memory
 }
 
 // spareRoom reports whether less than half of the workers' processors are taken by tasks
@@ -83,7 +126,7 @@
 // scarce.
 func (o *Orchestrator) spareRoom() bool {
 	room, used := 0, 0
-	for _, w := range o.workers {
+	for _, w := range o.ordered() {
 		if ok, _ := o.usable(w); ok {
 			room += w.Room.CPU
 			used += w.used.CPU
@@ -151,24 +194,16 @@
 // compareUrgency orders steps: by priority, then by what their jobs can still reach.
 // Timely jobs go by their objective. Of the others, those that end soonest go first: many
 // jobs that are all begun would all end late.
-func (o *Orchestrator) compareUrgency(a, b *step) int {
-	ja, jb := a.occurrence.job, b.occurrence.job
-	if c := cmp.Compare(ja.Policy.Priority, jb.Policy.Priority); c != 0 {
+func compareUrgency(a, b urgency) int {
+	if c := cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.prospect, b.prospect)); c != 0 {
 		return c
 	}
-	pa, ra := o.outlast(a.occurrence)
-	pb, rb := o.outlast(b.occurrence)
-	if c := cmp.Compare(pa, pb); c != 0 {
-		return c
-	}
-	if pa == prospectTimely {
-		if c := a.deadline().Compare(b.deadline()); c != 0 {
+	if a.prospect != prospectTimely {
+		if c := cmp.Compare(a.remaining, b.remaining); c != 0 {
 			return c
 		}
-	} else if c := cmp.Compare(ra, rb); c != 0 {
-		return c
 	}
-	return cmp.Or(a.occurrence.deadline().Compare(b.occurrence.deadline()), cmp.Compare(ja.ID, jb.ID), cmp.Compare(a.index, b.index))
+	return cmp.Or(a.deadline.Compare(b.deadline), cmp.Compare(a.step.occurrence.job.ID, b.step.occurrence.job.ID), cmp.Compare(a.step.index, b.step.index))
 }
 
 // deadline returns when the step's tasks should have started or ended.
@@ -190,9 +225,14 @@
 }
 
 // scheduleStep starts what it can of a step and returns the number of starts.
-func (o *Orchestrator) scheduleStep(s *step) int {
+func (o *Orchestrator) scheduleStep(p *pass, s *step) int {
 	if s.Gang {
-		return o.scheduleGang(s)
+		return o.scheduleGang(p, s)
+	}
+	plain := o.plain(s)
+	if plain && p.hopeless(s) {
+		o.noteWait(s, "no worker has room")
+		return 0
 	}
 	starts := 0
 	var workers []*worker
@@ -200,19 +240,22 @@
 		if t.done || len(t.runs) > 0 {
 			continue
 		}
-		if reason := o.held(t); reason != "" {
+		if reason := o.held(p, t); reason != "" {
 			o.noteWait(s, reason)
 			continue
 		}
 		if workers == nil {
 			var reason string
-			if workers, reason = o.candidates(s); len(workers) == 0 {
+			if workers, reason = o.candidatesOf(p, s); len(workers) == 0 {
 				o.noteWait(s, reason)
 				return starts
 			}
 		}
 		w, score := o.choose(t, workers)
 		if w == nil {
+			if plain {
+				p.refused[s.occurrence.job.Policy.Service+"/"+s.Image] = s.Size
+			}
 			if !o.preempt(t, workers) {
 				o.noteWait(s, "no worker has room")
 			}
@@ -238,31 +281,44 @@
 
 // held returns why a task can not start anywhere yet, empty if it can. An earlier
 // leader may have started an inherited task on a worker that was not reached yet.
-func (o *Orchestrator) held(t *task) string {
+func (o *Orchestrator) held(p *pass, t *task) string {
 	j := t.job()
 	if !j.inherited || t.owned {
 		return ""
 	}
-	for _, w := range o.workers {
-		if w.resolved || w.idle || w.Service != j.Policy.Service && w.Service != "" {
+	for _, w := range p.unreached {
+		if w.Service != j.Policy.Service && w.Service != "" {
 			continue
 		}
 		if o.handedOff && !slices.Contains(t.inheritedWorkers, w.ID) {
 			continue
 		}
-		if w.inherited {
-			return "worker " + w.ID + " was not reached yet and may run it"
-		}
+		return "worker " + w.ID + " was not reached yet and may run it"
 	}
 	return ""
 }
 
+// candidatesOf returns the candidates of a pass, which are the same for all steps of a
+// service with the same label.
+func (o *Orchestrator) candidatesOf(p *pass, s *step) ([]*worker, string) {
+	if s.occurrence.job.Policy.Advised {
+		return o.candidates(s)
+	}
+	key := s.occurrence.job.Policy.Service + "/" + s.RequiredLabel
+	ws, ok := p.candidates[key]
+	if !ok {
+		ws, p.reasons[key] = o.candidates(s)
+		p.candidates[key] = ws
+	}
+	return ws, p.reasons[key]
+}
+
 // candidates returns the workers that may run a step's tasks, or why there are none.
 func (o *Orchestrator) candidates(s *step) ([]*worker, string) {
 	j := s.occurrence.job
 	var ws []*worker
 	reason := "no worker of service " + j.Policy.Service + " is listed"
-	for _, w := range o.workers {
+	for _, w := range o.ordered() {
 		if w.Service != j.Policy.Service {
 			continue
 		}
@@ -270,10 +326,6 @@
 			reason = "no worker with label " + s.RequiredLabel + " can be used"
 			continue
 		}
-		if !w.Room.covers(s.sizeOn()) {
-			reason = "no worker is large enough"
-			continue
-		}
 		if ok, why := o.usable(w); !ok {
 			reason = why
 			continue
@@ -283,7 +335,6 @@
 	if j.Policy.Advised && len(ws) > 0 {
 		return o.advisedWorkers(s, ws)
 	}
-	slices.SortFunc(ws, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	return ws, reason
 }
 
@@ -359,7 +410,7 @@
 }
 
 func (o *Orchestrator) rackExists(s *step) bool {
-	for _, w := range o.workers {
+	for _, w := range o.ordered() {
 		if w.Rack == s.RackAffinity && w.Service == s.occurrence.job.Policy.Service && w.listed && !w.failing {
 			return true
 		}
@@ -427,19 +478,19 @@
 }
 
 // scheduleGang starts all tasks of a gang or none.
-func (o *Orchestrator) scheduleGang(s *step) int {
+func (o *Orchestrator) scheduleGang(p *pass, s *step) int {
 	number := 0
 	for _, t := range s.tasks {
 		if t.done || len(t.runs) > 0 {
 			return 0
 		}
-		if reason := o.held(t); reason != "" {
+		if reason := o.held(p, t); reason != "" {
 			o.noteWait(s, reason)
 			return 0
 		}
 		number = max(number, t.nextRun)
 	}
-	workers, reason := o.candidates(s)
+	workers, reason := o.candidatesOf(p, s)
 	if len(workers) == 0 {
 		o.noteWait(s, reason)
 		return 0
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -1,7 +1,9 @@
 package orchestrator
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -103,10 +105,19 @@
 	if w == nil {
 		w = &worker{WorkerEntry: WorkerEntry{ID: id}, idle: true, runs: make(map[runKey]*run), pace: 100, slow: 1}
 		o.workers[id] = w
+		o.order = nil
 	}
 	return w
 }
 
+// ordered returns all workers by ID.
+func (o *Orchestrator) ordered() []*worker {
+	if o.order == nil {
+		o.order = slices.SortedFunc(maps.Values(o.workers), func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return o.order
+}
+
 func (o *Orchestrator) listWorkers(entries []WorkerEntry) {
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -369,6 +380,7 @@
 	}
 	if unreached && w.idle && !w.listed && o.now.Sub(w.unlistedAt) > unlistedAfter {
 		delete(o.workers, w.ID)
+		o.order = nil
 		o.rosterVersion++
 		o.do(ForgetWorker{ID: w.ID})
 		return
