--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -48,7 +48,7 @@
 	finished map[string]finishedJob
 	ready    map[*step]bool // steps with tasks that could start
 	workers  map[string]*worker
-	order    []*worker // all workers by ID; nil: to be sorted again
+	order    []*worker         // all workers by ID; nil: to be sorted again
 	shapes   map[string]*shape // by queue
 	pressure pressure
 
