--- a/internal/orchestrator/pressure.go
+++ b/internal/orchestrator/pressure.go
@@ -34,10 +34,12 @@
 	// between 1 and 3.
 	firstCoefficient = 0.4
 	maxCoefficient   = 20.0
-	// pressureGain is the part of a prediction's error that one sample corrects, surprise
-	// the error from which surpriseGain takes its place, pressureNoise what keeps samples
-	// of small loads from large corrections.
-	pressureGain  = 0.06
+	// A sample corrects a part of a prediction's error: firstGain of a new pair's, falling
+	// with gainSamples to pressureGain. surprise is the error from which it is surpriseGain
+	// at least, pressureNoise what keeps samples of small loads from large corrections.
+	firstGain     = 0.25
+	gainSamples   = 10
+	pressureGain  = 0.02
 	surprise      = 0.35
 	surpriseGain  = 0.25
 	pressureNoise = 0.003
@@ -120,10 +122,6 @@
 	}
 	failure := p.utilization(serving, tail) - mean - p.added(serving, loads)
 	p.mean[serving] = min(mostLoad, max(leastLoad, mean+meanWeight*failure))
-	gain := pressureGain
-	if failure > surprise {
-		gain = surpriseGain
-	}
 	square := pressureNoise
 	for _, x := range loads {
 		square += x * x
@@ -133,6 +131,10 @@
 			r := p.reaction(serving, f)
 			r.samples++
 			r.trials = nil
+			gain := max(pressureGain, firstGain/(1+float64(r.samples)/gainSamples))
+			if failure > surprise {
+				gain = max(gain, surpriseGain)
+			}
 			r.coefficient = min(maxCoefficient, max(0, r.coefficient+gain*failure*x/square))
 		}
 	}
