--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -118,7 +118,7 @@
 	c.leaving.Store(true)
 	deadline := time.Now().Add(min(leaveWait, c.settings.DrainTimeout/2))
 	if ld := c.leading(); ld != nil {
-		ld.handOver(ctx)
+		ld.handOver(ctx, "")
 	}
 	sleep(ctx, time.Until(deadline))
 }
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -45,6 +45,11 @@
 	leaderStoreLost = 1500 * time.Millisecond
 	// campaignJitter spreads the elections of hosts that notice a dead leader at once.
 	campaignJitter = 120 * time.Millisecond
+	// giveWay is how long a host waits for a better suited one to campaign, and
+	// similarShare the part of another host's processor share from which a host is about
+	// as well suited to lead as that one.
+	giveWay      = 500 * time.Millisecond
+	similarShare = 0.6
 	// termRetry is the pause after the term could not be read.
 	termRetry = 150 * time.Millisecond
 )
@@ -52,10 +57,12 @@
 // term is the value of keyTerm.
 type term struct {
 	Host      string
-	Process   string // the process that leads; a restarted one does not
-	Address   string // of the leader's messages
-	HandedOff bool   // nobody leads; the last leader stopped sending and wrote its records
-	Revision  uint64 `msgpack:"-"`
+	Process   string  // the process that leads; a restarted one does not
+	Address   string  // of the leader's messages
+	HandedOff bool    // nobody leads; the last leader stopped sending and wrote its records
+	Preferred string  // nobody leads; host that should campaign first, if it is there
+	Share     float64 // processor share of the leader's host, or of the last one's
+	Revision  uint64  `msgpack:"-"`
 }
 
 func (t term) address() netip.AddrPort {
@@ -103,6 +110,9 @@
 		return 0
 	}
 	if !t.address().IsValid() {
+		if t.Preferred != "" && t.Preferred != c.settings.Name {
+			sleep(ctx, giveWay)
+		}
 		c.campaign(ctx, t, "no host leads")
 		return termRetry
 	}
@@ -202,9 +212,12 @@
 	if c.leaving.Load() {
 		return
 	}
-	spread := time.Duration(float64(campaignJitter) / min(1, max(0.1, c.settings.ProcessorShare*2)))
-	sleep(ctx, c.jitter(min(spread, 4*campaignJitter)))
-	next := term{Host: c.settings.Name, Process: c.process, Address: c.settings.MessageAddress.String()}
+	pause := c.jitter(campaignJitter)
+	if c.settings.ProcessorShare < similarShare*after.Share {
+		pause += giveWay
+	}
+	sleep(ctx, pause)
+	next := term{Host: c.settings.Name, Process: c.process, Address: c.settings.MessageAddress.String(), Share: c.settings.ProcessorShare}
 	value, err := msgpack.Marshal(&next)
 	if err != nil {
 		c.log.Error("ElectionFailed", "Cause", err.Error())
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -61,6 +61,7 @@
 	o       *orchestrator.Orchestrator
 	loaded  bool
 	handing bool // no more orders
+	aside   bool // it is being handed over to a better suited host
 	lookers map[string]*looker
 
 	writeMu sync.Mutex // held during a write of the leader; guards head
@@ -547,8 +548,22 @@
 	ld.step(orchestrator.WorkerListed{Worker: w})
 }
 
-// handOver stops all orders, writes every record and gives the leadership up.
-func (ld *leader) handOver(ctx context.Context) {
+// stepAside hands the leadership over to a host with more processors, once.
+func (ld *leader) stepAside(host string) {
+	ld.mu.Lock()
+	first := ld.loaded && !ld.aside && ld.o.KnowsRuns()
+	ld.aside = ld.aside || first
+	ld.mu.Unlock()
+	if !first {
+		return
+	}
+	ld.c.log.Info("StepAside", "Epoch", ld.term.Revision, "For", host, "Reason", "it has more processors")
+	go ld.handOver(context.Background(), host)
+}
+
+// handOver stops all orders, writes every record and gives the leadership up, to a
+// preferred host if one is named.
+func (ld *leader) handOver(ctx context.Context, preferred string) {
 	ld.step(orchestrator.HandOver{})
 	ld.mu.Lock()
 	clean := ld.loaded && ld.o.KnowsRuns()
@@ -565,7 +580,7 @@
 		clean = timekeeper.Now().Before(deadline) && ctx.Err() == nil
 		sleep(ctx, writeRetry)
 	}
-	ld.vacate(ctx, clean)
+	ld.vacate(ctx, clean, preferred)
 	ld.cancel()
 	<-ld.ended
 }
@@ -580,8 +595,8 @@
 }
 
 // vacate writes a term that names no leader.
-func (ld *leader) vacate(ctx context.Context, clean bool) {
-	value, err := msgpack.Marshal(&term{HandedOff: clean})
+func (ld *leader) vacate(ctx context.Context, clean bool, preferred string) {
+	value, err := msgpack.Marshal(&term{HandedOff: clean, Preferred: preferred, Share: ld.term.Share})
 	if err != nil {
 		ld.c.log.Error("HandOverFailed", "Cause", err.Error())
 		return
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -24,7 +24,9 @@
 type ping struct {
 	Host    string
 	Epoch   uint64
-	Version uint64 // of the configuration in force
+	Version uint64  // of the configuration in force
+	Share   float64 // processor share of the host
+	Ready   bool
 }
 
 // pong is the answer to a ping.
@@ -78,6 +80,9 @@
 	if ld := c.leading(); ld != nil {
 		a.Leading, a.Epoch, a.Pending = true, ld.term.Revision, ld.pending()
 		a.Loaded = a.Pending != nil
+		if p.Ready && c.settings.ProcessorShare < similarShare*p.Share {
+			ld.stepAside(p.Host)
+		}
 	}
 	return a, nil
 }
@@ -87,7 +92,7 @@
 	var a pong
 	sent := timekeeper.Now()
 	err := c.client(t.address()).Invoke(ctx, pingTimeout, methodPing,
-		&ping{Host: c.settings.Name, Epoch: t.Revision, Version: c.configVersion()}, &a)
+		&ping{Host: c.settings.Name, Epoch: t.Revision, Version: c.configVersion(), Share: c.settings.ProcessorShare, Ready: c.Ready()}, &a)
 	if err != nil {
 		return pong{}, err
 	}
