--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -199,21 +199,25 @@
 	c.cleanup = nil
 }
 
-// followConfiguration keeps the newest configuration in force.
+// followConfiguration keeps the newest configuration in force. Watches go on from the
+// store's revision at the last read: the configuration's own may be older than the
+// history that the store keeps.
 func (c *Coordinator) followConfiguration(ctx context.Context) {
-	var revision uint64
 	for ctx.Err() == nil {
-		e, err := c.peers.Store.Get(ctx, c.peers.Keys.Configuration)
+		entries, revision, err := c.peers.Store.List(ctx, c.peers.Keys.Configuration)
 		c.storeAnswered(err)
 		if err != nil {
 			sleep(ctx, configurationRetry)
 			continue
 		}
-		if e.Revision > 0 {
-			c.applyConfiguration(e)
+		for _, e := range entries {
+			if e.Key == c.peers.Keys.Configuration {
+				c.applyConfiguration(e)
+			}
+		}
+		if c.watchConfiguration(ctx, revision) != nil {
+			sleep(ctx, configurationRetry)
 		}
-		revision = max(revision, e.Revision)
-		c.watchConfiguration(ctx, &revision)
 	}
 }
 
@@ -225,32 +229,27 @@
 	configurationRetry = 150 * time.Millisecond
 )
 
-// watchConfiguration returns when the configuration should be read again.
-func (c *Coordinator) watchConfiguration(ctx context.Context, revision *uint64) {
-	for i := 0; i < configurationWatches && ctx.Err() == nil; i++ {
-		select {
-		case <-c.refetch:
-			return
-		default:
-		}
-		es, err := c.peers.Store.Watch(ctx, c.peers.Keys.Configuration, *revision, configurationWait)
-		c.storeAnswered(err)
-		if err != nil || es.Compacted {
-			return
-		}
-		*revision = max(*revision, es.StoreRevision)
-		for _, e := range es.Events {
-			if e.Key == c.peers.Keys.Configuration && !e.Deleted {
-				c.applyConfiguration(e)
-			}
+// watchConfiguration watches once, and returns when the configuration should be read
+// again, in case the watch has missed a change.
+func (c *Coordinator) watchConfiguration(ctx context.Context, revision uint64) error {
+	select {
+	case <-c.refetch:
+		return nil
+	default:
+	}
+	es, err := c.peers.Store.Watch(ctx, c.peers.Keys.Configuration, revision, configurationWait)
+	c.storeAnswered(err)
+	if err != nil {
+		return err
+	}
+	for _, e := range es.Events {
+		if e.Key == c.peers.Keys.Configuration && !e.Deleted {
+			c.applyConfiguration(e)
 		}
 	}
+	return nil
 }
 
-// configurationWatches is the number of watches after which the configuration is read
-// again, in case a watch has missed a change.
-const configurationWatches = 1
-
 func (c *Coordinator) applyConfiguration(e storer.Entry) {
 	n, err := c.peers.Decoder.Configuration(e.Value)
 	if err != nil {
