--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -23,7 +23,7 @@
 	runLease = 4500 * time.Millisecond
 	// leaderAuthority bounds the leases that a leader without the store hands out. A
 	// successor waits as long for workers that it can not reach.
-	leaderAuthority = 9 * time.Second
+	leaderAuthority = 7 * time.Second
 	// headEvery is the longest time between two writes of a leader. It is the leader's
 	// sign of life in the store.
 	headEvery = 300 * time.Millisecond
--- a/internal/orchestrator/load_test.go
+++ b/internal/orchestrator/load_test.go
@@ -400,6 +400,27 @@
 	is.Equal(w.where("j1"), []string{"w1", "w1"})
 }
 
+// Pattern: workers leave, and then all entry hosts die. Guards against a successor that
+// waits for the leases of a worker that had left with nothing running.
+func TestSuccessorDoesNotWaitForLeftWorker(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	w.addWorker("w0", cores(8, 32), "r0")
+	left := w.addWorker("w1", cores(8, 32), "r0")
+	w.elect(false)
+	w.run(time.Second)
+	left.entry.Draining = true
+	w.leader().step(orchestrator.WorkersListed{Workers: w.entries()})
+	w.run(time.Second)
+	left.dead = true
+	w.leader().step(orchestrator.WorkerUnlisted{ID: "w1"})
+	w.run(200 * time.Millisecond)
+	w.submit(simple("j1", 1, cores(1, 1))) // not started before the leader dies
+	w.elect(false)
+	w.run(2 * time.Second)
+	is.Equal(w.state("j1"), orchestrator.StateSucceeded)
+}
+
 // Guards against jobs that no worker or dependency can satisfy.
 func TestInvalidJobs(t *testing.T) {
 	is := is.New(t)
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -159,7 +159,7 @@
 
 // enroll asks for a worker's place in the roster, without which it gets no starts.
 func (o *Orchestrator) enroll(w *worker) {
-	if w.enrolling || w.rostered && !w.idle {
+	if w.enrolling || w.rostered && !w.idle || w.Draining {
 		return
 	}
 	w.idle, w.rostered, w.enrolling = false, false, true
@@ -385,7 +385,12 @@
 		o.do(ForgetWorker{ID: w.ID})
 		return
 	}
-	if !unreached && w.listed {
+	switch {
+	case w.Draining && len(w.runs) == 0 && w.resolved && !w.idle:
+		// It gets no starts any more: a successor need not wait for it when it has gone.
+		w.idle, w.rostered, w.enrolling = true, false, false
+		o.rosterVersion++
+	case !unreached && w.listed:
 		o.enroll(w)
 	}
 	if w.Draining {
