Make the test of a worker that left red without its mechanism

The test now takes the store from the old leader first, and fails without the change at load_test.go: the job is not done after 2 s.

--- a/internal/orchestrator/load_test.go
+++ b/internal/orchestrator/load_test.go
@@ -412,6 +412,7 @@
 	left.entry.Draining = true
 	w.leader().step(orchestrator.WorkersListed{Workers: w.entries()})
 	w.run(time.Second)
+	w.leader().noStore = true // it can not tell any more that the worker has gone
 	left.dead = true
 	w.leader().step(orchestrator.WorkerUnlisted{ID: "w1"})
 	w.run(200 * time.Millisecond)
