--- a/internal/orchestrator/load_test.go
+++ b/internal/orchestrator/load_test.go
@@ -412,10 +412,8 @@
 	left.entry.Draining = true
 	w.leader().step(orchestrator.WorkersListed{Workers: w.entries()})
 	w.run(time.Second)
-	w.leader().noStore = true // it can not tell any more that the worker has gone
+	w.leader().frozen = true // it neither starts the job nor tells that the worker has gone
 	left.dead = true
-	w.leader().step(orchestrator.WorkerUnlisted{ID: "w1"})
-	w.run(200 * time.Millisecond)
 	w.submit(simple("j1", 1, cores(1, 1))) // not started before the leader dies
 	w.elect(false)
 	w.run(2 * time.Second)
