--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -53,7 +53,6 @@
 	storeSeen   atomic.Int64 // timekeeper time of the last answer of the store, Unix ns
 	storeLost   atomic.Bool
 	lastPending atomic.Pointer[pendingCount]
-	campaignCh  chan struct{}
 	foreign     sync.Map // keys of discovery entries that were refused
 
 	mu      sync.Mutex // guards the fields below
@@ -69,10 +68,9 @@
 	process := fmt.Sprintf("%s/%x", s.Name, rand.Uint64())
 	return &Coordinator{
 		settings: s, peers: p, log: log, metrics: newMetrics(), process: process,
-		jitter:     func(d time.Duration) time.Duration { return rand.N(d + 1) },
-		refetch:    make(chan struct{}, 1),
-		campaignCh: make(chan struct{}, 1),
-		clients:    make(map[netip.AddrPort]*messenger.Client),
+		jitter:  func(d time.Duration) time.Duration { return rand.N(d + 1) },
+		refetch: make(chan struct{}, 1),
+		clients: make(map[netip.AddrPort]*messenger.Client),
 	}
 }
 
@@ -288,7 +286,6 @@
 	return orchestrator.Settings{
 		Epoch: epoch, ElectedAt: elected, ConfirmedAt: confirmed,
 		Lease: min(runLease, c.settings.MaxLease), Authority: leaderAuthority, MaxLease: c.settings.MaxLease,
-		EarlyStart: c.settings.EarlyStart, Retention: c.settings.StatusRetention, FarFactor: c.settings.FarFactor,
-		GangTimeout: c.settings.GangTimeout,
+		Retention: c.settings.StatusRetention, FarFactor: c.settings.FarFactor,
 	}
 }
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -87,15 +87,7 @@
 		if c.leading() == nil && !c.leaving.Load() {
 			pause = c.checkLeader(ctx, &s)
 		}
-		if pause > 0 {
-			t := time.NewTimer(pause)
-			select {
-			case <-t.C:
-			case <-c.campaignCh:
-			case <-ctx.Done():
-			}
-			t.Stop()
-		}
+		sleep(ctx, pause)
 	}
 }
 
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -12,19 +12,16 @@
 
 // Settings are the settings of one entry host.
 type Settings struct {
-	Name            string
-	FailureDomain   string
-	CallerAddress   netip.AddrPort
-	ReadyAddress    netip.AddrPort
-	MessageAddress  netip.AddrPort
-	MetricsAddress  netip.AddrPort
-	StoreAddress    netip.AddrPort
-	AdviceAddress   netip.AddrPort // invalid: no queue is advised
-	MachinesAddress netip.AddrPort // invalid: there is no maintenance
+	Name           string
+	FailureDomain  string
+	CallerAddress  netip.AddrPort
+	ReadyAddress   netip.AddrPort
+	MessageAddress netip.AddrPort
+	MetricsAddress netip.AddrPort
+	StoreAddress   netip.AddrPort
+	AdviceAddress  netip.AddrPort // invalid: no queue is advised
 
 	MaxLease        time.Duration
-	GangTimeout     time.Duration
-	EarlyStart      time.Duration
 	StatusRetention time.Duration
 	FarFactor       float64
 
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -17,10 +17,8 @@
 	Lease       time.Duration
 	Authority   time.Duration // how long after a confirmation leases may last
 	MaxLease    time.Duration // workers shorten longer ones to it
-	EarlyStart  time.Duration // how long before its time an occurrence may start
 	Retention   time.Duration // of final states
 	FarFactor   float64       // slowdown of a task away from its data
-	GangTimeout time.Duration
 }
 
 const (
--- a/internal/orchestrator/relief.go
+++ b/internal/orchestrator/relief.go
@@ -154,11 +154,7 @@
 }
 
 func (o *Orchestrator) paceAnswered(e PaceAnswered) {
-	w := o.workers[e.Worker]
-	if w == nil {
-		return
-	}
-	r := w.runs[runKey{e.Task, e.Run}]
+	r := o.runOn(e.Worker, e.Task, e.Run)
 	if r == nil {
 		return
 	}
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -128,14 +128,11 @@
 }
 
 func (o *Orchestrator) startAnswered(e StartAnswered) {
-	w := o.workers[e.Worker]
-	if w == nil {
-		return
-	}
-	r := w.runs[runKey{e.Task, e.Run}]
+	r := o.runOn(e.Worker, e.Task, e.Run)
 	if r == nil {
 		return
 	}
+	w := r.worker
 	r.inFlight = false
 	if e.Outcome != StartAccepted {
 		o.do(Note{Event: EventStartRefused, Job: r.task.job().ID, Task: e.Task, Run: e.Run, Worker: e.Worker, Outcome: string(e.Outcome), Age: o.now.Sub(r.sentAt)})
@@ -233,15 +230,11 @@
 }
 
 func (o *Orchestrator) stopAnswered(e StopAnswered) {
-	w := o.workers[e.Worker]
-	if w == nil {
-		return
-	}
 	if e.Fenced {
-		o.stepDown("worker " + w.ID + " knows a newer leader")
+		o.stepDown("worker " + e.Worker + " knows a newer leader")
 		return
 	}
-	r := w.runs[runKey{e.Task, e.Run}]
+	r := o.runOn(e.Worker, e.Task, e.Run)
 	if r == nil || r.phase != phaseStopping {
 		return
 	}
@@ -249,8 +242,17 @@
 	if e.Answered {
 		r.settledAt = o.now
 	} else {
-		w.doubt = o.now
+		r.worker.doubt = o.now
+	}
+}
+
+// runOn returns a run that the leader knows on a worker, nil if it knows none.
+func (o *Orchestrator) runOn(worker, task string, number int) *run {
+	w := o.workers[worker]
+	if w == nil {
+		return nil
 	}
+	return w.runs[runKey{task, number}]
 }
 
 // adopt takes over a run that a worker lists and this leader has not started, or had
--- a/internal/orchestrator/world_test.go
+++ b/internal/orchestrator/world_test.go
@@ -135,7 +135,7 @@
 	l := &fakeLeader{w: w, id: len(w.leaders), epoch: w.epoch, watched: make(map[string]bool), looked: make(map[string]time.Time)}
 	l.o = orchestrator.New(orchestrator.Settings{
 		Epoch: w.epoch, ElectedAt: w.now, ConfirmedAt: w.now, Lease: 4500 * time.Millisecond, Authority: 9 * time.Second,
-		MaxLease: 10 * time.Second, EarlyStart: 250 * time.Millisecond, Retention: time.Hour, FarFactor: 3, GangTimeout: 3 * time.Second,
+		MaxLease: 10 * time.Second, Retention: time.Hour, FarFactor: 3,
 	})
 	w.leaders = append(w.leaders, l)
 	w.head = l.id
