--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -76,7 +76,7 @@
 	}
 	a := &t.step.advice
 	a.asking = false
-	o.pass = true
+	o.passDue = true
 	if e.Failed {
 		a.retryAt = o.now.Add(adviceRetry)
 		return
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -60,7 +60,7 @@
 	expired       []string // finished jobs whose records are to be deleted
 	scarce        bool     // little is left beyond the reserve for short jobs
 	spare         bool     // less than half of the workers' processors are taken
-	pass          bool     // something changed that may let a task start
+	passDue       bool     // something changed that may let a task start
 	loadNoted     time.Time
 	lastPass      time.Time
 	deposed       bool
@@ -203,8 +203,8 @@
 	if o.leaving {
 		return nil
 	}
-	if o.pass && o.inherited && !o.deposed && o.now.Sub(o.lastPass) >= o.passPause() {
-		o.pass, o.lastPass = false, o.now
+	if o.passDue && o.inherited && !o.deposed && o.now.Sub(o.lastPass) >= o.passPause() {
+		o.passDue, o.lastPass = false, o.now
 		o.schedule()
 	}
 	return o.actions
@@ -253,7 +253,7 @@
 		o.beginOccurrences(j)
 	}
 	o.expire()
-	o.pass = true
+	o.passDue = true
 	if o.now.Sub(o.loadNoted) >= loadEvery {
 		o.loadNoted = o.now
 		o.noteLoad()
@@ -291,7 +291,7 @@
 }
 
 func (o *Orchestrator) inherit(e Inherited) {
-	o.inherited, o.handedOff, o.pass = true, e.HandedOff, true
+	o.inherited, o.handedOff, o.passDue = true, e.HandedOff, true
 	o.recall(e.Learnt)
 	for _, r := range e.Finished {
 		o.finished[r.ID] = finishedJob{queue: r.Queue, state: r.State, at: r.FinishedAt}
@@ -468,7 +468,7 @@
 			t.since = o.now
 		}
 	}
-	o.pass = true
+	o.passDue = true
 }
 
 // taskDone records that a task has ended well.
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -27,7 +27,7 @@
 	starts := 0
 	for _, u := range o.queue() {
 		if starts >= passLimit {
-			o.pass = true // a later event goes on
+			o.passDue = true // a later event goes on
 			return
 		}
 		starts += o.scheduleStep(p, u.step)
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -89,7 +89,7 @@
 	w.account(t.step.Step, -1)
 	t.runs = slices.DeleteFunc(t.runs, func(k *run) bool { return k == r })
 	t.since = o.now
-	o.pass = true
+	o.passDue = true
 	j := t.job()
 	if j.runs--; j.runs == 0 {
 		j.idleSince = o.now
@@ -529,7 +529,7 @@
 				w.rostered, w.enrolling = true, false
 			}
 		}
-		o.pass = true
+		o.passDue = true
 	}
 	for _, w := range o.workers {
 		o.advanceAcks(w)
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -56,7 +56,7 @@
 		filling int // millicores of tasks that fill, at full pace
 	}
 
-	strange int // listed runs that are being stopped and whose size is not known
+	unaccounted int // listed runs that are being stopped and whose size is not known
 
 	seen  int // highest number of an end that was applied
 	ends  []appliedEnd
@@ -147,7 +147,7 @@
 		o.do(WatchWorker{Worker: e})
 	}
 	o.enroll(w)
-	o.pass = true
+	o.passDue = true
 }
 
 func listOutcome(e WorkerEntry) string {
@@ -232,7 +232,7 @@
 		return false, "does not answer"
 	case !w.rostered:
 		return false, "its place in the roster is not written yet"
-	case w.strange > 0:
+	case w.unaccounted > 0:
 		return false, "it still runs tasks of jobs that have ended"
 	case o.now.Before(w.avoidUntil):
 		return false, "its tasks failed"
@@ -255,7 +255,7 @@
 	}
 	if !w.resolved {
 		w.resolved, w.inherited = true, false
-		o.pass = true
+		o.passDue = true
 	}
 	w.born, w.clock, w.clockAt, w.hasClock = e.Born, e.Clock, e.ReceivedAt, true
 	w.lookSentAt, w.answeredAt, w.failing = e.SentAt, e.ReceivedAt, false
@@ -270,14 +270,14 @@
 	}
 	o.advanceAcks(w)
 	o.applyRunning(w, e)
-	o.pass = true
+	o.passDue = true
 }
 
 // applyRunning compares a worker's list of runs with what the leader believes.
 func (o *Orchestrator) applyRunning(w *worker, e LookAnswered) {
 	listed := make(map[runKey]bool, len(e.Running))
 	tail := 0.0
-	w.strange = 0
+	w.unaccounted = 0
 	for _, row := range e.Running {
 		k := runKey{row.Task, row.Run}
 		listed[k] = true
@@ -286,7 +286,7 @@
 			r = o.adopt(w, row)
 		}
 		if r == nil {
-			w.strange++
+			w.unaccounted++
 			continue
 		}
 		o.observe(r, row)
@@ -363,7 +363,7 @@
 		o.rosterVersion++
 	}
 	w.resolved, w.inherited = true, false
-	o.pass = true
+	o.passDue = true
 }
 
 // tickWorker ends leases and repeats orders.
