--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -340,9 +340,6 @@
 		o.restore(j, r, o.now)
 		j.started = j.state == StateRunning || len(r.Done) > 0 || len(r.Tasks) > 0 || len(r.Finished) > 0
 	}
-	if j.inherited {
-		j.next = 0
-	}
 	o.beginOccurrences(j)
 	for _, oc := range slices.Clone(j.occurrences) {
 		o.settle(oc)
--- a/internal/orchestrator/relief.go
+++ b/internal/orchestrator/relief.go
@@ -198,14 +198,10 @@
 		reason = "slower than expected"
 	}
 	t.moves++
-	if t.avoid == nil {
-		t.avoid = make(map[string]bool)
-	}
-	t.avoid[w.ID] = true
+	t.avoidOn(w)
 	w.slow = max(w.slow, straggleFactor)
 	if hung {
-		w.avoidUntil, w.probing = o.now.Add(avoidFor), true
-		o.do(Note{Event: EventWorkerAvoided, Worker: w.ID, Outcome: "avoided", Reason: "a run stands still", Age: o.now.Sub(r.percentAt)})
+		o.quarantine(w, Note{Reason: "a run stands still", Age: o.now.Sub(r.percentAt)})
 	}
 	if s.Speculative && !s.Checkpoints && len(t.runs) < maxCopies {
 		o.do(Note{Event: EventCopy, Job: t.job().ID, Task: t.name, Run: r.number, Worker: w.ID, Reason: reason,
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -356,16 +356,21 @@
 		}
 	case EndFailed:
 		o.judge(w, j, true)
-		if t.avoid == nil {
-			t.avoid = make(map[string]bool)
-		}
-		t.avoid[w.ID] = true
+		t.avoidOn(w)
 		o.countFailure(t, row.Run)
 	case EndStopped, EndLapsed, EndBroken, EndAlone:
 		// Not the task's own fault: it starts again.
 	}
 }
 
+// avoidOn remembers that the task should rather run elsewhere.
+func (t *task) avoidOn(w *worker) {
+	if t.avoid == nil {
+		t.avoid = make(map[string]bool)
+	}
+	t.avoid[w.ID] = true
+}
+
 func (o *Orchestrator) countFailure(t *task, number int) {
 	if t.step.LongRunning {
 		return
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -429,12 +429,18 @@
 	}
 	w.streakJob = j.ID
 	if w.streak >= failureStreak {
-		w.avoidUntil, w.probing = o.now.Add(avoidFor), true
-		o.do(Note{Event: EventWorkerAvoided, Worker: w.ID, Outcome: "avoided", Reason: "runs of several jobs failed in a row",
-			Figures: fmt.Sprintf("Failures=%d For=%s", w.streak, avoidFor)})
+		o.quarantine(w, Note{Reason: "runs of several jobs failed in a row", Figures: fmt.Sprintf("Failures=%d For=%s", w.streak, avoidFor)})
 	}
 }
 
+// quarantine gives a worker no new work for avoidFor, and then one task at a time until
+// one ends well. n says why.
+func (o *Orchestrator) quarantine(w *worker, n Note) {
+	w.avoidUntil, w.probing = o.now.Add(avoidFor), true
+	n.Event, n.Worker, n.Outcome = EventWorkerAvoided, w.ID, "avoided"
+	o.do(n)
+}
+
 // evacuate moves tasks off a draining worker that would not end before it leaves.
 func (o *Orchestrator) evacuate(w *worker) {
 	left := w.drainLeft
