Explain jobs and break down their time from log files

Cause: explain asked a running host of the one-task model only, and where the time of a queue's jobs went was found with throw-away scripts. internal/explainer reads the key=value lines of all hosts, shows a job's lines with what happened meanwhile to the hosts and to its workers, and splits each job's life into no run, some tasks waiting and all running. JobAdded carries its queue in Queue instead of Reason.

Ruled out: a flag for each file (a shell's *.log could not be used).

Before: grep. After: 'peridotpitch explain ID LOG...' and 'peridotpitch breakdown LOG...'.

--- /dev/null
+++ b/internal/commandline/explain.go
@@ -0,0 +1,90 @@
+package commandline
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"peridotpitch/internal/explainer"
+)
+
+var explainCommand = command{
+	name: "explain", arguments: "ID [LOG...]", min: 1, max: 1 + maxLogs, remote: true, local: 2,
+	summary: "Show the decisions about a job, task, worker or request; with log files, from these.",
+	setup: func(*flag.FlagSet) func(*call) error {
+		return func(c *call) error {
+			if len(c.arguments) > 1 {
+				return c.explainLogs(c.arguments[1:], c.arguments[0])
+			}
+			as, err := c.client.Explain(c.ctx, c.arguments[0])
+			if err != nil {
+				return err
+			}
+			return c.show(as, func(w io.Writer) {
+				for _, a := range as {
+					for _, r := range a.Records {
+						_, _ = fmt.Fprintf(w, "%s: %s\n", a.Host, r)
+					}
+				}
+			})
+		}
+	},
+}
+
+func (c *call) explainLogs(files []string, id string) error {
+	g, err := c.readLogs(files)
+	if err != nil {
+		return err
+	}
+	return g.Explain(c.Stdout, id)
+}
+
+var breakdownCommand = command{
+	name: "breakdown", arguments: "LOG...", min: 1, max: maxLogs,
+	summary: "Show from log files where the time of each queue's jobs went.",
+	setup: func(*flag.FlagSet) func(*call) error {
+		return func(c *call) error {
+			g, err := c.readLogs(c.arguments)
+			if err != nil {
+				return err
+			}
+			return g.Breakdown(c.Stdout)
+		}
+	},
+}
+
+// maxLogs bounds the logs of one call; a deployment has at most a few hundred hosts.
+const maxLogs = 1000
+
+// readLogs reads the log files of entry hosts. "-" stands for standard input.
+func (c *call) readLogs(files []string) (*explainer.Log, error) {
+	g := &explainer.Log{}
+	for _, f := range files {
+		if err := readLog(g, f); err != nil {
+			return nil, err
+		}
+	}
+	if len(g.Lines) == 0 {
+		return nil, fmt.Errorf("no log line of an entry host in %s", strings.Join(files, ", "))
+	}
+	if g.Skipped > 0 {
+		_, _ = fmt.Fprintf(c.Stderr, "%d lines are no log lines of an entry host and were passed over\n", g.Skipped)
+	}
+	return g, nil
+}
+
+func readLog(g *explainer.Log, path string) (err error) {
+	if path == "-" {
+		return g.Read("stdin", os.Stdin)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	return g.Read(strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)), f)
+}
--- a/internal/commandline/operate.go
+++ b/internal/commandline/operate.go
@@ -288,25 +288,6 @@
 	return c
 }
 
-var explainCommand = command{
-	name: "explain", arguments: "ID", min: 1, max: 1, remote: true, summary: "Show the decisions about a job, task or request.",
-	setup: func(*flag.FlagSet) func(*call) error {
-		return func(c *call) error {
-			as, err := c.client.Explain(c.ctx, c.arguments[0])
-			if err != nil {
-				return err
-			}
-			return c.show(as, func(w io.Writer) {
-				for _, a := range as {
-					for _, r := range a.Records {
-						_, _ = fmt.Fprintf(w, "%s: %s\n", a.Host, r)
-					}
-				}
-			})
-		}
-	},
-}
-
 var statusCommand = command{
 	name: "status", remote: true, summary: "Summarize the system as one entry host sees it.",
 	setup: func(*flag.FlagSet) func(*call) error {
--- a/internal/commandline/run.go
+++ b/internal/commandline/run.go
@@ -58,6 +58,9 @@
 	arguments string // as shown in the usage
 	summary   string
 	remote    bool // asks an entry host
+	// local is the number of arguments from which a remote command asks no entry host;
+	// 0: it always does.
+	local int
 	min, max  int  // number of arguments
 	// setup declares flags and returns the work.
 	setup func(fs *flag.FlagSet) func(c *call) error
@@ -76,7 +79,7 @@
 func commands() []command {
 	return slices.Concat([]command{serveCommand, entryCommand}, configCommands, jobCommands, []command{
 		serviceListCommand, serviceShowCommand, hostListCommand, hostDrainCommand(false), hostDrainCommand(true),
-		explainCommand, statusCommand, versionCommand,
+		explainCommand, breakdownCommand, statusCommand, versionCommand,
 	})
 }
 
@@ -173,7 +176,7 @@
 		printUsage(e.Stdout, c, fs)
 		return ExitDone
 	}
-	if err == nil && c.remote {
+	if err == nil && c.remote && (c.local == 0 || len(k.arguments) < c.local) {
 		k.client, err = newClient(address, timeout)
 	}
 	if err == nil {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -344,7 +344,7 @@
 	for _, oc := range slices.Clone(j.occurrences) {
 		o.settle(oc)
 	}
-	o.do(Note{Event: EventJobAdded, Job: j.ID, Outcome: string(j.state), Reason: j.Policy.Queue,
+	o.do(Note{Event: EventJobAdded, Job: j.ID, Queue: j.Policy.Queue, Outcome: string(j.state),
 		Figures: fmt.Sprintf("Revision=%d Inherited=%t Steps=%d Deadline=%s", revision, j.inherited, len(j.Steps), j.deadline.Sub(o.now).Round(time.Millisecond))})
 }
 
