--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -59,7 +59,7 @@
 	dirty         map[string]*job
 	expired       []string // finished jobs whose records are to be deleted
 	scarce        bool     // little is left beyond the reserve for short jobs
-	spare         bool     // less than half of the workers' processors are taken
+	spare         bool     // less than spareShare of the workers' processors is taken
 	passDue       bool     // something changed that may let a task start
 	loadNoted     time.Time
 	lastPass      time.Time
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -108,7 +108,7 @@
 	if s.rack == "" {
 		s.rack = w.Rack
 	}
-	o.do(Note{Event: EventStart, Job: t.job().ID, Task: t.name, Run: number, Worker: w.ID, Age: o.now.Sub(w.answeredAt),
+	o.do(Note{Event: EventStart, Job: t.job().ID, Task: t.name, Run: number, Worker: w.ID, Age: o.silence(w),
 		Figures: fmt.Sprintf("Score=%.2f FreeCores=%.1f Waited=%s", score, float64(w.Room.CPU-w.used.CPU)/1000, o.now.Sub(t.since).Round(time.Millisecond))})
 	pace := o.startPace(s, w)
 	o.try(s, w)
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -81,9 +81,13 @@
 	return ok && s.Size.CPU >= least.CPU && s.Size.Memory >= least.Memory
 }
 
-// spareRoom reports whether less than half of the workers' processors are taken by tasks
-// whose processors count. Beyond that, waiting is no fault. It also notes whether room is
-// scarce.
+// spareShare is the share of the processors below which room is spare. The platform says
+// that a job must run while less than half is in use. It counts other workers as usable
+// than the leader, so that the bound here is higher.
+const spareShare = 0.6
+
+// spareRoom reports whether a job with nothing running must be started even where it is
+// slowed. It also notes whether room is scarce.
 func (o *Orchestrator) spareRoom() bool {
 	room, used := 0, 0
 	for _, w := range o.ordered() {
@@ -93,7 +97,7 @@
 		}
 	}
 	o.scarce = float64(used) > (1-reserve)*float64(room)
-	return 2*used < room
+	return float64(used) < spareShare*float64(room)
 }
 
 // prospect is what a job can still reach.
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -251,7 +251,7 @@
 		o.workerRestarted(w, e)
 	}
 	if w.failing {
-		o.do(Note{Event: EventWorkerReached, Worker: w.ID, Outcome: "answers again", Age: o.now.Sub(w.answeredAt)})
+		o.do(Note{Event: EventWorkerReached, Worker: w.ID, Outcome: "answers again", Age: o.silence(w)})
 	}
 	if !w.resolved {
 		w.resolved, w.inherited = true, false
@@ -349,10 +349,18 @@
 	case !w.failing:
 		w.failing = true
 		o.do(Note{Event: EventWorkerLost, Worker: w.ID, Outcome: "unreachable", Reason: "a look got no answer",
-			Age: o.now.Sub(w.answeredAt), Figures: fmt.Sprintf("Runs=%d LeaseLeft=%s", len(w.runs), w.expiry.Sub(o.now).Round(time.Millisecond))})
+			Age: o.silence(w), Figures: fmt.Sprintf("Runs=%d LeaseLeft=%s", len(w.runs), w.expiry.Sub(o.now).Round(time.Millisecond))})
 	}
 }
 
+// silence returns how long a worker has not answered this leader, 0 if it never did.
+func (o *Orchestrator) silence(w *worker) time.Duration {
+	if w.answeredAt.IsZero() {
+		return 0
+	}
+	return o.now.Sub(w.answeredAt)
+}
+
 // workerEnded drops everything on a worker on which nothing runs any more.
 func (o *Orchestrator) workerEnded(w *worker) {
 	for _, r := range w.runs {
@@ -373,7 +381,7 @@
 	// ended is certain only if nobody else had been elected by then.
 	if unreached && !w.idle && o.now.After(w.expiry) && o.confirmedAt.After(w.expiry) {
 		if len(w.runs) > 0 || w.inherited {
-			o.do(Note{Event: EventWorkerLost, Worker: w.ID, Outcome: "leases ended", Age: o.now.Sub(w.answeredAt),
+			o.do(Note{Event: EventWorkerLost, Worker: w.ID, Outcome: "leases ended", Age: o.silence(w),
 				Figures: fmt.Sprintf("Runs=%d", len(w.runs))})
 		}
 		o.workerEnded(w)
