Repeat orders that an unhealthy worker refused

Such refusals are now told apart (Undone) and the order is sent again. A run that is still listed 2 s after its stop was answered is stopped again as well.

Ruled out: the worker being out of reach (it answered looks from 45.18 s on).

--- a/internal/coordinator/looker.go
+++ b/internal/coordinator/looker.go
@@ -176,11 +176,11 @@
 	}
 }
 
-// ordered says whether an order was answered, and whether by a refusal of the fence.
+// ordered says whether an order needs no repetition, and whether the fence refused it.
 func ordered(err error) (answered, fenced bool) {
 	var refused *RefusedError
 	if errors.As(err, &refused) {
-		return !refused.Replaced, refused.Fenced
+		return !refused.Replaced && !refused.Undone, refused.Fenced
 	}
 	return err == nil, false
 }
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -120,6 +120,7 @@
 type RefusedError struct {
 	Fenced   bool // it knows a newer leader
 	Replaced bool // another worker answers at the address
+	Undone   bool // the worker is unhealthy and has done nothing; the order must be repeated
 	Reason   string
 }
 
--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -156,3 +156,21 @@
 	w.run(300 * time.Millisecond)
 	is.Equal(w.where("timely"), []string{"w0"})
 }
+
+// Guards against a cancelled task that runs on because its worker has answered the stop
+// and not carried it out.
+func TestStopThatHadNoEffectIsRepeated(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	k := w.addWorker("w0", cores(8, 64), "r0")
+	w.elect(false)
+	w.run(time.Second)
+	w.submit(serving("s1", "web", 2, cores(2, 2)))
+	w.run(time.Second)
+	k.deaf = 2
+	w.cancel("s1")
+	w.run(time.Second)
+	is.Equal(w.where("s1"), []string{"w0", "w0"})
+	w.run(3 * time.Second)
+	is.Equal(len(w.where("s1")), 0)
+}
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -17,6 +17,10 @@
 	phaseStopping phase = "stopping"
 )
 
+// stopPatience is how long a run whose stop was answered may still be listed before the
+// stop is sent again. The platform's workers end a run within a second of it.
+const stopPatience = 2 * time.Second
+
 // unknownPace is the pace of a run whose last order got no answer or came from an
 // earlier leader.
 const unknownPace = -1
@@ -293,6 +297,10 @@
 		r.unknown = false
 		o.accepted(r)
 	}
+	if r.phase == phaseStopping && !r.settledAt.IsZero() && o.now.Sub(r.settledAt) > stopPatience {
+		r.settledAt = time.Time{}
+		o.sendStop(r)
+	}
 	if row.Percent != r.percent {
 		r.percent, r.percentAt = row.Percent, o.now
 	}
--- a/internal/orchestrator/world_test.go
+++ b/internal/orchestrator/world_test.go
@@ -76,6 +76,7 @@
 	dead    bool
 	grey    bool // fails what it starts
 	still   bool // its tasks stand still
+	deaf    int  // stops that it answers without carrying them out
 	tails   map[string]int
 }
 
@@ -273,6 +274,10 @@
 	case orchestrator.StartRun:
 		return k.startRun(w, a)
 	case orchestrator.StopRun:
+		if k.deaf > 0 {
+			k.deaf--
+			return orchestrator.StartAccepted
+		}
 		k.highest[a.Task] = max(k.highest[a.Task], a.Run)
 		if r := k.runs[a.Task]; r != nil && r.number == a.Run && !r.stopping {
 			r.stopping, r.ends = true, w.now.Add(300*time.Millisecond)
