Learn how fillers disturb by a Kalman filter for each image

The coefficients of one serving image are now the state of a Kalman filter with covariance; the store keeps the variance of each pair.

--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -105,8 +105,8 @@
 	l := w.elect(false)
 	l.step(orchestrator.Inherited{Learnt: orchestrator.Experience{
 		Pairs: []orchestrator.PairExperience{
-			{Serving: "web", Filler: "calm", Coefficient: 0.01, Samples: 300},
-			{Serving: "web", Filler: "loud", Coefficient: 0.1, Samples: 300}, // it is 4 by now
+			{Serving: "web", Filler: "calm", Coefficient: 0.01, Samples: 300, Variance: 0.01},
+			{Serving: "web", Filler: "loud", Coefficient: 0.1, Samples: 300, Variance: 0.01}, // it is 4 by now
 		},
 		Images: []orchestrator.ImageExperience{{Image: "web", Idle: 0.22, Mean: 0.45}},
 	}})
--- a/internal/orchestrator/pressure.go
+++ b/internal/orchestrator/pressure.go
@@ -34,15 +34,15 @@
 	// between 1 and 3.
 	firstCoefficient = 0.4
 	maxCoefficient   = 20.0
-	// A sample corrects a part of a prediction's error: firstGain of a new pair's, falling
-	// with gainSamples to pressureGain. surprise is the error from which it is surpriseGain
-	// at least, pressureNoise what keeps samples of small loads from large corrections.
-	firstGain     = 0.25
-	gainSamples   = 10
-	pressureGain  = 0.02
-	surprise      = 0.35
-	surpriseGain  = 0.25
-	pressureNoise = 0.003
+	// firstVariance is that of the coefficients of which nothing is known, tailVariance
+	// that of one measured utilization around the model: a task's own load varies by a
+	// quarter of its mean, and successive samples of a task vary together. driftVariance
+	// is added with each sample, so that late samples still count.
+	firstVariance = 0.5
+	tailVariance  = 0.05
+	driftVariance = 0.0002
+	// maxFillers bounds the memory for one image. The fillers beyond it share one entry.
+	maxFillers = 64
 	// meanWeight is the weight of one sample in an image's mean own load.
 	meanWeight = 0.02
 	// pressureTrials bounds the fillers that are started at the same time beside tasks
@@ -51,14 +51,13 @@
 	trialTime      = 1200 * time.Millisecond
 )
 
-// pair is an image with a latency target and one that fills beside it.
-type pair struct{ serving, filler string }
-
-// reaction is what was learnt of a pair.
+// reaction is how the fillers of an image disturb tasks of an image with a latency target.
 type reaction struct {
 	coefficient float64
 	samples     int
 	trials      []time.Time // starts before there was a sample
+	// covariance is that of the coefficient with those of other fillers, by image.
+	covariance map[string]float64
 }
 
 // pressure predicts how fillers raise the tail latency of the tasks beside them. The
@@ -67,21 +66,29 @@
 // times the share of the worker's processors that the filler may use. Most pairs do not
 // disturb each other; a few do so strongly.
 type pressure struct {
-	reactions map[pair]*reaction
-	idle      map[string]float64 // lowest tail of an image as a share of its target
-	mean      map[string]float64 // mean own load of an image
+	reactions map[string]map[string]*reaction // by image with a latency target, by filler
+	idle      map[string]float64              // lowest tail of an image as a share of its target
+	mean      map[string]float64              // mean own load of an image
 }
 
 func newPressure() pressure {
-	return pressure{reactions: make(map[pair]*reaction), idle: make(map[string]float64), mean: make(map[string]float64)}
+	return pressure{reactions: make(map[string]map[string]*reaction), idle: make(map[string]float64), mean: make(map[string]float64)}
 }
 
 func (p pressure) reaction(serving, filler string) *reaction {
-	k := pair{serving, filler}
-	r := p.reactions[k]
+	fillers := p.reactions[serving]
+	if fillers == nil {
+		fillers = make(map[string]*reaction)
+		p.reactions[serving] = fillers
+	}
+	r := fillers[filler]
+	if r == nil && len(fillers) >= maxFillers {
+		filler = ""
+		r = fillers[filler]
+	}
 	if r == nil {
-		r = &reaction{coefficient: firstCoefficient}
-		p.reactions[k] = r
+		r = &reaction{coefficient: firstCoefficient, covariance: map[string]float64{filler: firstVariance}}
+		fillers[filler] = r
 	}
 	return r
 }
@@ -122,20 +129,39 @@
 	}
 	failure := p.utilization(serving, tail) - mean - p.added(serving, loads)
 	p.mean[serving] = min(mostLoad, max(leastLoad, mean+meanWeight*failure))
-	square := pressureNoise
-	for _, x := range loads {
-		square += x * x
-	}
+	p.correct(serving, loads, failure)
+}
+
+// correct changes the coefficients of the fillers beside a task of a serving image by the
+// part of a prediction's error that is probably theirs: a Kalman filter whose state is the
+// coefficients of one serving image. Fillers that always run together stay uncertain
+// together.
+func (p pressure) correct(serving string, loads map[string]float64, failure float64) {
 	for f, x := range loads {
 		if x > 0 {
 			r := p.reaction(serving, f)
 			r.samples++
 			r.trials = nil
-			gain := max(pressureGain, firstGain/(1+float64(r.samples)/gainSamples))
-			if failure > surprise {
-				gain = max(gain, surpriseGain)
-			}
-			r.coefficient = min(maxCoefficient, max(0, r.coefficient+gain*failure*x/square))
+			r.covariance[f] += driftVariance
+		}
+	}
+	total := tailVariance
+	shared := make(map[string]float64) // covariance of each coefficient with the sample
+	for f, r := range p.reactions[serving] {
+		c := 0.0
+		for other, x := range loads {
+			c += r.covariance[other] * x
+		}
+		if c != 0 {
+			shared[f] = c
+			total += c * loads[f]
+		}
+	}
+	for f, c := range shared {
+		r := p.reaction(serving, f)
+		r.coefficient = min(maxCoefficient, max(0, r.coefficient+c/total*failure))
+		for other, d := range shared {
+			r.covariance[other] -= c * d / total
 		}
 	}
 }
--- a/internal/orchestrator/record.go
+++ b/internal/orchestrator/record.go
@@ -179,6 +179,7 @@
 	Filler      string
 	Coefficient float64
 	Samples     int
+	Variance    float64 // of the coefficient
 }
 
 // ImageExperience is what is known of an image with a latency target.
@@ -204,9 +205,11 @@
 // experience returns what this leader knows.
 func (o *Orchestrator) experience() *Experience {
 	e := &Experience{Ratios: make(map[string]float64), Variances: make(map[string]float64)}
-	for k, r := range o.pressure.reactions {
-		if r.samples > 0 {
-			e.Pairs = append(e.Pairs, PairExperience{Serving: k.serving, Filler: k.filler, Coefficient: r.coefficient, Samples: r.samples})
+	for serving, fillers := range o.pressure.reactions {
+		for filler, r := range fillers {
+			if r.samples > 0 {
+				e.Pairs = append(e.Pairs, PairExperience{Serving: serving, Filler: filler, Coefficient: r.coefficient, Samples: r.samples, Variance: r.covariance[filler]})
+			}
 		}
 	}
 	for image, mean := range o.pressure.mean {
@@ -222,7 +225,7 @@
 func (o *Orchestrator) recall(e Experience) {
 	for _, p := range e.Pairs {
 		r := o.pressure.reaction(p.Serving, p.Filler)
-		r.coefficient, r.samples = p.Coefficient, p.Samples
+		r.coefficient, r.samples, r.covariance[p.Filler] = p.Coefficient, p.Samples, p.Variance
 	}
 	for _, i := range e.Images {
 		o.pressure.idle[i.Image], o.pressure.mean[i.Image] = i.Idle, i.Mean
--- a/internal/orchestrator/record_test.go
+++ b/internal/orchestrator/record_test.go
@@ -39,7 +39,7 @@
 func TestExperienceOutlivesItsLeader(t *testing.T) {
 	is := is.New(t)
 	e := orchestrator.Experience{
-		Pairs:  []orchestrator.PairExperience{{Serving: "web", Filler: "loud", Coefficient: 3, Samples: 40}},
+		Pairs:  []orchestrator.PairExperience{{Serving: "web", Filler: "loud", Coefficient: 3, Samples: 40, Variance: 0.02}},
 		Images: []orchestrator.ImageExperience{{Image: "web", Idle: 0.22, Mean: 0.5}},
 		Ratios: map[string]float64{"q": 1.5}, Variances: map[string]float64{"q": 0.09},
 	}
