--- a/internal/commandline/explain.go
+++ b/internal/commandline/explain.go
@@ -45,14 +45,20 @@
 
 var breakdownCommand = command{
 	name: "breakdown", arguments: "LOG...", min: 1, max: maxLogs,
-	summary: "Show from log files where the time of each queue's jobs went.",
+	summary: "Show from log files where the time of each queue's jobs went, and who led.",
 	setup: func(*flag.FlagSet) func(*call) error {
 		return func(c *call) error {
 			g, err := c.readLogs(c.arguments)
 			if err != nil {
 				return err
 			}
-			return g.Breakdown(c.Stdout)
+			if err := g.Breakdown(c.Stdout); err != nil {
+				return err
+			}
+			if _, err := fmt.Fprintln(c.Stdout); err != nil {
+				return err
+			}
+			return g.Leaders(c.Stdout)
 		}
 	},
 }
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -33,7 +33,7 @@
 
 // Guards against an account that leaves out lines of other hosts, of the workers that a
 // job's runs were on, or that shows those of workers that have nothing to do with it, and
-// against a table that attributes time to the wrong part.
+// against tables that attribute time to the wrong part or starts to the wrong leader.
 func TestGolden(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -43,6 +43,7 @@
 		{"cancelled.golden", func(g *explainer.Log, b *bytes.Buffer) error { return g.Explain(b, "j2") }},
 		{"worker.golden", func(g *explainer.Log, b *bytes.Buffer) error { return g.Explain(b, "w3") }},
 		{"breakdown.golden", func(g *explainer.Log, b *bytes.Buffer) error { return g.Breakdown(b) }},
+		{"leaders.golden", func(g *explainer.Log, b *bytes.Buffer) error { return g.Leaders(b) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -64,7 +65,7 @@
 	is := is.New(t)
 	g := read(t)
 	is.Equal(g.Skipped, 2)
-	is.Equal(len(g.Lines), 21)
+	is.Equal(len(g.Lines), 25)
 	for i := 1; i < len(g.Lines); i++ {
 		is.True(!g.Lines[i].At.Before(g.Lines[i-1].At))
 	}
