Keep a worker free for a lasting task that finds no gap

Wait lines tell what a task needs and what the emptiest worker has, which showed it.

Seen red with the mechanism off: TestLargeLastingTaskGetsAGap.

--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -174,3 +174,30 @@
 	w.run(3 * time.Second)
 	is.Equal(len(w.where("s1")), 0)
 }
+
+// Pattern: lasting tasks that lost their workers are larger than the gaps that short jobs
+// leave. Guards against short jobs that take each gap for as long as they come.
+func TestLargeLastingTaskGetsAGap(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	for i := range 4 {
+		w.addWorker(fmt.Sprintf("w%d", i), cores(8, 64), "r0")
+	}
+	w.elect(false)
+	w.run(time.Second)
+	n := 0
+	w.took = func(string, *fakeWorker) time.Duration {
+		n++
+		return time.Duration(400+170*(n%5)) * time.Millisecond // gaps of one task at a time
+	}
+	for i := range 200 {
+		w.submit(simple(fmt.Sprintf("q%03d", i), 4, cores(3.5, 2)))
+		if i == 20 {
+			j := serving("large", "web", 1, cores(6, 8))
+			j.Policy = orchestrator.Policy{Queue: "lasting", Service: "s", Attempts: 3, Stretch: 2}
+			w.submit(j)
+		}
+		w.run(50 * time.Millisecond)
+	}
+	is.Equal(len(w.where("large")), 1) // after less than 9 s, while short jobs still wait
+}
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -93,7 +93,7 @@
 				p.refused[s.occurrence.job.Policy.Service+"/"+s.Image] = s.Size
 			}
 			if !o.preempt(t, workers) {
-				o.noteWait(s, "no worker has room")
+				o.noteWait(s, o.hold(t, workers))
 			}
 			return starts
 		}
@@ -203,7 +203,7 @@
 // fits reports whether a worker has room for a task.
 func (o *Orchestrator) fits(t *task, w *worker) bool {
 	s := t.step
-	if o.now.Before(w.fullUntil) || w.probing && len(w.runs) > 0 {
+	if o.now.Before(w.fullUntil) || w.probing && len(w.runs) > 0 || w.heldFor != nil && w.heldFor != t && o.now.Before(w.heldUntil) {
 		return false
 	}
 	if !w.Room.subtract(w.used).covers(s.sizeOn()) {
--- a/internal/orchestrator/preempt.go
+++ b/internal/orchestrator/preempt.go
@@ -32,7 +32,8 @@
 // preempt stops runs of lower priority where that makes room for a task at the least
 // cost. It reports whether it did.
 func (o *Orchestrator) preempt(t *task, workers []*worker) bool {
-	if t.step.Fills || t.step.LongRunning && o.scarce || o.now.Sub(t.since) < preemptAfter || o.now.Before(t.preemptFrom) {
+	waited := o.now.Sub(t.since)
+	if t.step.Fills || waited < preemptAfter || t.step.LongRunning && o.scarce && waited < lastingWait || o.now.Before(t.preemptFrom) {
 		return false
 	}
 	var best *victims
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -218,5 +218,21 @@
 	}
 	s.noteAt = o.now
 	o.do(Note{Event: EventWait, Job: s.occurrence.job.ID, Task: fmt.Sprintf("%s.%d.%d", s.occurrence.job.ID, s.occurrence.number, s.index),
-		Reason: reason, Age: o.now.Sub(s.readyAt), Figures: fmt.Sprintf("Left=%d Ready=%d", s.left, len(o.ready))})
+		Reason: reason, Age: o.now.Sub(s.readyAt), Figures: fmt.Sprintf("Left=%d Ready=%d%s", s.left, len(o.ready), o.room(s))})
+}
+
+// room returns for a step whose processors count what a task needs and what the usable
+// worker with the most unused processors has, as cores/GB.
+func (o *Orchestrator) room(s *step) string {
+	if s.Fills {
+		return ""
+	}
+	workers, _ := o.candidates(s)
+	var most Resources
+	for _, w := range workers {
+		if free := w.Room.subtract(w.used); free.CPU > most.CPU {
+			most = free
+		}
+	}
+	return fmt.Sprintf(" Needs=%.1f/%.1f Free=%.1f/%.1f", float64(s.Size.CPU)/1000, float64(s.Size.Memory)/1000, float64(most.CPU)/1000, float64(most.Memory)/1000)
 }
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -68,6 +68,8 @@
 	probing    bool    // one task at a time until one ends well
 	slow       float64 // moving average of measured to expected run time
 	fullUntil  time.Time
+	heldFor    *task // other tasks do not start until heldUntil
+	heldUntil  time.Time
 	tail       float64 // highest tail latency as a share of its target
 	tailAt     time.Time
 	overSince  time.Time // since when a task is over its latency target
