Hand over when the store refuses the leader

A refused call no longer counts as served, and a leader tells how long none of its writes was taken. A host that is only refused is not ready, so that its callers go elsewhere.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -50,7 +50,7 @@
 	leaving atomic.Bool
 	refetch chan struct{} // wakes the reader of the configuration
 
-	storeSeen   atomic.Int64 // timekeeper time of the last answer of the store, Unix ns
+	storeSeen   atomic.Int64 // timekeeper time of the last call that the store served, Unix ns
 	storeLost   atomic.Bool
 	lastPending atomic.Pointer[pendingCount]
 	foreign     sync.Map // keys of discovery entries that were refused
@@ -152,7 +152,7 @@
 	return c.config.Load().route(host, path)
 }
 
-// storeSilence returns how long the store has not answered.
+// storeSilence returns how long the store has not served a call of this host.
 func (c *Coordinator) storeSilence() time.Duration {
 	return timekeeper.Now().Sub(time.Unix(0, c.storeSeen.Load()))
 }
@@ -168,6 +168,13 @@
 		}
 		return
 	}
+	var limited *storer.RateLimitedError
+	if errors.As(err, &limited) {
+		// It proves only that the store is there. One that refuses this host alone would
+		// otherwise leave it ready, and leading, until its leases end.
+		c.metrics.storeFailures.Inc()
+		return
+	}
 	c.storeSeen.Store(timekeeper.Now().UnixNano())
 	if c.storeLost.Swap(false) {
 		c.log.Info("StoreRegained")
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -59,6 +60,8 @@
 	aside   bool // it is being handed over to a better suited host
 	lookers map[string]*looker
 
+	confirmedAt atomic.Int64 // timekeeper time at which the last confirmed write was sent, Unix ns
+
 	writeMu sync.Mutex // held during a write of the leader; guards head
 	head    uint64     // revision of keyHead
 }
@@ -71,6 +74,7 @@
 		o:       orchestrator.New(c.orchestratorSettings(t.Revision, sent, timekeeper.Now())),
 		lookers: make(map[string]*looker), head: t.Revision,
 	}
+	ld.confirmedAt.Store(sent.UnixNano())
 	c.mu.Lock()
 	c.term, c.known, c.leader = t, true, ld
 	c.mu.Unlock()
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -31,11 +31,13 @@
 
 // pong is the answer to a ping.
 type pong struct {
-	Process      string
-	Leading      bool
-	Loaded       bool // the leader knows all jobs
-	Epoch        uint64
-	StoreSilence time.Duration // since the store's last answer to the leader
+	Process string
+	Leading bool
+	Loaded  bool // the leader knows all jobs
+	Epoch   uint64
+	// StoreSilence is the time since the store last served the leader, or took a write
+	// of it if that is longer ago.
+	StoreSilence time.Duration
 	Version      uint64
 	Pending      map[string]int
 }
@@ -80,6 +82,7 @@
 	if ld := c.leading(); ld != nil {
 		a.Leading, a.Epoch, a.Pending = true, ld.term.Revision, ld.pending()
 		a.Loaded = a.Pending != nil
+		a.StoreSilence = max(a.StoreSilence, ld.unconfirmed())
 		if p.Ready && c.settings.ProcessorShare < similarShare*p.Share {
 			ld.stepAside(p.Host)
 		}
--- a/internal/coordinator/write.go
+++ b/internal/coordinator/write.go
@@ -79,10 +79,16 @@
 }
 
 func (ld *leader) confirmed(sent time.Time, batch orchestrator.Batch) {
+	ld.confirmedAt.Store(sent.UnixNano())
 	ld.step(orchestrator.Confirmed{SentAt: sent})
 	ld.step(orchestrator.Written{Batch: batch})
 }
 
+// unconfirmed returns how long ago the last write was sent that the store has taken.
+func (ld *leader) unconfirmed() time.Duration {
+	return timekeeper.Now().Sub(time.Unix(0, ld.confirmedAt.Load()))
+}
+
 // transaction returns the write of a batch. Its head is unique, so that the leader can
 // tell afterwards whether it was executed.
 func (ld *leader) transaction(batch orchestrator.Batch) (storer.Transaction, error) {
