Give recovered workers work again beside their lasting tasks

A worker whose tasks failed or stood still gets one task at a time until one ends well. Lasting tasks that ran there already counted as that task, and a lasting task that was tried never ended; so the worker stayed empty, and a lasting task of 8 cores waited 24 s. Now only what was started since counts, and a lasting task at work for 1.5 s is proof.

Seen red with either part off: TestRecoveredWorkerGetsWorkBesideLastingTasks.

--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -201,3 +201,33 @@
 	}
 	is.Equal(len(w.where("large")), 1) // after less than 9 s, while short jobs still wait
 }
+
+// Pattern: a worker with lasting tasks fails other tasks for a while. Guards against a
+// worker that gets no work for as long as the lasting tasks run, because one task at a
+// time may run there, and against a lasting task that is tried first and never ends.
+func TestRecoveredWorkerGetsWorkBesideLastingTasks(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	k := w.addWorker("w0", cores(16, 64), "r0")
+	w.elect(false)
+	w.run(time.Second)
+	w.submit(serving("s1", "web", 2, cores(2, 2)))
+	w.run(time.Second)
+	k.grey = true
+	for i := range 6 {
+		w.submit(simple(fmt.Sprintf("j%d", i), 1, cores(1, 1)))
+		w.run(200 * time.Millisecond)
+	}
+	w.run(time.Second) // their runs end as failed
+	k.grey = false
+	for i := range 6 {
+		w.cancel(fmt.Sprintf("j%d", i)) // none of them is left to be tried first
+	}
+	w.run(4 * time.Second)
+	w.submit(serving("s2", "web", 3, cores(2, 2)))
+	w.run(3 * time.Second)
+	is.Equal(len(w.where("s2")), 3)
+	w.submit(simple("k", 4, cores(1, 1)))
+	w.run(100 * time.Millisecond)
+	is.Equal(len(w.where("k")), 4)
+}
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -114,6 +114,9 @@
 	o.try(s, w)
 	r := o.start(t, w, number, s.advice.tickets[w.ID])
 	r.wish, r.slowed = pace, pace < 100
+	if w.probing {
+		w.probe = r
+	}
 }
 
 // held returns why a task can not start anywhere yet, empty if it can. An earlier
@@ -203,7 +206,7 @@
 // fits reports whether a worker has room for a task.
 func (o *Orchestrator) fits(t *task, w *worker) bool {
 	s := t.step
-	if o.now.Before(w.fullUntil) || w.probing && len(w.runs) > 0 || w.heldFor != nil && w.heldFor != t && o.now.Before(w.heldUntil) {
+	if o.now.Before(w.fullUntil) || w.probing && w.probe != nil || w.heldFor != nil && w.heldFor != t && o.now.Before(w.heldUntil) {
 		return false
 	}
 	if !w.Room.subtract(w.used).covers(s.sizeOn()) {
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -21,6 +21,10 @@
 // stop is sent again. The platform's workers end a run within a second of it.
 const stopPatience = 2 * time.Second
 
+// probeTime is how long a long-running task must be at work on a worker whose tasks failed
+// before others start there too. Tasks on a worker that fails them end within a second.
+const probeTime = 1500 * time.Millisecond
+
 // unknownPace is the pace of a run whose last order got no answer or came from an
 // earlier leader.
 const unknownPace = -1
@@ -93,6 +97,9 @@
 		return
 	}
 	delete(w.runs, r.key())
+	if w.probe == r {
+		w.probe = nil
+	}
 	w.account(t.step.Step, -1)
 	t.runs = slices.DeleteFunc(t.runs, func(k *run) bool { return k == r })
 	t.since = o.now
@@ -308,6 +315,9 @@
 	if s := r.task.step; s.LatencyTarget > 0 && row.Figure > 0 {
 		r.tail = float64(row.Figure) * float64(time.Millisecond) / float64(s.LatencyTarget)
 	}
+	if r == r.worker.probe && r.task.step.LongRunning && row.Percent >= 100 && o.now.Sub(r.startedAt) >= probeTime {
+		o.judge(r.worker, r.task.job(), false)
+	}
 	o.straggle(r)
 	o.release(r)
 }
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -66,6 +66,7 @@
 	streakJob  string
 	avoidUntil time.Time
 	probing    bool    // one task at a time until one ends well
+	probe      *run    // that task
 	slow       float64 // moving average of measured to expected run time
 	fullUntil  time.Time
 	heldFor    *task // other tasks do not start until heldUntil
@@ -238,7 +239,7 @@
 		return false, "it still runs tasks of jobs that have ended"
 	case o.now.Before(w.avoidUntil):
 		return false, "its tasks failed"
-	case w.probing && len(w.runs) > 0:
+	case w.probing && w.probe != nil:
 		return false, "its tasks failed, one task at a time"
 	}
 	return true, ""
@@ -325,7 +326,7 @@
 		}
 	}
 	w.seen, w.acked, w.ends = 0, 0, nil
-	w.streak, w.avoidUntil, w.probing, w.slow = 0, time.Time{}, false, 1
+	w.streak, w.avoidUntil, w.probing, w.probe, w.slow = 0, time.Time{}, false, nil, 1
 	// Orders that were sent with a deadline of the old clock may count in full.
 	w.expiry = o.now.Add(lapse(o.settings.MaxLease))
 }
@@ -431,7 +432,7 @@
 // idle, so that they would attract all work.
 func (o *Orchestrator) judge(w *worker, j *job, failed bool) {
 	if !failed {
-		w.streak, w.probing = 0, false
+		w.streak, w.probing, w.probe = 0, false, nil
 		return
 	}
 	if w.streakJob != j.ID || w.probing {
@@ -444,9 +445,10 @@
 }
 
 // quarantine gives a worker no new work for avoidFor, and then one task at a time until
-// one ends well. n says why.
+// one ends well, or is a long-running task that is at work. What runs there already goes
+// on, and is no obstacle. n says why.
 func (o *Orchestrator) quarantine(w *worker, n Note) {
-	w.avoidUntil, w.probing = o.now.Add(avoidFor), true
+	w.avoidUntil, w.probing, w.probe = o.now.Add(avoidFor), true, nil
 	n.Event, n.Worker, n.Outcome = EventWorkerAvoided, w.ID, "avoided"
 	o.do(n)
 }
