--- a/internal/orchestrator/pressure.go
+++ b/internal/orchestrator/pressure.go
@@ -53,6 +53,7 @@
 
 // reaction is how the fillers of an image disturb tasks of an image with a latency target.
 type reaction struct {
+	filler      string // empty: all fillers beyond maxFillers
 	coefficient float64
 	samples     int
 	trials      []time.Time // starts before there was a sample
@@ -87,7 +88,7 @@
 		r = fillers[filler]
 	}
 	if r == nil {
-		r = &reaction{coefficient: firstCoefficient, covariance: map[string]float64{filler: firstVariance}}
+		r = &reaction{filler: filler, coefficient: firstCoefficient, covariance: map[string]float64{filler: firstVariance}}
 		fillers[filler] = r
 	}
 	return r
@@ -137,24 +138,28 @@
 // coefficients of one serving image. Fillers that always run together stay uncertain
 // together.
 func (p pressure) correct(serving string, loads map[string]float64, failure float64) {
+	present := make(map[string]float64, len(loads))
 	for f, x := range loads {
 		if x > 0 {
-			r := p.reaction(serving, f)
-			r.samples++
-			r.trials = nil
-			r.covariance[f] += driftVariance
+			present[p.reaction(serving, f).filler] += x
 		}
 	}
+	for f := range present {
+		r := p.reaction(serving, f)
+		r.samples++
+		r.trials = nil
+		r.covariance[f] += driftVariance
+	}
 	total := tailVariance
 	shared := make(map[string]float64) // covariance of each coefficient with the sample
 	for f, r := range p.reactions[serving] {
 		c := 0.0
-		for other, x := range loads {
+		for other, x := range present {
 			c += r.covariance[other] * x
 		}
 		if c != 0 {
 			shared[f] = c
-			total += c * loads[f]
+			total += c * present[f]
 		}
 	}
 	for f, c := range shared {
