Make one piece of what stood several times; read logs once

Assertions are the same.

Left: the tests of the two example programs (they are meant to be read alone) and the error types of messenger, which differ in meaning.

--- a/internal/commandline/explain.go
+++ b/internal/commandline/explain.go
@@ -1,7 +1,6 @@
 package commandline
 
 import (
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -68,11 +67,17 @@
 
 // readLogs reads the log files of entry hosts. "-" stands for standard input.
 func (c *call) readLogs(files []string) (*explainer.Log, error) {
-	g := &explainer.Log{}
-	for _, f := range files {
-		if err := readLog(g, f); err != nil {
-			return nil, err
+	sources := make([]explainer.Source, 0, len(files))
+	for _, path := range files {
+		s := explainer.Source{Name: strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)), Open: func() (io.ReadCloser, error) { return os.Open(path) }}
+		if path == "-" {
+			s = explainer.Source{Name: "stdin", Open: func() (io.ReadCloser, error) { return io.NopCloser(os.Stdin), nil }}
 		}
+		sources = append(sources, s)
+	}
+	g, err := explainer.Read(sources...)
+	if err != nil {
+		return nil, err
 	}
 	if len(g.Lines) == 0 {
 		return nil, fmt.Errorf("no log line of an entry host in %s", strings.Join(files, ", "))
@@ -82,15 +87,3 @@
 	}
 	return g, nil
 }
-
-func readLog(g *explainer.Log, path string) (err error) {
-	if path == "-" {
-		return g.Read("stdin", os.Stdin)
-	}
-	f, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.Join(err, f.Close()) }()
-	return g.Read(strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)), f)
-}
--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -48,11 +48,10 @@
 		if err != nil {
 			return Answer{Outcome: OutcomeInvalid, Reason: err.Error()}
 		}
-		revision, err := c.peers.Store.Commit(ctx, storer.Transaction{
+		revision, err := c.store.Commit(ctx, storer.Transaction{
 			Conditions: []storer.Condition{{Key: prefixJob + j.ID}, {Key: prefixRecord + j.ID}, {Key: keyTerm, Revision: t.Revision}},
 			Puts:       []storer.Entry{{Key: prefixJob + j.ID, Value: value}},
 		})
-		c.storeAnswered(err)
 		if err == nil {
 			c.tell(notice{Epoch: t.Revision, Job: &j, Revision: revision})
 			return Answer{Outcome: OutcomeDone}
@@ -80,8 +79,7 @@
 		return refusal(cause)
 	}
 	for _, key := range []string{prefixJob + id, prefixRecord + id} {
-		e, err := c.peers.Store.Get(ctx, key)
-		c.storeAnswered(err)
+		e, err := c.store.Get(ctx, key)
 		if err == nil && e.Revision > 0 {
 			return Answer{Outcome: OutcomeDone, Reason: "found after a lost answer"}
 		}
@@ -116,8 +114,7 @@
 	if err == nil && s.Leading && s.Known {
 		return Answer{Outcome: OutcomeDone, State: s.State}
 	}
-	e, err := c.peers.Store.Get(ctx, prefixRecord+id)
-	c.storeAnswered(err)
+	e, err := c.store.Get(ctx, prefixRecord+id)
 	if err != nil {
 		return refusal(err)
 	}
@@ -128,8 +125,7 @@
 		}
 		return Answer{Outcome: OutcomeDone, State: r.State}
 	}
-	e, err = c.peers.Store.Get(ctx, prefixJob+id)
-	c.storeAnswered(err)
+	e, err = c.store.Get(ctx, prefixJob+id)
 	if err != nil {
 		return refusal(err)
 	}
@@ -137,8 +133,7 @@
 		return Answer{Outcome: OutcomeDone, State: orchestrator.StateQueued}
 	}
 	// A final record takes the job's place: it may have been written between the reads.
-	e, err = c.peers.Store.Get(ctx, prefixRecord+id)
-	c.storeAnswered(err)
+	e, err = c.store.Get(ctx, prefixRecord+id)
 	if err != nil {
 		return refusal(err)
 	}
@@ -160,19 +155,17 @@
 
 func (c *Coordinator) cancel(ctx context.Context, id string) Answer {
 	for range submitTries {
-		job, err := c.peers.Store.Get(ctx, prefixJob+id)
-		c.storeAnswered(err)
+		job, err := c.store.Get(ctx, prefixJob+id)
 		if err != nil {
 			return refusal(err)
 		}
 		if job.Revision == 0 {
 			return c.cancelEnded(ctx, id)
 		}
-		_, err = c.peers.Store.Commit(ctx, storer.Transaction{
+		_, err = c.store.Commit(ctx, storer.Transaction{
 			Conditions: []storer.Condition{{Key: prefixJob + id, Revision: job.Revision}},
 			Puts:       []storer.Entry{{Key: prefixCancel + id, Value: []byte(c.process)}},
 		})
-		c.storeAnswered(err)
 		var conflict *storer.ConflictError
 		switch {
 		case err == nil:
@@ -188,8 +181,7 @@
 
 // cancelEnded answers for a job that is not stored as unfinished.
 func (c *Coordinator) cancelEnded(ctx context.Context, id string) Answer {
-	e, err := c.peers.Store.Get(ctx, prefixRecord+id)
-	c.storeAnswered(err)
+	e, err := c.store.Get(ctx, prefixRecord+id)
 	switch {
 	case err != nil:
 		return refusal(err)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -41,6 +41,7 @@
 type Coordinator struct {
 	settings Settings
 	peers    Peers
+	store    storer.Database // peers.Store, with account of its answers
 	log      *slog.Logger
 	metrics  *metrics
 	process  string // identifies this process in the store and to other hosts
@@ -66,12 +67,14 @@
 // New returns an entry host that is not running yet.
 func New(s Settings, p Peers, log *slog.Logger) *Coordinator {
 	process := fmt.Sprintf("%s/%x", s.Name, rand.Uint64())
-	return &Coordinator{
+	c := &Coordinator{
 		settings: s, peers: p, log: log, metrics: newMetrics(), process: process,
 		jitter:  func(d time.Duration) time.Duration { return rand.N(d + 1) },
 		refetch: make(chan struct{}, 1),
 		clients: make(map[netip.AddrPort]*messenger.Client),
 	}
+	c.store = observedStore{Database: p.Store, answered: c.storeAnswered}
+	return c
 }
 
 var _ Jobs = (*Coordinator)(nil)
@@ -209,8 +212,7 @@
 // history that the store keeps.
 func (c *Coordinator) followConfiguration(ctx context.Context) {
 	for ctx.Err() == nil {
-		entries, revision, err := c.peers.Store.List(ctx, c.peers.Keys.Configuration)
-		c.storeAnswered(err)
+		entries, revision, err := c.store.List(ctx, c.peers.Keys.Configuration)
 		if err != nil {
 			sleep(ctx, configurationRetry)
 			continue
@@ -242,8 +244,7 @@
 		return nil
 	default:
 	}
-	es, err := c.peers.Store.Watch(ctx, c.peers.Keys.Configuration, revision, configurationWait)
-	c.storeAnswered(err)
+	es, err := c.store.Watch(ctx, c.peers.Keys.Configuration, revision, configurationWait)
 	if err != nil {
 		return err
 	}
--- a/internal/coordinator/follow.go
+++ b/internal/coordinator/follow.go
@@ -133,8 +133,7 @@
 
 // suspect reads head and campaigns if it has not changed for the window.
 func (c *Coordinator) suspect(ctx context.Context, t term, s *suspicion, window time.Duration) time.Duration {
-	entries, _, err := c.peers.Store.List(ctx, prefixLead)
-	c.storeAnswered(err)
+	entries, _, err := c.store.List(ctx, prefixLead)
 	if err != nil {
 		*s = suspicion{} // what was seen before the gap proves nothing
 		return suspectEvery
@@ -171,8 +170,7 @@
 }
 
 func (c *Coordinator) readTerm(ctx context.Context) (term, error) {
-	e, err := c.peers.Store.Get(ctx, keyTerm)
-	c.storeAnswered(err)
+	e, err := c.store.Get(ctx, keyTerm)
 	if err != nil {
 		return term{}, err
 	}
@@ -216,11 +214,10 @@
 		return
 	}
 	sent := timekeeper.Now()
-	revision, err := c.peers.Store.Commit(ctx, storer.Transaction{
+	revision, err := c.store.Commit(ctx, storer.Transaction{
 		Conditions: []storer.Condition{{Key: keyTerm, Revision: after.Revision}},
 		Puts:       []storer.Entry{{Key: keyTerm, Value: value}, {Key: keyHead, Value: []byte(c.process)}},
 	})
-	c.storeAnswered(err)
 	if err != nil {
 		c.log.Info("ElectionLost", "Epoch", after.Revision, "Reason", reason, "Cause", err.Error())
 		if _, err := c.readTerm(ctx); err != nil {
--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -56,8 +56,7 @@
 	if err != nil {
 		return inherited, 0, err
 	}
-	roster, err := ld.c.peers.Store.Get(ctx, keyRoster)
-	ld.c.storeAnswered(err)
+	roster, err := ld.c.store.Get(ctx, keyRoster)
 	if err != nil {
 		return inherited, 0, err
 	}
@@ -101,8 +100,7 @@
 }
 
 func (ld *leader) readLearnt(ctx context.Context) (orchestrator.Experience, error) {
-	e, err := ld.c.peers.Store.Get(ctx, keyLearnt)
-	ld.c.storeAnswered(err)
+	e, err := ld.c.store.Get(ctx, keyLearnt)
 	if err != nil || e.Revision == 0 {
 		return orchestrator.Experience{}, err
 	}
@@ -116,8 +114,7 @@
 }
 
 func (ld *leader) list(ctx context.Context, prefix string) ([]storer.Entry, uint64, error) {
-	es, revision, err := ld.c.peers.Store.List(ctx, prefix)
-	ld.c.storeAnswered(err)
+	es, revision, err := ld.c.store.List(ctx, prefix)
 	return es, revision, err
 }
 
@@ -125,8 +122,7 @@
 func (ld *leader) catchUp(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
 		sleep(ctx, catchUpEvery)
-		es, err := ld.c.peers.Store.Watch(ctx, prefixInput, revision, time.Millisecond)
-		ld.c.storeAnswered(err)
+		es, err := ld.c.store.Watch(ctx, prefixInput, revision, time.Millisecond)
 		if err != nil {
 			continue
 		}
@@ -176,8 +172,7 @@
 			}
 			listed, revision = timekeeper.Now(), max(revision, at)
 		}
-		es, err := ld.c.peers.Store.Watch(ctx, ld.c.peers.Keys.Workers, revision, discoveryWait)
-		ld.c.storeAnswered(err)
+		es, err := ld.c.store.Watch(ctx, ld.c.peers.Keys.Workers, revision, discoveryWait)
 		if err != nil {
 			sleep(ctx, discoveryRetry)
 			continue
--- a/internal/coordinator/write.go
+++ b/internal/coordinator/write.go
@@ -55,8 +55,7 @@
 		return false
 	}
 	sent := timekeeper.Now()
-	revision, err := ld.c.peers.Store.Commit(ctx, tx)
-	ld.c.storeAnswered(err)
+	revision, err := ld.c.store.Commit(ctx, tx)
 	ld.c.metrics.writes.Inc()
 	var conflict *storer.ConflictError
 	var unknown *storer.UnknownOutcomeError
@@ -219,11 +218,10 @@
 		ld.c.log.Error("HandOverFailed", "Cause", err.Error())
 		return
 	}
-	revision, err := ld.c.peers.Store.Commit(ctx, storer.Transaction{
+	revision, err := ld.c.store.Commit(ctx, storer.Transaction{
 		Conditions: []storer.Condition{{Key: keyTerm, Revision: ld.term.Revision}},
 		Puts:       []storer.Entry{{Key: keyTerm, Value: value}},
 	})
-	ld.c.storeAnswered(err)
 	if err != nil {
 		ld.c.log.Warn("HandOverFailed", "Epoch", ld.term.Revision, "Cause", err.Error())
 		return
--- a/internal/explainer/breakdown.go
+++ b/internal/explainer/breakdown.go
@@ -47,12 +47,13 @@
 	waits []interval
 }
 
-// spans returns the jobs whose final state is in the log.
-func (g *Log) spans() map[string]*history {
+// spans returns the jobs that satisfy a condition and whose final state is in the log.
+func (g *Log) spans(wanted func(id string) bool) []*span {
 	all := make(map[string]*history)
+	var ids []string
 	for _, l := range g.Lines {
 		id := l.Value("Job")
-		if id == "" {
+		if id == "" || !wanted(id) {
 			continue
 		}
 		h := all[id]
@@ -63,24 +64,18 @@
 			h = &history{begun: make(map[string]time.Time)}
 			h.added = l.At
 			all[id] = h
+			ids = append(ids, id)
 		}
 		h.take(l)
 	}
-	for id, h := range all {
-		if h.outcome == "" {
-			delete(all, id)
-			continue
+	var ss []*span
+	for _, id := range ids {
+		if h := all[id]; h.outcome != "" {
+			h.divide()
+			ss = append(ss, &h.span)
 		}
-		h.divide()
-	}
-	return all
-}
-
-func (g *Log) span(id string) *span {
-	if h := g.spans()[id]; h != nil {
-		return &h.span
 	}
-	return nil
+	return ss
 }
 
 // take adds a line to the history.
@@ -180,8 +175,8 @@
 // as means in seconds.
 func (g *Log) Breakdown(w io.Writer) error {
 	queues := make(map[string][]*span)
-	for _, h := range g.spans() {
-		queues[h.queue] = append(queues[h.queue], &h.span)
+	for _, s := range g.spans(func(string) bool { return true }) {
+		queues[s.queue] = append(queues[s.queue], s)
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	head := []string{"QUEUE", "JOBS", "TIMELY", "LATE", "FAILED", "CANCELLED", "TIME", "NO RUN", "PARTLY", "RUNNING", "RUNS", "DONE", "FAILED", "STOPPED", "LOST", "WASTED"}
--- a/internal/explainer/explain.go
+++ b/internal/explainer/explain.go
@@ -65,9 +65,10 @@
 			return err
 		}
 	}
-	if s := g.span(id); s != nil {
-		_, err := fmt.Fprintf(w, "%s\n", s)
-		return err
+	for _, s := range g.spans(func(job string) bool { return job == id }) {
+		if _, err := fmt.Fprintf(w, "%s\n", s); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"flag"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,17 +17,24 @@
 
 var update = flag.Bool("update", false, "rewrite the expected output in testdata")
 
+// text is a log that stands in memory.
+func text(name, lines string) explainer.Source {
+	return explainer.Source{Name: name, Open: func() (io.ReadCloser, error) { return io.NopCloser(strings.NewReader(lines)), nil }}
+}
+
 func read(t *testing.T) *explainer.Log {
 	t.Helper()
-	g := &explainer.Log{}
+	var sources []explainer.Source
 	for _, name := range []string{"malolos-1.log", "collected.txt"} {
-		text, err := os.ReadFile(filepath.Join("testdata", name))
+		lines, err := os.ReadFile(filepath.Join("testdata", name))
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := g.Read(strings.TrimSuffix(name, ".log"), bytes.NewReader(text)); err != nil {
-			t.Fatal(err)
-		}
+		sources = append(sources, text(strings.TrimSuffix(name, ".log"), string(lines)))
+	}
+	g, err := explainer.Read(sources...)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return g
 }
@@ -83,8 +91,7 @@
 // Guards against a line without end that fills the memory.
 func TestEndlessLine(t *testing.T) {
 	is := is.New(t)
-	g := &explainer.Log{}
-	err := g.Read("a", strings.NewReader("time="+strings.Repeat("x", 1<<20)))
+	_, err := explainer.Read(text("a", "time="+strings.Repeat("x", 1<<20)))
 	var failed *explainer.ReadError
 	is.True(errors.As(err, &failed))
 	is.Equal(failed.Source, "a")
--- a/internal/explainer/read.go
+++ b/internal/explainer/read.go
@@ -76,13 +76,36 @@
 
 func (e *ReadError) Unwrap() error { return e.Err }
 
-// Read adds the lines of a log. A collector may have put text before each line; its last
-// word is taken as the source.
-func (g *Log) Read(source string, r io.Reader) error {
+// Source is one log.
+type Source struct {
+	Name string
+	Open func() (io.ReadCloser, error)
+}
+
+// Read reads the logs one after the other. A collector may have put text before each line;
+// its last word is taken as the line's source.
+func Read(sources ...Source) (*Log, error) {
+	g := &Log{}
+	for _, s := range sources {
+		if err := g.read(s); err != nil {
+			return nil, err
+		}
+	}
+	// Stable: lines of one host with the same time stay in the order of writing.
+	slices.SortStableFunc(g.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
+	return g, nil
+}
+
+func (g *Log) read(s Source) (err error) {
+	r, err := s.Open()
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, r.Close()) }()
 	sc := bufio.NewScanner(r)
 	sc.Buffer(nil, maxLine)
 	for sc.Scan() {
-		l, err := parse(source, sc.Bytes())
+		l, err := parse(s.Name, sc.Bytes())
 		if err != nil {
 			g.Skipped++
 			continue
@@ -90,10 +113,8 @@
 		g.Lines = append(g.Lines, l)
 	}
 	if err := sc.Err(); err != nil {
-		return &ReadError{Source: source, Err: err}
+		return &ReadError{Source: s.Name, Err: err}
 	}
-	// Stable: lines of one host with the same time stay in the order of writing.
-	slices.SortStableFunc(g.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
 	return nil
 }
 
--- a/internal/harness/cluster_test.go
+++ b/internal/harness/cluster_test.go
@@ -58,6 +58,25 @@
 	return w
 }
 
+// beginOn starts a cluster, begins and lets the workload run for a while.
+func beginOn(t *testing.T, o harness.ClusterOptions, seconds, jobs int, calm time.Duration) (*harness.Cluster, *workload) {
+	t.Helper()
+	c := harness.StartCluster(t, o)
+	w := begin(t, c, seconds, jobs)
+	time.Sleep(calm)
+	return c, w
+}
+
+// endWithAllJobs is like end and checks that every job has finished.
+func (w *workload) endWithAllJobs() (requests, jobs *generator.Result) {
+	w.t.Helper()
+	requests, jobs = w.end()
+	if j := jobs.Jobs(); j.Finished != j.Submitted {
+		w.t.Errorf("%d of %d jobs finished", j.Finished, j.Submitted)
+	}
+	return requests, jobs
+}
+
 // end waits for the outcomes and checks the guarantees that every test checks.
 func (w *workload) end() (requests, jobs *generator.Result) {
 	w.t.Helper()
@@ -82,41 +101,32 @@
 func TestEntryHostKilled(t *testing.T) {
 	is := is.New(t)
 	t.Parallel()
-	c := harness.StartCluster(t, harness.ClusterOptions{})
-	w := begin(t, c, 12, 30)
-	time.Sleep(3 * time.Second)
+	c, w := beginOn(t, harness.ClusterOptions{}, 12, 30, 3*time.Second)
 	killed := c.Owner("north")
 	killed.Kill()
 	c.Owner("north", killed) // another host takes over
 	c.StartHost(killed)
-	_, jobs := w.end()
-	is.Equal(jobs.Jobs().Finished, jobs.Jobs().Submitted)
+	_, jobs := w.endWithAllJobs()
 	is.Equal(jobs.Jobs().Refused+jobs.Jobs().Unknown, 0)
 }
 
 // Guards against a paused owner that acts on its shard after another host took over.
 func TestEntryHostPaused(t *testing.T) {
-	is := is.New(t)
 	t.Parallel()
-	c := harness.StartCluster(t, harness.ClusterOptions{})
-	w := begin(t, c, 16, 30)
-	time.Sleep(3 * time.Second)
+	c, w := beginOn(t, harness.ClusterOptions{}, 16, 30, 3*time.Second)
 	paused := c.Owner("north")
 	paused.Pause()
 	c.Owner("north", paused)
 	time.Sleep(2 * time.Second) // the new owner acts
 	paused.Resume()
-	_, jobs := w.end()
-	is.Equal(jobs.Jobs().Finished, jobs.Jobs().Submitted)
+	w.endWithAllJobs()
 }
 
 // Guards against a planned stop that interrupts a request.
 func TestEntryHostTerminated(t *testing.T) {
 	is := is.New(t)
 	t.Parallel()
-	c := harness.StartCluster(t, harness.ClusterOptions{})
-	w := begin(t, c, 8, 16)
-	time.Sleep(2 * time.Second)
+	c, w := beginOn(t, harness.ClusterOptions{}, 8, 16, 2*time.Second)
 	leaving := c.Owner("north")
 	leaving.Terminate()
 	is.Equal(leaving.Wait(), 0)
@@ -130,9 +140,7 @@
 func TestStoreOutage(t *testing.T) {
 	is := is.New(t)
 	t.Parallel()
-	c := harness.StartCluster(t, harness.ClusterOptions{})
-	w := begin(t, c, 20, 30)
-	time.Sleep(3 * time.Second)
+	c, w := beginOn(t, harness.ClusterOptions{}, 20, 30, 3*time.Second)
 	harness.SetFaults(t, c.Store, emulator.Faults{Down: true})
 	time.Sleep(10 * time.Second)
 	harness.SetFaults(t, c.Store, emulator.Faults{})
@@ -143,16 +151,12 @@
 
 // Guards against lost answers of the store that make an owner write or start twice.
 func TestStoreAnswersLost(t *testing.T) {
-	is := is.New(t)
 	t.Parallel()
-	c := harness.StartCluster(t, harness.ClusterOptions{})
-	w := begin(t, c, 12, 30)
-	time.Sleep(2 * time.Second)
+	c, w := beginOn(t, harness.ClusterOptions{}, 12, 30, 2*time.Second)
 	harness.SetFaults(t, c.Store, emulator.Faults{LoseAnswers: 0.2})
 	time.Sleep(8 * time.Second)
 	harness.SetFaults(t, c.Store, emulator.Faults{})
-	_, jobs := w.end()
-	is.Equal(jobs.Jobs().Finished, jobs.Jobs().Submitted)
+	w.endWithAllJobs()
 }
 
 // Guards against a dead worker whose jobs are lost or run while the first run may go on.
@@ -181,34 +185,26 @@
 // Guards against an owner that is cut from the store and its peers and goes on while its
 // successor starts the same jobs.
 func TestEntryHostCutOff(t *testing.T) {
-	is := is.New(t)
 	t.Parallel()
-	c := harness.StartCluster(t, harness.ClusterOptions{Relays: true})
-	w := begin(t, c, 16, 30)
-	time.Sleep(3 * time.Second)
+	c, w := beginOn(t, harness.ClusterOptions{Relays: true}, 16, 30, 3*time.Second)
 	h := c.Owner("north")
 	c.CutOff(h, relayer.Cut{Forward: true, Backward: true})
 	c.Owner("north", h)         // another host takes over
 	time.Sleep(2 * time.Second) // and acts
 	c.CutOff(h, relayer.Cut{})
-	_, jobs := w.end()
-	is.Equal(jobs.Jobs().Finished, jobs.Jobs().Submitted)
+	w.endWithAllJobs()
 }
 
 // Guards against an owner whose messages and writes arrive while it gets no answers: its
 // writes keep others from claiming the shard, and it must not act on them.
 func TestEntryHostGetsNoAnswers(t *testing.T) {
-	is := is.New(t)
 	t.Parallel()
-	c := harness.StartCluster(t, harness.ClusterOptions{Relays: true})
-	w := begin(t, c, 16, 30)
-	time.Sleep(3 * time.Second)
+	c, w := beginOn(t, harness.ClusterOptions{Relays: true}, 16, 30, 3*time.Second)
 	h := c.Owner("north")
 	c.CutOff(h, relayer.Cut{Backward: true})
 	time.Sleep(8 * time.Second) // over two times OwnershipTtl
 	c.CutOff(h, relayer.Cut{})
-	_, jobs := w.end()
-	is.Equal(jobs.Jobs().Finished, jobs.Jobs().Submitted)
+	w.endWithAllJobs()
 }
 
 // Guards against a host that is leaving and claims the shard that another leaving host
@@ -267,9 +263,7 @@
 func TestWorkerDrained(t *testing.T) {
 	is := is.New(t)
 	t.Parallel()
-	c := harness.StartCluster(t, harness.ClusterOptions{})
-	w := begin(t, c, 14, 40)
-	time.Sleep(2 * time.Second)
+	c, w := beginOn(t, harness.ClusterOptions{}, 14, 40, 2*time.Second)
 	drained := c.WaitForBatch()
 	c.Command("host", "drain", "-address", c.Admins()[0].String(), drained.Name)
 	limit := time.Now().Add(leavingLimit)
--- a/internal/harness/stop_test.go
+++ b/internal/harness/stop_test.go
@@ -16,9 +16,7 @@
 func TestEntryHostTerminatedInStoreOutage(t *testing.T) {
 	is := is.New(t)
 	t.Parallel()
-	c := harness.StartCluster(t, harness.ClusterOptions{})
-	w := begin(t, c, 14, 10)
-	time.Sleep(4 * time.Second)
+	c, w := beginOn(t, harness.ClusterOptions{}, 14, 10, 4*time.Second)
 	leaving := c.Owner("north")
 	harness.SetFaults(t, c.Store, emulator.Faults{Down: true})
 	leaving.Terminate()
--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -56,7 +56,7 @@
 	var names []string
 	for _, again := range []bool{true, false} {
 		for _, w := range ws {
-			fits := w.Room.subtract(w.used).covers(s.sizeOn())
+			fits := w.free().covers(s.sizeOn())
 			if len(names) < adviceLimit && fits && a.allowed[w.ID] == again && (again || !a.asked[w.ID]) {
 				names = append(names, w.ID)
 			}
--- a/internal/orchestrator/hold.go
+++ b/internal/orchestrator/hold.go
@@ -21,7 +21,7 @@
 	held := 0
 	var best *worker
 	for _, w := range workers {
-		if t.step.MaxPerWorker > 0 && w.countStep(t.step) >= t.step.MaxPerWorker || w.Room.subtract(w.used).covers(t.step.sizeOn()) {
+		if w.atLimit(t.step) || w.free().covers(t.step.sizeOn()) {
 			continue // it does not wait for room there
 		}
 		if w.heldFor != nil && o.now.Before(w.heldUntil) {
@@ -32,7 +32,7 @@
 			held++
 			continue
 		}
-		if w.soon().covers(t.step.sizeOn()) && (best == nil || w.Room.CPU-w.used.CPU > best.Room.CPU-best.used.CPU) {
+		if w.soon().covers(t.step.sizeOn()) && (best == nil || w.free().CPU > best.free().CPU) {
 			best = w
 		}
 	}
@@ -45,7 +45,7 @@
 
 // soon returns what is unused on a worker once its short tasks have ended.
 func (w *worker) soon() Resources {
-	free := w.Room.subtract(w.used)
+	free := w.free()
 	for _, r := range w.runs {
 		if !r.task.step.LongRunning {
 			free = free.add(r.task.step.sizeOn())
--- a/internal/orchestrator/load_test.go
+++ b/internal/orchestrator/load_test.go
@@ -41,10 +41,8 @@
 // leases which they wait for: its tasks were never started again.
 func TestDeadWorkerIsGivenUp(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	dead := w.addWorker("w0", cores(4, 16), "r0")
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 1, cores(4, 16))
+	dead := w.workers["w0"]
 	j := simple("j1", 2, cores(1, 1))
 	j.Steps[0].LongRunning = true
 	w.submit(j)
@@ -84,12 +82,7 @@
 // which hands over cleanly has told of: new work starts at once.
 func TestCleanHandOverStartsWorkAtOnce(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	for i := range 4 {
-		w.addWorker(fmt.Sprintf("w%d", i), cores(4, 16), "r0")
-	}
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 4, cores(4, 16))
 	w.submit(simple("j1", 4, cores(1, 1)))
 	w.run(200 * time.Millisecond)
 	clean := w.leader().handOver()
@@ -152,10 +145,7 @@
 // being reached by whole passes only, every 200 ms.
 func TestShortJobPassesWaitingLastingTasks(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	w.addWorker("w0", cores(8, 64), "r0")
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 1, cores(8, 64))
 	for i := range 30 {
 		j := simple(fmt.Sprintf("l%d", i), 1, cores(6, 1))
 		j.Steps[0].LongRunning = true
@@ -172,12 +162,7 @@
 // being in time: those that can meet their objective end first.
 func TestBurstEndsJobsInTurn(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	for i := range 4 {
-		w.addWorker(fmt.Sprintf("w%d", i), cores(8, 64), "r0")
-	}
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 4, cores(8, 64))
 	for i := range 12 {
 		j := simple(fmt.Sprintf("b%02d", i), 16, cores(2, 2))
 		j.Steps = append(j.Steps, orchestrator.Step{Count: 16, Size: cores(2, 2), Estimate: time.Second, After: []int{0}})
@@ -200,12 +185,7 @@
 // pair of images, and against slowing fillers that disturb nobody.
 func TestFillersThatDisturbKeepAway(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	for i := range 6 {
-		w.addWorker(fmt.Sprintf("w%d", i), cores(16, 64), "r0")
-	}
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 6, cores(16, 64))
 	w.submit(serving("s1", "web", 3, cores(8, 8)))
 	w.submit(serving("s2", "api", 3, cores(8, 8)))
 	w.run(time.Second)
@@ -264,10 +244,7 @@
 // that stays away although batch tasks could make room.
 func TestLastingTaskPreemptsBatch(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	w.addWorker("w0", cores(32, 16), "r0")
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 1, cores(32, 16))
 	w.took = func(string, *fakeWorker) time.Duration { return 30 * time.Second }
 	w.submit(filler("b1", "x", 8, cores(1, 2)))
 	w.run(time.Second)
@@ -301,10 +278,7 @@
 // cancelled, and against starts of its waiting tasks.
 func TestCancelStopsAndStartsNothing(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	w.addWorker("w0", cores(4, 32), "r0")
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 1, cores(4, 32))
 	w.took = func(string, *fakeWorker) time.Duration { return time.Minute }
 	w.submit(simple("j1", 8, cores(1, 1)))
 	w.run(500 * time.Millisecond)
@@ -347,10 +321,7 @@
 // Pattern: scheduled jobs. Guards against occurrences that start before their time.
 func TestOccurrencesStartWhenDue(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	w.addWorker("w0", cores(4, 32), "r0")
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 1, cores(4, 32))
 	j := simple("j1", 1, cores(1, 1))
 	j.Occurrences, j.First, j.Interval = 3, w.now.Add(2*time.Second), 3*time.Second
 	w.submit(j)
@@ -385,10 +356,7 @@
 // Guards against starts on workers that leave, and against work that ends with them.
 func TestDrainingWorkerIsEvacuated(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	w.addWorker("w0", cores(8, 32), "r0")
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 1, cores(8, 32))
 	j := simple("j1", 2, cores(1, 1))
 	j.Steps[0].LongRunning = true
 	w.submit(j)
--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -27,12 +27,7 @@
 // job gets some room, all of them end just after their objective, and nearly none counts.
 func TestLastingOverloadFinishesWhatItBegan(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	for i := range 4 {
-		w.addWorker(fmt.Sprintf("w%d", i), cores(8, 64), "r0")
-	}
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 4, cores(8, 64))
 	const seconds = 30
 	for i := range 2 * seconds {
 		// 16 tasks of one second for each job, and 16 run at a time: one job a second.
@@ -56,12 +51,7 @@
 // Pattern: wide jobs of uneven tasks. Guards against objectives that are taken from the
 // mean task: a wide step takes as long as its longest task.
 func TestObjectiveAllowsForTheLongestTask(t *testing.T) {
-	w := newWorld(t, 1)
-	for i := range 4 {
-		w.addWorker(fmt.Sprintf("w%d", i), cores(16, 64), "r0")
-	}
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 4, cores(16, 64))
 	n := 0
 	w.took = func(string, *fakeWorker) time.Duration {
 		n++
@@ -141,10 +131,7 @@
 // late work that takes the margin of these tasks as timely work may.
 func TestLateFillersKeepAMargin(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	w.addWorker("w0", cores(16, 64), "r0")
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 1, cores(16, 64))
 	w.submit(serving("s1", "web", 1, cores(9, 8)))
 	w.run(time.Second)
 	late := filler("late", "calm", 1, cores(5, 2))
@@ -161,10 +148,8 @@
 // and not carried it out.
 func TestStopThatHadNoEffectIsRepeated(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	k := w.addWorker("w0", cores(8, 64), "r0")
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 1, cores(8, 64))
+	k := w.workers["w0"]
 	w.submit(serving("s1", "web", 2, cores(2, 2)))
 	w.run(time.Second)
 	k.deaf = 2
@@ -179,12 +164,7 @@
 // leave. Guards against short jobs that take each gap for as long as they come.
 func TestLargeLastingTaskGetsAGap(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	for i := range 4 {
-		w.addWorker(fmt.Sprintf("w%d", i), cores(8, 64), "r0")
-	}
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 4, cores(8, 64))
 	n := 0
 	w.took = func(string, *fakeWorker) time.Duration {
 		n++
@@ -207,10 +187,8 @@
 // time may run there, and against a lasting task that is tried first and never ends.
 func TestRecoveredWorkerGetsWorkBesideLastingTasks(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 1)
-	k := w.addWorker("w0", cores(16, 64), "r0")
-	w.elect(false)
-	w.run(time.Second)
+	w := newCluster(t, 1, cores(16, 64))
+	k := w.workers["w0"]
 	w.submit(serving("s1", "web", 2, cores(2, 2)))
 	w.run(time.Second)
 	k.grey = true
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -112,7 +112,7 @@
 		s.rack = w.Rack
 	}
 	o.do(Note{Event: EventStart, Job: t.job().ID, Task: t.name, Run: number, Worker: w.ID, Age: o.silence(w),
-		Figures: fmt.Sprintf("Score=%.2f FreeCores=%.1f Waited=%s", score, float64(w.Room.CPU-w.used.CPU)/1000, o.now.Sub(t.since).Round(time.Millisecond))})
+		Figures: fmt.Sprintf("Score=%.2f FreeCores=%.1f Waited=%s", score, float64(w.free().CPU)/1000, o.now.Sub(t.since).Round(time.Millisecond))})
 	pace := o.startPace(s, w)
 	o.try(s, w)
 	r := o.start(t, w, number, s.advice.tickets[w.ID])
@@ -222,13 +222,10 @@
 // fits reports whether a worker has room for a task.
 func (o *Orchestrator) fits(t *task, w *worker) bool {
 	s := t.step
-	if o.now.Before(w.fullUntil) || w.probing && w.probe != nil || w.heldFor != nil && w.heldFor != t && o.now.Before(w.heldUntil) {
+	if o.now.Before(w.fullUntil) || w.probe != nil || w.heldFor != nil && w.heldFor != t && o.now.Before(w.heldUntil) {
 		return false
 	}
-	if !w.Room.subtract(w.used).covers(s.sizeOn()) {
-		return false
-	}
-	if s.MaxPerWorker > 0 && w.countStep(s) >= s.MaxPerWorker {
+	if !w.free().covers(s.sizeOn()) || w.atLimit(s) {
 		return false
 	}
 	if s.LongRunning && o.scarce && o.now.Sub(t.since) < lastingWait {
@@ -256,11 +253,17 @@
 		return true
 	}
 	// Slowed fillers are to run at full pace again: others would only join them.
-	margin := 0.0
-	if p, _ := o.outlast(t.step.occurrence); p != prospectTimely {
-		margin = lateMargin
+	if w.pace < 100 {
+		return false
 	}
-	return w.pace >= 100 && o.besides(t.step, w) >= margin
+	switch left := o.besides(t.step, w); {
+	case left < 0:
+		return false
+	case left >= lateMargin:
+		return true
+	}
+	prospect, _ := o.outlast(t.step.occurrence)
+	return prospect == prospectTimely
 }
 
 // starves reports whether a job has had nothing running for so long that one of its tasks
@@ -284,6 +287,14 @@
 	return w.Room.CPU - counted - int(servingShare*float64(w.load.serving)) - w.load.filling
 }
 
+// free returns what no task holds of a worker.
+func (w *worker) free() Resources { return w.Room.subtract(w.used) }
+
+// atLimit reports whether no more of the step's tasks may run on the worker.
+func (w *worker) atLimit(s *step) bool {
+	return s.MaxPerWorker > 0 && w.countStep(s) >= s.MaxPerWorker
+}
+
 // countStep returns how many tasks of a step run on the worker.
 func (w *worker) countStep(s *step) int {
 	n := 0
--- a/internal/orchestrator/preempt.go
+++ b/internal/orchestrator/preempt.go
@@ -38,7 +38,7 @@
 	}
 	var best *victims
 	for _, w := range workers {
-		if t.avoid[w.ID] || t.step.MaxPerWorker > 0 && w.countStep(t.step) >= t.step.MaxPerWorker {
+		if t.avoid[w.ID] || w.atLimit(t.step) {
 			continue
 		}
 		if v := o.victimsOn(w, t); v != nil && (best == nil || v.cost < best.cost) {
@@ -60,7 +60,7 @@
 // victimsOn returns the cheapest runs whose end makes room for a task on a worker, nil
 // if all of lower priority do not suffice.
 func (o *Orchestrator) victimsOn(w *worker, t *task) *victims {
-	free := w.Room.subtract(w.used)
+	free := w.free()
 	most := free // once all of lower priority have stopped
 	var lower []*run
 	for _, r := range w.runs {
--- a/internal/orchestrator/pressure.go
+++ b/internal/orchestrator/pressure.go
@@ -180,12 +180,13 @@
 // outlookEvery bounds the age of a worker's predictions.
 const outlookEvery = 100 * time.Millisecond
 
-// fillLoads returns the share of the worker's processors that fillers may use, by image.
-func (w *worker) fillLoads() map[string]float64 {
+// fillLoads returns the share of the worker's processors that fillers may use at the
+// given percent of their speed, by image.
+func (w *worker) fillLoads(percent func(*run) int) map[string]float64 {
 	loads := make(map[string]float64)
 	for _, r := range w.runs {
 		if r.task.step.Fills {
-			loads[r.task.step.Image] += w.fillLoad(r.task.step.Step, r.speed())
+			loads[r.task.step.Image] += w.fillLoad(r.task.step.Step, percent(r))
 		}
 	}
 	return loads
@@ -204,7 +205,7 @@
 		return w.outlooks
 	}
 	w.foreseen, w.foreseenAt, w.outlooks = true, o.now, w.outlooks[:0]
-	loads := w.fillLoads()
+	loads := w.fillLoads((*run).speed)
 	total := float64(w.load.filling) / float64(max(1, w.Room.CPU))
 	for _, r := range w.runs {
 		if r.task.step.LatencyTarget <= 0 {
@@ -232,7 +233,7 @@
 			return
 		}
 	}
-	loads := w.fillLoads()
+	loads := w.fillLoads((*run).speed)
 	for _, row := range rows {
 		r := w.runs[runKey{row.Task, row.Run}]
 		if r == nil || r.task.step.LatencyTarget <= 0 || row.Figure <= 0 {
@@ -340,5 +341,5 @@
 	if w.load.filling == 0 {
 		return 0
 	}
-	return o.pressure.added(s.Image, w.fillLoads())
+	return o.pressure.added(s.Image, w.fillLoads((*run).speed))
 }
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -230,7 +230,7 @@
 	workers, _ := o.candidates(s)
 	var most Resources
 	for _, w := range workers {
-		if free := w.Room.subtract(w.used); free.CPU > most.CPU {
+		if free := w.free(); free.CPU > most.CPU {
 			most = free
 		}
 	}
--- a/internal/orchestrator/relief.go
+++ b/internal/orchestrator/relief.go
@@ -80,18 +80,12 @@
 	} else if w.overSince.IsZero() {
 		w.overSince = w.tailAt
 	}
-	whole := make(map[string]float64) // loads at full pace
-	for _, r := range w.runs {
-		if r.task.step.Fills {
-			whole[r.task.step.Image] += w.fillLoad(r.task.step.Step, 100)
-		}
-	}
+	w.pace = 100
+	whole := w.fillLoads(func(*run) int { return 100 })
 	if len(whole) == 0 {
-		w.pace = 100
 		return
 	}
-	w.pace = 100
-	now := w.fillLoads()
+	now := w.fillLoads((*run).speed)
 	for _, r := range w.runs {
 		if !r.task.step.Fills {
 			continue
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -66,7 +66,7 @@
 	streakJob  string
 	avoidUntil time.Time
 	probing    bool    // one task at a time until one ends well
-	probe      *run    // that task
+	probe      *run    // that task, nil while there is none
 	slow       float64 // moving average of measured to expected run time
 	fullUntil  time.Time
 	heldFor    *task // other tasks do not start until heldUntil
@@ -170,6 +170,14 @@
 	o.do(WriteSoon{})
 }
 
+// retireWorker marks in the roster that nothing runs on a worker.
+func (o *Orchestrator) retireWorker(w *worker) {
+	if !w.idle {
+		w.idle, w.rostered, w.enrolling = true, false, false
+		o.rosterVersion++
+	}
+}
+
 func (o *Orchestrator) unlistWorker(id string) {
 	w := o.workers[id]
 	if w == nil || !w.listed {
@@ -239,7 +247,7 @@
 		return false, "it still runs tasks of jobs that have ended"
 	case o.now.Before(w.avoidUntil):
 		return false, "its tasks failed"
-	case w.probing && w.probe != nil:
+	case w.probe != nil:
 		return false, "its tasks failed, one task at a time"
 	}
 	return true, ""
@@ -278,13 +286,10 @@
 
 // applyRunning compares a worker's list of runs with what the leader believes.
 func (o *Orchestrator) applyRunning(w *worker, e LookAnswered) {
-	listed := make(map[runKey]bool, len(e.Running))
 	tail := 0.0
 	w.unaccounted = 0
 	for _, row := range e.Running {
-		k := runKey{row.Task, row.Run}
-		listed[k] = true
-		r := w.runs[k]
+		r := w.runs[runKey{row.Task, row.Run}]
 		if r == nil {
 			r = o.adopt(w, row)
 		}
@@ -295,12 +300,10 @@
 		o.observe(r, row)
 		tail = max(tail, r.tail)
 	}
-	for k, r := range w.runs {
-		if !listed[k] && r.settledBefore(e.SentAt) {
-			o.do(Note{Event: EventRunLost, Job: r.task.job().ID, Task: k.task, Run: k.number, Worker: w.ID,
-				Outcome: "not listed", Reason: "the worker lists it neither as running nor as ended"})
-			o.drop(r)
-		}
+	for _, r := range w.missing(e) {
+		o.do(Note{Event: EventRunLost, Job: r.task.job().ID, Task: r.task.name, Run: r.number, Worker: w.ID,
+			Outcome: "not listed", Reason: "the worker lists it neither as running nor as ended"})
+		o.drop(r)
 	}
 	if w.load.serving > 0 {
 		w.tail, w.tailAt = tail, e.ReceivedAt
@@ -316,19 +319,28 @@
 func (o *Orchestrator) workerRestarted(w *worker, e LookAnswered) {
 	o.do(Note{Event: EventWorkerLost, Worker: w.ID, Outcome: "restarted", Reason: "a new incarnation answers",
 		Figures: fmt.Sprintf("Runs=%d", len(w.runs))})
+	for _, r := range w.missing(e) {
+		o.lapsed(r)
+	}
+	w.seen, w.acked, w.ends = 0, 0, nil
+	w.streak, w.avoidUntil, w.probing, w.probe, w.slow = 0, time.Time{}, false, nil, 1
+	// Orders that were sent with a deadline of the old clock may count in full.
+	w.expiry = o.now.Add(lapse(o.settings.MaxLease))
+}
+
+// missing returns the runs that a look must list if they still run, and does not.
+func (w *worker) missing(e LookAnswered) []*run {
 	listed := make(map[runKey]bool, len(e.Running))
 	for _, row := range e.Running {
 		listed[runKey{row.Task, row.Run}] = true
 	}
+	var rs []*run
 	for k, r := range w.runs {
 		if !listed[k] && r.settledBefore(e.SentAt) {
-			o.lapsed(r)
+			rs = append(rs, r)
 		}
 	}
-	w.seen, w.acked, w.ends = 0, 0, nil
-	w.streak, w.avoidUntil, w.probing, w.probe, w.slow = 0, time.Time{}, false, nil, 1
-	// Orders that were sent with a deadline of the old clock may count in full.
-	w.expiry = o.now.Add(lapse(o.settings.MaxLease))
+	return rs
 }
 
 // settledBefore reports whether a look that was sent at a time must list the run if it
@@ -369,10 +381,7 @@
 	for _, r := range w.runs {
 		o.lapsed(r)
 	}
-	if !w.idle {
-		w.idle, w.rostered, w.enrolling = true, false, false
-		o.rosterVersion++
-	}
+	o.retireWorker(w)
 	w.resolved, w.inherited = true, false
 	o.passDue = true
 }
@@ -397,10 +406,9 @@
 		return
 	}
 	switch {
-	case w.Draining && len(w.runs) == 0 && w.resolved && !w.idle:
+	case w.Draining && len(w.runs) == 0 && w.resolved:
 		// It gets no starts any more: a successor need not wait for it when it has gone.
-		w.idle, w.rostered, w.enrolling = true, false, false
-		o.rosterVersion++
+		o.retireWorker(w)
 	case !unreached && w.listed:
 		o.enroll(w)
 	}
--- a/internal/orchestrator/world_test.go
+++ b/internal/orchestrator/world_test.go
@@ -109,6 +109,18 @@
 	}
 }
 
+// newCluster returns a world with n equal workers of one rack, w0 and so on, and a leader
+// that has reached them.
+func newCluster(t reporter, n int, room orchestrator.Resources) *world {
+	w := newWorld(t, 1)
+	for i := range n {
+		w.addWorker(fmt.Sprintf("w%d", i), room, "r0")
+	}
+	w.elect(false)
+	w.run(time.Second)
+	return w
+}
+
 func (w *world) addWorker(name string, room orchestrator.Resources, rack string) *fakeWorker {
 	k := &fakeWorker{
 		entry: orchestrator.WorkerEntry{ID: name, Service: "s", Room: room, Rack: rack, Labels: []string{"a", rack},
