entry -check: check the settings instead of panicking

Cause: Environment.CheckEntry was set by no program, so that "peridotpitch entry -settings FILE -check" called a nil function. The program's environment is now built by a function that the test runs too. TestEntryCheck panicked before.

--- a/cmd/peridotpitch/main.go
+++ b/cmd/peridotpitch/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -23,16 +24,22 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return commandline.Run(ctx, os.Args[1:], commandline.Environment{
-		Stdout: os.Stdout,
-		Stderr: os.Stderr,
-		Getenv: os.Getenv,
-		Serve:  runServer,
-		Entry:  runEntryHost,
+	return commandline.Run(ctx, os.Args[1:], environment(os.Stdout, os.Stderr))
+}
+
+// environment returns what the command line needs of this program.
+func environment(stdout, stderr io.Writer) commandline.Environment {
+	return commandline.Environment{
+		Stdout:     stdout,
+		Stderr:     stderr,
+		Getenv:     os.Getenv,
+		Serve:      runServer,
+		Entry:      runEntryHost,
+		CheckEntry: checkEntrySettings,
 		// The platform passes the path of the settings file in this environment variable.
 		SettingsVariable: platform.SettingsVariable,
 		Version:          version,
-	})
+	}
 }
 
 // runServer runs an entry host of package server until ctx ends.
