orchestrator: own load of latency-critical tasks from all tasks of a step

Hypothesis: the model takes the swing of the callers' load for interference.

Change: the own load is a state of each step with its own variance; a residual is divided between it and the coefficients by their variances. The variance of samples is measured. The margin before a start is a quarter of the standard deviation of the coefficients instead of 0.08 for all.

Mechanisms of the policy get names and can be disabled by the settings key Policy/DisabledMechanisms, so that trees of the same build are compared.

--- a/internal/configurator/table.go
+++ b/internal/configurator/table.go
@@ -147,6 +147,11 @@
 	return fs
 }
 
+// ParsedKey returns a key for a value that parse reads and format prints.
+func ParsedKey[T, V any](d KeyDoc, field func(*T) *V, parse func(string) (V, error), format func(V) string) Key[T] {
+	return newKey(d, field, parse, format)
+}
+
 // newKey returns a key whose value is stored in the field that field returns.
 func newKey[T, V any](d KeyDoc, field func(*T) *V, parse func(string) (V, error), format func(V) string) Key[T] {
 	return Key[T]{
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -91,7 +91,8 @@
 	defer closeServer()
 	defer c.closeClients()
 	c.log.Info("Start", "Host", c.settings.Name, "FailureDomain", c.settings.FailureDomain, "Process", c.processID,
-		"CallerAddress", c.settings.CallerAddress.String(), "MessageAddress", c.settings.MessageAddress.String())
+		"CallerAddress", c.settings.CallerAddress.String(), "MessageAddress", c.settings.MessageAddress.String(),
+		"DisabledMechanisms", c.settings.DisabledMechanisms.String())
 	group, groupCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	groupCtx, cancel := context.WithCancel(groupCtx)
 	defer cancel()
@@ -302,6 +303,6 @@
 	return orchestrator.Settings{
 		Epoch: epoch, ElectedAt: elected, ConfirmedAt: confirmed,
 		Lease: min(runLeaseDuration, c.settings.MaxLease), LeaderLease: leaderLeaseDuration, MaxLease: c.settings.MaxLease,
-		Retention: c.settings.StatusRetention, RemoteSlowdown: c.settings.FarFactor,
+		Retention: c.settings.StatusRetention, RemoteSlowdown: c.settings.FarFactor, Disabled: c.settings.DisabledMechanisms,
 	}
 }
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -28,6 +28,8 @@
 	Memory         int64 // bytes
 	ProcessorShare float64
 	DrainTimeout   time.Duration
+
+	DisabledMechanisms orchestrator.MechanismSet
 }
 
 // Configuration is the version of the operators' configuration that is in effect.
--- a/internal/orchestrator/interference.go
+++ b/internal/orchestrator/interference.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -28,9 +29,9 @@
 	// maxOwnLoadRise is the reserve for a rise of a task's own load while a best-effort task
 	// runs.
 	maxOwnLoadRise = 0.08
-	// coefficientMargin is added to each coefficient before a best-effort task starts, because
-	// small errors of many such tasks on one worker add up.
-	coefficientMargin = 0.08
+	// marginDeviations is the margin for the errors of the coefficients before a best-effort
+	// task starts, in standard deviations.
+	marginDeviations = 0.25
 	// baseBudget is the utilization that best-effort tasks may add, unless the difference
 	// utilizationNearTarget - maxOwnLoadRise - own load is smaller.
 	baseBudget = 0.06
@@ -47,10 +48,21 @@
 	maxCoefficient = 20.0
 	// initialVariance is the variance of a coefficient without samples.
 	initialVariance = 0.5
-	// sampleVariance is the assumed variance of one measured utilization around the prediction.
-	// It allows for the own load, which varies by a quarter of its mean, and for successive
-	// samples of a task, which are correlated.
-	sampleVariance = 0.05
+	// initialSampleVariance is the variance of a measured utilization around its prediction until
+	// samples show a lower one.
+	initialSampleVariance = 0.05
+	// minSampleVariance is the variance that the rounding of tail latencies to milliseconds
+	// causes at least.
+	minSampleVariance = 0.002
+	// sampleVarianceWeight is the weight of one sample in the variance of the samples.
+	sampleVarianceWeight = 0.02
+	// maxResidualDeviations bounds the effect of one sample, in standard deviations. A slow
+	// worker raises the tail latency without any interference.
+	maxResidualDeviations = 3
+	// initialOwnLoadVariance is the variance of a step's own load without samples.
+	initialOwnLoadVariance = 0.03
+	// ownLoadDrift is the variance by which a step's own load may change within a second.
+	ownLoadDrift = 0.02
 	// varianceDrift is added to a coefficient's variance with each sample, so that later
 	// samples never lose their effect.
 	varianceDrift = 0.0002
@@ -84,13 +96,34 @@
 // the worker's processors that the task may use. Most pairs do not interfere; a few do so
 // strongly.
 type interferenceModel struct {
-	pairs          map[string]map[string]*pairEstimate // by latency-critical image and best-effort image
-	idleTailRatios map[string]float64                  // lowest measured tail latency as a share of the latency target, by latency-critical image
-	meanOwnLoad    map[string]float64                  // mean own load of the tasks, by latency-critical image
+	pairs map[string]map[string]*pairEstimate // by latency-critical image and best-effort image
+
+	// By latency-critical image:
+	idleTailRatios  map[string]float64 // lowest measured tail latency as a share of the latency target
+	meanOwnLoad     map[string]float64 // mean own load of the tasks
+	sampleVariances map[string]float64 // variance of a measured utilization around its prediction
 }
 
 func newInterferenceModel() interferenceModel {
-	return interferenceModel{pairs: make(map[string]map[string]*pairEstimate), idleTailRatios: make(map[string]float64), meanOwnLoad: make(map[string]float64)}
+	return interferenceModel{pairs: make(map[string]map[string]*pairEstimate), idleTailRatios: make(map[string]float64), meanOwnLoad: make(map[string]float64), sampleVariances: make(map[string]float64)}
+}
+
+// ownLoadEstimate is the estimated utilization that callers cause to each task of a step.
+// Callers spread their requests evenly, so that tasks without best-effort tasks beside them
+// show the own load of the others.
+type ownLoadEstimate struct {
+	mean, variance float64
+	at             time.Time // of the last sample; zero: none yet
+}
+
+// predict returns the estimate for now: the load may have changed since the last sample.
+func (e ownLoadEstimate) predict(prior float64, now time.Time) ownLoadEstimate {
+	if e.at.IsZero() {
+		return ownLoadEstimate{mean: prior, variance: initialOwnLoadVariance, at: now}
+	}
+	e.variance = min(initialOwnLoadVariance, e.variance+ownLoadDrift*now.Sub(e.at).Seconds())
+	e.at = now
+	return e
 }
 
 func (m interferenceModel) pair(critical, bestEffort string) *pairEstimate {
@@ -142,16 +175,46 @@
 	return 1 - idle/tailRatio
 }
 
-// update corrects the model by a measured tail latency. The difference between the measured
-// and the predicted utilization corrects both the image's mean own load and the coefficients.
-func (m interferenceModel) update(critical string, tailRatio float64, loads map[string]float64) {
+// update corrects the model and an own load by a measured tail latency. The residual of the
+// prediction is divided between the own load and the coefficients by their variances: if other
+// tasks of the step have just shown the own load, nearly all of the residual is interference.
+func (m interferenceModel) update(own *ownLoadEstimate, critical string, tailRatio float64, loads map[string]float64, now time.Time) {
 	mean, ok := m.meanOwnLoad[critical]
 	if !ok {
 		mean = defaultOwnLoad
 	}
-	residual := m.utilization(critical, tailRatio) - mean - m.addedUtilization(critical, loads)
-	m.meanOwnLoad[critical] = min(maxOwnLoad, max(minOwnLoad, mean+meanLoadWeight*residual))
-	m.updateCoefficients(critical, loads, residual)
+	noise, ok := m.sampleVariances[critical]
+	if !ok {
+		noise = initialSampleVariance
+	}
+	e := own.predict(mean, now)
+	added := m.addedVariance(critical, loads)
+	total := noise + e.variance + added
+	limit := maxResidualDeviations * math.Sqrt(total)
+	residual := m.utilization(critical, tailRatio) - e.mean - m.addedUtilization(critical, loads)
+	residual = min(limit, max(-limit, residual))
+	if added < noise {
+		noise += sampleVarianceWeight * (residual*residual - total)
+		m.sampleVariances[critical] = min(initialSampleVariance, max(minSampleVariance, noise))
+	}
+	gain := e.variance / total
+	m.updateCoefficients(critical, loads, residual, noise+e.variance)
+	e.mean = min(maxOwnLoad, max(minOwnLoad, e.mean+gain*residual))
+	e.variance *= 1 - gain
+	*own = e
+	m.meanOwnLoad[critical] = mean + meanLoadWeight*(e.mean-mean)
+}
+
+// addedVariance returns the variance of addedUtilization.
+func (m interferenceModel) addedVariance(critical string, loads map[string]float64) float64 {
+	sum := 0.0
+	for image, load := range loads {
+		e := m.pair(critical, image)
+		for other, l := range loads {
+			sum += load * l * e.covariance[m.pair(critical, other).bestEffort]
+		}
+	}
+	return max(0, sum)
 }
 
 // updateCoefficients distributes the residual of a prediction over the coefficients of the
@@ -159,7 +222,7 @@
 // state is the coefficients of that latency-critical image. If best-effort images always run
 // together, samples show only the sum of their effects. The covariances record that the single
 // coefficients are uncertain.
-func (m interferenceModel) updateCoefficients(critical string, loads map[string]float64, residual float64) {
+func (m interferenceModel) updateCoefficients(critical string, loads map[string]float64, residual, sampleVariance float64) {
 	present := make(map[string]float64, len(loads))
 	for image, load := range loads {
 		if load > 0 {
@@ -231,7 +294,6 @@
 	}
 	w.headroomsValid, w.headroomsAt, w.headrooms = true, o.now, w.headrooms[:0]
 	loads := w.bestEffortLoads((*run).effectiveSpeed)
-	total := float64(w.load.bestEffort) / float64(max(1, w.Capacity.CPU))
 	for _, r := range w.runs {
 		if r.task.step.LatencyTarget <= 0 {
 			continue
@@ -239,7 +301,7 @@
 		image := r.task.step.Image
 		// The allowed addition, less the predicted addition of the present best-effort tasks and
 		// a margin for the errors of their coefficients.
-		left := min(max(baseBudget, lowTotalUtilization-r.ownLoad), maxBudget, utilizationNearTarget-maxOwnLoadRise-r.ownLoad) - o.interference.addedUtilization(image, loads) - coefficientMargin*total
+		left := min(max(baseBudget, lowTotalUtilization-r.ownLoad), maxBudget, utilizationNearTarget-maxOwnLoadRise-r.ownLoad) - o.interference.addedUtilization(image, loads) - marginDeviations*math.Sqrt(o.interference.addedVariance(image, loads))
 		if i := slices.IndexFunc(w.headrooms, func(h headroom) bool { return h.image == image }); i >= 0 {
 			w.headrooms[i].utilization = min(w.headrooms[i].utilization, left)
 			continue
@@ -269,7 +331,11 @@
 			continue
 		}
 		image := r.task.step.Image
-		o.interference.update(image, r.tailRatio, loads)
+		estimate := &r.task.step.ownLoad
+		if !o.enabled(MechanismStepLoad) {
+			estimate = &r.ownLoadEstimate
+		}
+		o.interference.update(estimate, image, r.tailRatio, loads, o.now)
 		own := min(maxOwnLoad, max(minOwnLoad, o.interference.utilization(image, r.tailRatio)-o.interference.addedUtilization(image, loads)))
 		r.ownLoad += ownLoadWeight * (own - r.ownLoad)
 	}
@@ -284,10 +350,10 @@
 	load := w.bestEffortLoad(s.Step, 100)
 	for _, h := range o.headrooms(w) {
 		e := o.interference.pair(h.image, s.Image)
-		if e.samples == 0 && e.recentTrials(o.now) >= maxTrials {
+		if o.enabled(MechanismTrials) && e.samples == 0 && e.recentTrials(o.now) >= maxTrials {
 			return -utilizationNearTarget // no headroom until the trials have been measured
 		}
-		left = min(left, h.utilization-(e.coefficient+coefficientMargin)*load)
+		left = min(left, h.utilization-(e.coefficient+marginDeviations*math.Sqrt(e.covariance[e.bestEffort]))*load)
 	}
 	return left
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -19,6 +19,7 @@
 	MaxLease       time.Duration // workers shorten longer leases to this
 	Retention      time.Duration // how long the records of finished jobs are kept
 	RemoteSlowdown float64       // slowdown of a task away from its data, or of a gang on several racks
+	Disabled       MechanismSet  // mechanisms of the policy that are not in use
 }
 
 const (
@@ -128,6 +129,7 @@
 	runTimeSamples         int           // number of measured tasks
 	waitNotedAt            time.Time     // when a reason for waiting was last noted
 	advice                 advice
+	ownLoad                ownLoadEstimate // of latency-critical tasks
 }
 
 type task struct {
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -19,7 +19,7 @@
 	bestEffortUnusedShare = 0.7
 	// starvationTimeout is how long a best-effort job may be without a run before one of its
 	// tasks starts even on a worker where other tasks slow it down. The platform counts a job
-	// as lost after 3 s.
+	// as lost if nothing of it runs at several checks in a row, a second apart.
 	starvationTimeout = 2 * time.Second
 	// longRunningMaxWait is how long a long-running task may be without a run before it goes
 	// ahead of others and may take the reserve for short jobs. While workers are missing,
@@ -354,6 +354,9 @@
 // step's. A best-effort task must not interfere with any image of a worker: the fewer images
 // each worker has, the more workers are left for each best-effort task.
 func (o *Orchestrator) otherImages(s *step, w *worker) int {
+	if !o.enabled(MechanismImageSeparation) {
+		return 0
+	}
 	n := 0
 	for _, h := range o.headrooms(w) {
 		if h.image != s.Image {
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -59,6 +59,9 @@
 			u := urgency{step: s, priority: s.occurrence.job.Policy.Priority, deadline: s.deadline()}
 			u.forecast, u.remaining = o.forecast(s.occurrence)
 			u.begun = !s.LongRunning && s.occurrence.begun()
+			if !o.enabled(MechanismForecastOrder) {
+				u.forecast, u.begun = forecastOnTime, false
+			}
 			us = append(us, u)
 		}
 	}
@@ -100,7 +103,7 @@
 			used += w.used.CPU
 		}
 	}
-	o.capacityScarce = float64(used) > (1-shortJobReserveShare)*float64(capacity)
+	o.capacityScarce = o.enabled(MechanismShortJobReserve) && float64(used) > (1-shortJobReserveShare)*float64(capacity)
 	return float64(used) < lightLoadShare*float64(capacity)
 }
 
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -42,11 +42,12 @@
 	saved            string    // checkpoint that the start passes on
 	ticket           string
 	progressPercent  int
-	progressAt       time.Time // when progressPercent last changed
-	ownLoad          float64   // utilization that the task's own callers cause; latency-critical tasks only
-	tailRatio        float64   // measured tail latency as a share of the latency target
-	targetSpeed      int       // speed limit in percent
-	confirmedSpeed   int       // speed limit in percent that the worker has confirmed, or unknownSpeed
+	progressAt       time.Time       // when progressPercent last changed
+	ownLoad          float64         // utilization that the task's own callers cause; latency-critical tasks only
+	ownLoadEstimate  ownLoadEstimate // replaces that of the step while MechanismStepLoad is disabled
+	tailRatio        float64         // measured tail latency as a share of the latency target
+	targetSpeed      int             // speed limit in percent
+	confirmedSpeed   int             // speed limit in percent that the worker has confirmed, or unknownSpeed
 	throttleSentAt   time.Time
 	throttleInFlight bool
 	nextMoveSearch   time.Time // earliest time of the next search for a better worker
--- a/internal/orchestrator/throttle.go
+++ b/internal/orchestrator/throttle.go
@@ -150,7 +150,7 @@
 // speed without interference.
 func (o *Orchestrator) moveThrottled(r *run) {
 	t, s := r.task, r.task.step
-	if !s.Fills || r.targetSpeed >= moveMaxSpeed || r.phase != phaseRunning || o.now.Sub(r.startedAt) < moveMinRunTime || t.moves >= maxMoves {
+	if !o.enabled(MechanismThrottledMoves) || !s.Fills || r.targetSpeed >= moveMaxSpeed || r.phase != phaseRunning || o.now.Sub(r.startedAt) < moveMinRunTime || t.moves >= maxMoves {
 		return
 	}
 	if !s.Checkpoints && r.progressPercent > moveMaxProgress || !o.moveSearchDue(r) {
@@ -194,7 +194,7 @@
 // expected.
 func (o *Orchestrator) checkStraggler(r *run) {
 	t, s, w := r.task, r.task.step, r.worker
-	if s.LongRunning || s.Gang || r.phase != phaseRunning || len(t.runs) > 1 || s.Fills && (r.targetSpeed < 100 || r.confirmedSpeed < 100) {
+	if !o.enabled(MechanismStragglers) || s.LongRunning || s.Gang || r.phase != phaseRunning || len(t.runs) > 1 || s.Fills && (r.targetSpeed < 100 || r.confirmedSpeed < 100) {
 		return
 	}
 	elapsed := o.now.Sub(r.startedAt)
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -472,6 +472,9 @@
 // task at a time until one succeeds or a long-running one has run for probeDuration. Its other
 // runs continue. n holds the reason.
 func (o *Orchestrator) quarantine(w *worker, n Note) {
+	if !o.enabled(MechanismQuarantine) {
+		return
+	}
 	w.quarantinedUntil, w.probing, w.probe = o.now.Add(quarantineTime), true, nil
 	n.Event, n.Worker, n.Outcome = EventWorkerQuarantined, w.ID, "avoided"
 	o.emit(n)
