orchestrator: starve best-effort jobs for 0.3 s at most while the load is light

Traced: while half of the processors were unused, jobs of images that interfere with many others got one run of 0.7 s each 2 s. The platform looks once a second and found nothing running four times in a row.

--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -20,7 +20,7 @@
 	// starvationTimeout is how long a best-effort job may be without a run before one of its
 	// tasks starts even on a worker where other tasks slow it down. The platform counts a job
 	// as lost if nothing of it runs at several checks in a row, a second apart.
-	starvationTimeout = 2 * time.Second
+	starvationTimeout = 300 * time.Millisecond
 	// longRunningMaxWait is how long a long-running task may be without a run before it goes
 	// ahead of others and may take the reserve for short jobs. While workers are missing,
 	// short jobs that would be late are worth more than seconds of a long-running task's work.
