--- a/internal/orchestrator/throttle.go
+++ b/internal/orchestrator/throttle.go
@@ -23,7 +23,7 @@
 	maxTimeOverTarget = 1500 * time.Millisecond
 	// throttleUtilization is the utilization to which best-effort tasks may raise a
 	// latency-critical task.
-	throttleUtilization = 0.73
+	throttleUtilization = 0.76
 	// A best-effort task is throttled for a latency-critical one only if it adds at least
 	// minContributionShare of the utilization that all best-effort tasks together add to it.
 	minContributionShare = 0.15
@@ -40,7 +40,7 @@
 	minRunSpeed = 12
 	// moveMaxSpeed is the speed limit in percent below which a best-effort task is moved to
 	// another worker.
-	moveMaxSpeed = 40
+	moveMaxSpeed = 20
 	// moveMinRunTime is the run time from which a throttled task may be moved.
 	moveMinRunTime = 800 * time.Millisecond
 	// moveMaxProgress is the progress in percent up to which a throttled task without
