coordinator: leases of runs of 6.5 s, of the leader of 8 s

Cause: failure domains are cut off for 5 to 6.5 s; with leases of 4.5 s all runs of a third of the workers lapse just before they are reached again, and lasting tasks start anew.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -16,11 +16,11 @@
 	// runLeaseDuration is the lease of a run, which each poll renews. The lease covers the time
 	// from the failure of a leader until its successor has reached the workers. A longer
 	// lease delays the restart of runs on a lost worker.
-	runLeaseDuration = 4500 * time.Millisecond
+	runLeaseDuration = 6500 * time.Millisecond
 	// leaderLeaseDuration bounds the leases that a leader without the store grants: none
 	// ends later than this after the last confirmed write. A new leader waits as long before
 	// it gives up runs on workers that it can't reach.
-	leaderLeaseDuration = 7 * time.Second
+	leaderLeaseDuration = 8 * time.Second
 	// headWriteInterval is the longest time between two writes of a leader, which serve as
 	// its heartbeat in the store.
 	headWriteInterval = 300 * time.Millisecond
