orchestrator: a best-effort task that adds up to 0.02 is harmless

Hypothesis: tasks of images that do not interfere add 0.01 to 0.02 each and are held back by headroom that is meant for those that do.

--- a/internal/orchestrator/interference.go
+++ b/internal/orchestrator/interference.go
@@ -378,7 +378,7 @@
 	harmlessMinSamples = 30
 	// harmlessUtilization is the most utilization that a harmless task adds to each
 	// latency-critical task beside it.
-	harmlessUtilization = 0.01
+	harmlessUtilization = 0.02
 )
 
 // initialSpeed returns the speed limit in percent with which a task of the step starts on a
