orchestrator: each mechanism has a load that holds with it and fails without it

TestMechanismsAnswerTheirLoads runs the load of each mechanism twice, once with the mechanism disabled, and fails for a mechanism without a load.

--- a/internal/orchestrator/mechanism_test.go
+++ b/internal/orchestrator/mechanism_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -29,3 +32,160 @@
 	is.True(errors.As(err, &unknown))
 	is.Equal(unknown.Name, "magic")
 }
+
+// mechanismLoads holds for each mechanism a load that it answers. Each function runs the load
+// and reports whether the outcome is the wanted one. TestSwingingLoadIsNotTakenForInterference
+// covers step-load, whose model needs no workers.
+var mechanismLoads = map[orchestrator.Mechanism]func(t *testing.T, disabled orchestrator.MechanismSet) bool{
+	orchestrator.MechanismImageSeparation: imagesStayApart,
+	orchestrator.MechanismThrottledMoves:  haltedTaskMovesToFreeWorker,
+	orchestrator.MechanismTrials:          unknownImageStartsFewTasks,
+	orchestrator.MechanismForecastOrder:   overloadFinishesBegunJobs,
+	orchestrator.MechanismShortJobReserve: shortJobStartsBesideLongRunningTasks,
+	orchestrator.MechanismPreemption:      longRunningTaskTakesMemoryOfBatch,
+	orchestrator.MechanismReservations:    largeTaskGetsWorkerAmongSmallOnes,
+	orchestrator.MechanismQuarantine:      failingWorkerGetsFewTasks,
+	orchestrator.MechanismStragglers:      hungTaskEndsElsewhere,
+}
+
+// Guards against a mechanism that no longer answers its load, and against one that the load
+// does not need.
+func TestMechanismsAnswerTheirLoads(t *testing.T) {
+	for _, m := range orchestrator.Mechanisms {
+		if m == orchestrator.MechanismStepLoad {
+			continue
+		}
+		run, ok := mechanismLoads[m]
+		if !ok {
+			t.Errorf("mechanism %s has no load", m)
+			continue
+		}
+		t.Run(string(m), func(t *testing.T) {
+			is := is.New(t)
+			disabled, err := orchestrator.ParseMechanisms(string(m))
+			is.NoErr(err)
+			is.True(run(t, 0))         // with the mechanism
+			is.True(!run(t, disabled)) // without it
+		})
+	}
+}
+
+// Two latency-critical images start on workers that have room for both.
+func imagesStayApart(t *testing.T, disabled orchestrator.MechanismSet) bool {
+	w := newClusterWithout(t, disabled, 3, cores(16, 64))
+	w.submit(latencyCriticalJob("s1", "web", 2, cores(3, 4)))
+	w.run(time.Second)
+	w.submit(latencyCriticalJob("s2", "api", 2, cores(3, 4)))
+	w.run(time.Second)
+	return !slices.ContainsFunc(w.runningOn("s2"), func(worker string) bool { return slices.Contains(w.runningOn("s1"), worker) })
+}
+
+// A best-effort task is halted for the sake of the latency-critical task beside it, and then
+// a worker without any is added.
+func haltedTaskMovesToFreeWorker(t *testing.T, disabled orchestrator.MechanismSet) bool {
+	w := newClusterWithout(t, disabled, 1, cores(16, 64))
+	w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+	w.submit(latencyCriticalJob("s1", "web", 1, cores(8, 8)))
+	w.run(time.Second)
+	w.submit(bestEffortJob("loud", "loud", 1, cores(3, 2)))
+	step := func(n int) {
+		for range n {
+			w.setTailLatencies()
+			w.run(50 * time.Millisecond)
+		}
+	}
+	step(60)
+	w.addWorker("w1", cores(16, 64), "r0")
+	w.leader().step(orchestrator.WorkersListed{Workers: w.listedWorkers()})
+	step(60)
+	return slices.Equal(w.runningOn("loud"), []string{"w1"})
+}
+
+// Many tasks of an image whose interference is unknown arrive at once. At most 3 may start
+// beside an image before its tail latencies show their effect.
+func unknownImageStartsFewTasks(t *testing.T, disabled orchestrator.MechanismSet) bool {
+	w := newClusterWithout(t, disabled, 4, cores(16, 64))
+	web := latencyCriticalJob("s1", "web", 4, cores(11, 8))
+	web.Steps[0].MaxPerWorker = 1
+	w.submit(web)
+	w.run(time.Second)
+	w.submit(bestEffortJob("new", "new", 8, cores(1, 2)))
+	w.run(200 * time.Millisecond)
+	return len(w.runningOn("new")) <= 3
+}
+
+// Batch jobs arrive at twice the rate that the workers can process. Two thirds of those that
+// they can process must end in time.
+func overloadFinishesBegunJobs(t *testing.T, disabled orchestrator.MechanismSet) bool {
+	const seconds = 30
+	w := newClusterWithout(t, disabled, 4, cores(8, 64))
+	for i := range 2 * seconds {
+		j := simpleJob(fmt.Sprintf("b%02d", i), 8, cores(2, 2))
+		j.Steps = append(j.Steps, orchestrator.Step{Count: 8, Size: cores(2, 2), Estimate: time.Second, After: []int{0}})
+		j.Policy = orchestrator.Policy{Queue: "batch", Service: "s", Attempts: 3, Priority: 2, Stretch: 2, TargetDuration: time.Second}
+		w.submit(j)
+		w.run(500 * time.Millisecond)
+	}
+	w.run(20 * time.Second)
+	return w.finishedWithin("b", 5*time.Second) >= seconds*2/3
+}
+
+// Long-running tasks ask for all processors, and then a short job arrives.
+func shortJobStartsBesideLongRunningTasks(t *testing.T, disabled orchestrator.MechanismSet) bool {
+	w := newClusterWithout(t, disabled, 1, cores(16, 64))
+	for i, tasks := range []int{15, 1} {
+		long := simpleJob(fmt.Sprintf("long%d", i), tasks, cores(1, 1))
+		long.Steps[0].LongRunning = true
+		w.submit(long)
+		w.run(time.Second)
+	}
+	w.submit(simpleJob("short", 1, cores(1, 1)))
+	w.run(100 * time.Millisecond)
+	return len(w.runningOn("short")) == 1
+}
+
+// Batch tasks hold all memory when a long-running task of higher priority arrives.
+func longRunningTaskTakesMemoryOfBatch(t *testing.T, disabled orchestrator.MechanismSet) bool {
+	w := newClusterWithout(t, disabled, 1, cores(32, 16))
+	w.runTime = func(string, *simulatedWorker) time.Duration { return 30 * time.Second }
+	w.submit(bestEffortJob("b1", "x", 8, cores(1, 2)))
+	w.run(time.Second)
+	w.submit(latencyCriticalJob("s1", "web", 1, cores(2, 4)))
+	w.run(3 * time.Second)
+	return len(w.runningOn("s1")) == 1
+}
+
+// Small short tasks take all capacity that becomes free, and a large long-running task waits.
+func largeTaskGetsWorkerAmongSmallOnes(t *testing.T, disabled orchestrator.MechanismSet) bool {
+	w := newClusterWithout(t, disabled, 2, cores(8, 64))
+	for i := range 200 {
+		w.submit(simpleJob(fmt.Sprintf("s%03d", i), 2, cores(2, 1)))
+		if i == 10 {
+			large := simpleJob("large", 1, cores(7, 1))
+			large.Steps[0].LongRunning = true
+			w.submit(large)
+		}
+		w.run(100 * time.Millisecond)
+	}
+	return len(w.runningOn("large")) == 1
+}
+
+// A worker fails all its runs and always has free capacity. It may get a fifth of the tasks.
+func failingWorkerGetsFewTasks(t *testing.T, disabled orchestrator.MechanismSet) bool {
+	w := newClusterWithout(t, disabled, 4, cores(8, 32))
+	w.workers["w0"].failsTasks = true
+	for i := range 30 {
+		w.submit(simpleJob(fmt.Sprintf("j%d", i), 2, cores(1, 1)))
+		w.run(200 * time.Millisecond)
+	}
+	return len(w.workers["w0"].ended) <= 12
+}
+
+// Tasks make no progress on one of two workers.
+func hungTaskEndsElsewhere(t *testing.T, disabled orchestrator.MechanismSet) bool {
+	w := newClusterWithout(t, disabled, 2, cores(8, 32))
+	w.workers["w0"].hangsTasks = true
+	w.submit(simpleJob("j1", 4, cores(2, 2)))
+	w.run(6 * time.Second)
+	return w.state("j1") == orchestrator.StateSucceeded
+}
