orchestrator: limits follow the idle tail latency; no limit on trials

Limits of utilization were 0.76 whatever the ratio of target to idle tail latency. The limit is now 1 - idle - 0.02, which is the same for 4.5. TestUtilizationLimitFollowsIdleTail is the test.

Coefficients are known after a few samples since the own load of a step is shared.

--- a/internal/orchestrator/interference.go
+++ b/internal/orchestrator/interference.go
@@ -23,9 +23,9 @@
 	// ownLoadWeight is the weight of one measurement in a task's own load. It is high because
 	// the own load varies within seconds.
 	ownLoadWeight = 0.5
-	// utilizationNearTarget is the utilization at which the model gives a tail latency of about
-	// nine tenths of the latency target, if the idle tail ratio is the default one.
-	utilizationNearTarget = 0.76
+	// targetReserve is the difference between the utilization at which the model gives a tail
+	// latency equal to the latency target and the highest that best-effort tasks may cause.
+	targetReserve = 0.02
 	// maxOwnLoadRise is the reserve for a rise of a task's own load while a best-effort task
 	// runs.
 	maxOwnLoadRise = 0.08
@@ -33,7 +33,7 @@
 	// task starts, in standard deviations.
 	marginDeviations = 0.25
 	// baseBudget is the utilization that best-effort tasks may add, unless the difference
-	// utilizationNearTarget - maxOwnLoadRise - own load is smaller.
+	// utilizationLimit - maxOwnLoadRise - own load is smaller.
 	baseBudget = 0.06
 	// lowTotalUtilization is the sum of own load and added utilization up to which best-effort tasks may
 	// add more than baseBudget, but at most maxBudget. When the own load rises, the tasks are
@@ -71,11 +71,6 @@
 	maxBestEffortImages = 64
 	// meanLoadWeight is the weight of one sample in an image's mean own load.
 	meanLoadWeight = 0.02
-	// maxTrials bounds the starts within trialWindow of tasks of a best-effort image beside a
-	// latency-critical image, while the interference of the pair has not been measured.
-	maxTrials = 3
-	// trialWindow is the time after which a start no longer counts for maxTrials.
-	trialWindow = 1200 * time.Millisecond
 )
 
 // pairEstimate is the estimated interference of a best-effort image with a
@@ -84,7 +79,6 @@
 	bestEffort  string // empty: all best-effort images beyond maxBestEffortImages
 	coefficient float64
 	samples     int
-	trials      []time.Time // start times before the first sample, within trialWindow
 	// covariance holds, by best-effort image, the covariance of its coefficient with this one.
 	covariance map[string]float64
 }
@@ -175,6 +169,12 @@
 	return 1 - idle/tailRatio
 }
 
+// utilizationLimit returns the utilization to which best-effort tasks may raise the tasks of
+// a latency-critical image.
+func (m interferenceModel) utilizationLimit(critical string) float64 {
+	return 1 - m.idleTailRatio(critical) - targetReserve
+}
+
 // update corrects the model and an own load by a measured tail latency. The residual of the
 // prediction is divided between the own load and the coefficients by their variances: if other
 // tasks of the step have just shown the own load, nearly all of the residual is interference.
@@ -232,7 +232,6 @@
 	for image := range present {
 		e := m.pair(critical, image)
 		e.samples++
-		e.trials = nil
 		e.covariance[image] += varianceDrift
 	}
 	total := sampleVariance
@@ -301,7 +300,7 @@
 		image := r.task.step.Image
 		// The allowed addition, less the predicted addition of the present best-effort tasks and
 		// a margin for the errors of their coefficients.
-		left := min(max(baseBudget, lowTotalUtilization-r.ownLoad), maxBudget, utilizationNearTarget-maxOwnLoadRise-r.ownLoad) - o.interference.addedUtilization(image, loads) - marginDeviations*math.Sqrt(o.interference.addedVariance(image, loads))
+		left := min(max(baseBudget, lowTotalUtilization-r.ownLoad), maxBudget, o.interference.utilizationLimit(image)-maxOwnLoadRise-r.ownLoad) - o.interference.addedUtilization(image, loads) - marginDeviations*math.Sqrt(o.interference.addedVariance(image, loads))
 		if i := slices.IndexFunc(w.headrooms, func(h headroom) bool { return h.image == image }); i >= 0 {
 			w.headrooms[i].utilization = min(w.headrooms[i].utilization, left)
 			continue
@@ -350,9 +349,6 @@
 	load := w.bestEffortLoad(s.Step, 100)
 	for _, h := range o.headrooms(w) {
 		e := o.interference.pair(h.image, s.Image)
-		if o.enabled(MechanismTrials) && e.samples == 0 && e.recentTrials(o.now) >= maxTrials {
-			return -utilizationNearTarget // no headroom until the trials have been measured
-		}
 		left = min(left, h.utilization-(e.coefficient+marginDeviations*math.Sqrt(e.covariance[e.bestEffort]))*load)
 	}
 	return left
@@ -417,26 +413,6 @@
 // adds as much as baseBudget.
 const separationCoefficient = 0.6
 
-// recentTrials returns the number of trials within trialWindow, and removes older ones.
-func (e *pairEstimate) recentTrials(now time.Time) int {
-	e.trials = slices.DeleteFunc(e.trials, func(t time.Time) bool { return now.Sub(t) > trialWindow })
-	return len(e.trials)
-}
-
-// recordTrial records the start of a best-effort task beside latency-critical images whose
-// interference with it has no samples.
-func (o *Orchestrator) recordTrial(s *step, w *worker) {
-	if !s.Fills {
-		return
-	}
-	for _, h := range o.headrooms(w) {
-		if e := o.interference.pair(h.image, s.Image); e.samples == 0 {
-			e.trials = append(e.trials, o.now)
-		}
-	}
-	w.headroomsValid = false
-}
-
 // interferenceOn returns the utilization that a worker's present best-effort tasks would
 // add to a latency-critical task of the step.
 func (o *Orchestrator) interferenceOn(s *step, w *worker) float64 {
--- a/internal/orchestrator/interference_test.go
+++ b/internal/orchestrator/interference_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // swingSamples passes the tail latencies of 6 tasks of one step to update for 10 s, two a
@@ -28,6 +30,19 @@
 	}
 }
 
+// The latency target of an image is nine times the tail latency of an idle task. Guards against
+// limits that fit only one ratio of target to idle tail latency: best-effort tasks would be
+// throttled far below the target.
+func TestUtilizationLimitFollowsIdleTail(t *testing.T) {
+	is := is.New(t)
+	m := newInterferenceModel()
+	before := m.utilizationLimit("web")
+	m.update(&ownLoadEstimate{}, "web", 1.0/9, nil, time.Unix(1e9, 0))
+	is.True(before < m.utilization("web", 1)) // the limit is below the target
+	is.True(m.utilizationLimit("web") > before+0.1)
+	is.True(m.utilizationLimit("web") < m.utilization("web", 1))
+}
+
 // The load of callers swings for all tasks of a step at the same time, and the same
 // best-effort tasks run beside them all the time. Guards against a model that takes
 // interference for load of the callers: tasks that interfere would start beside others, and
--- a/internal/orchestrator/mechanism.go
+++ b/internal/orchestrator/mechanism.go
@@ -19,8 +19,6 @@
 	MechanismImageSeparation Mechanism = "image-separation"
 	// MechanismThrottledMoves moves throttled best-effort tasks to other workers.
 	MechanismThrottledMoves Mechanism = "throttled-moves"
-	// MechanismTrials limits the best-effort tasks whose interference is being measured.
-	MechanismTrials Mechanism = "interference-trials"
 	// MechanismForecastOrder starts jobs first that can still meet their deadline.
 	MechanismForecastOrder Mechanism = "forecast-order"
 	// MechanismShortJobReserve keeps processors free for short jobs.
@@ -37,9 +35,8 @@
 
 // Mechanisms lists all mechanisms.
 var Mechanisms = []Mechanism{
-	MechanismStepLoad, MechanismImageSeparation, MechanismThrottledMoves, MechanismTrials,
-	MechanismForecastOrder, MechanismShortJobReserve, MechanismPreemption, MechanismReservations,
-	MechanismQuarantine, MechanismStragglers,
+	MechanismStepLoad, MechanismImageSeparation, MechanismThrottledMoves, MechanismForecastOrder,
+	MechanismShortJobReserve, MechanismPreemption, MechanismReservations, MechanismQuarantine, MechanismStragglers,
 }
 
 // MechanismSet is a set of mechanisms. The zero value is empty.
--- a/internal/orchestrator/throttle.go
+++ b/internal/orchestrator/throttle.go
@@ -21,9 +21,6 @@
 	// beside it are halted. The platform's callers count four seconds over the target as a
 	// violation.
 	maxTimeOverTarget = 1500 * time.Millisecond
-	// throttleUtilization is the utilization to which best-effort tasks may raise a
-	// latency-critical task.
-	throttleUtilization = 0.76
 	// A best-effort task is throttled for a latency-critical one only if it adds at least
 	// minContributionShare of the utilization that all best-effort tasks together add to it.
 	minContributionShare = 0.15
@@ -86,7 +83,7 @@
 }
 
 // setSpeeds chooses the speed limit of each best-effort task on a worker. The utilization
-// that a latency-critical task's own load leaves up to throttleUtilization is divided among
+// that a latency-critical task's own load leaves up to utilizationLimit is divided among
 // the best-effort tasks that interfere with it.
 func (o *Orchestrator) setSpeeds(w *worker) {
 	if w.tailRatio < maxTailRatio {
@@ -122,7 +119,7 @@
 }
 
 // allowedSpeed returns the speed limit in percent at which a best-effort task keeps all
-// latency-critical tasks beside it below throttleUtilization, if the other best-effort tasks
+// latency-critical tasks beside it below utilizationLimit, if the other best-effort tasks
 // are throttled to the same percentage. full and current are results of bestEffortLoads, at
 // full speed and at the present speeds.
 func (o *Orchestrator) allowedSpeed(w *worker, bestEffort *run, full, current map[string]float64) int {
@@ -138,7 +135,7 @@
 			continue
 		}
 		own := o.interference.utilization(image, r.tailRatio) - o.interference.addedUtilization(image, current)
-		speed = min(speed, max(0, throttleUtilization-own)/total)
+		speed = min(speed, max(0, o.interference.utilizationLimit(image)-own)/total)
 	}
 	if percent := int(100 * speed); percent >= minRunSpeed {
 		return percent
