coordinator: refuse submissions at once while the store serves no call

The host knew of the outage (StoreLost). Now it answers 503 with Retry-After and sends nothing, from 0.8 s without a served call on, so that one lost answer is no outage; after an unknown outcome one failed read is enough.

TestSubmissionDuringStoreOutage failed with the condition off (undecided, want unavailable).

--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -18,6 +18,10 @@
 	// defaultRetryAfter is how long a refused caller should wait before it retries. A store
 	// that limits the request rate or restarts usually serves requests again by then.
 	defaultRetryAfter = time.Second
+	// minOutageSilence is how long the store must have served no call, while calls fail, until
+	// submissions are refused without a call. It is longer than the timeout of one call, so that
+	// a single lost answer is no outage.
+	minOutageSilence = 800 * time.Millisecond
 )
 
 // Submit implements JobService. Any host can store a job; the leader then starts its tasks.
@@ -34,6 +38,12 @@
 	if err := j.Validate(); err != nil {
 		return Answer{Outcome: OutcomeInvalid, Reason: err.Error()}
 	}
+	if silence := c.timeSinceStoreSuccess(); c.storeUnavailable.Load() && silence >= minOutageSilence {
+		// Waiting for the store would use up the caller's time. The watch of the configuration
+		// and the pings of the leader notice when the store is back.
+		return Answer{Outcome: OutcomeUnavailable, RetryAfter: defaultRetryAfter,
+			Reason: "the store has served no call for " + silence.Round(time.Millisecond).String()}
+	}
 	j.Submitted = time.Now().Round(0)
 	t, known := c.currentTerm()
 	if !known {
@@ -80,7 +90,10 @@
 	}
 	for _, key := range []string{prefixJob + id, prefixRecord + id} {
 		e, err := c.store.Get(ctx, key)
-		if err == nil && e.Revision > 0 {
+		if err != nil {
+			break // the next read would only keep the caller waiting
+		}
+		if e.Revision > 0 {
 			return Answer{Outcome: OutcomeDone, Reason: "found after a lost answer"}
 		}
 	}
--- a/internal/coordinator/store_health_test.go
+++ b/internal/coordinator/store_health_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/storer"
 	"peridotpitch/internal/timekeeper"
 )
@@ -43,3 +44,46 @@
 	is.NoErr(err)
 	is.True(a.StoreSilence >= maxLeaderStoreAnswerAge)
 }
+
+// silentStore answers no call.
+type silentStore struct {
+	storer.TransactionalStore
+	commits, reads int
+}
+
+func (s *silentStore) Commit(context.Context, storer.Transaction) (uint64, error) {
+	s.commits++
+	return 0, &storer.UnknownOutcomeError{}
+}
+
+func (s *silentStore) Get(context.Context, string) (storer.Entry, error) {
+	s.reads++
+	return storer.Entry{}, &storer.UnavailableError{}
+}
+
+// The store stops answering while callers submit jobs. Guards against submissions that wait
+// for the store although this host knows that it serves no call: callers could try again in
+// time. Guards also against a refusal as not executed of a submission that was sent.
+func TestSubmissionDuringStoreOutage(t *testing.T) {
+	is := is.New(t)
+	store := &silentStore{}
+	c := New(Settings{Name: "a"}, Dependencies{Store: store}, slog.New(slog.DiscardHandler))
+	c.term, c.termKnown = term{Revision: 7}, true
+	c.recordStoreResult(nil)
+	j := orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1}}}
+
+	a := c.Submit(context.Background(), j) // the outage is not known yet
+	is.Equal(a.Outcome, OutcomeUndecided)
+	is.Equal(store.commits, 1)
+	is.Equal(store.reads, 1) // no second read of a store that does not answer
+
+	c.lastStoreSuccess.Store(timekeeper.Now().Add(-minOutageSilence).UnixNano())
+	a = c.Submit(context.Background(), j)
+	is.Equal(a.Outcome, OutcomeUnavailable)
+	is.True(a.RetryAfter > 0)
+	is.Equal(store.commits, 1) // nothing was sent
+
+	c.recordStoreResult(nil) // another call was served
+	is.Equal(c.Submit(context.Background(), j).Outcome, OutcomeUndecided)
+	is.Equal(store.commits, 2)
+}
