orchestrator: harmless only with the margin for errors; test input restored

The input is 0.1 again, and the check for harmless tasks takes the coefficient with its margin, as the headroom does. With the old check the test fails at 0.1.

--- a/internal/orchestrator/headroom.go
+++ b/internal/orchestrator/headroom.go
@@ -116,6 +116,11 @@
 	}
 }
 
+// upperCoefficient returns the coefficient with the margin for its errors.
+func (e *pairEstimate) upperCoefficient() float64 {
+	return e.coefficient + marginDeviations*math.Sqrt(e.covariance[e.bestEffort])
+}
+
 // headroomWith returns the utilization that best-effort tasks may still add on a worker
 // after a task of the step has started there too. It is the lowest value over the worker's
 // latency-critical images, and at most baseBudget. Below 0, a tail latency is predicted to come
@@ -125,7 +130,7 @@
 	load := w.bestEffortLoad(s.Step, 100)
 	for _, h := range o.headrooms(w) {
 		e := o.interference.pair(h.image, s.Image)
-		left = min(left, h.utilization-(e.coefficient+marginDeviations*math.Sqrt(e.covariance[e.bestEffort]))*load)
+		left = min(left, h.utilization-e.upperCoefficient()*load)
 	}
 	return left
 }
@@ -136,7 +141,7 @@
 	load := w.bestEffortLoad(s.Step, 100)
 	for _, h := range o.headrooms(w) {
 		e := o.interference.pair(h.image, s.Image)
-		if e.samples < harmlessMinSamples || e.coefficient*load > harmlessUtilization {
+		if e.samples < harmlessMinSamples || e.upperCoefficient()*load > harmlessUtilization {
 			return false
 		}
 	}
--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -100,7 +100,7 @@
 	l.step(orchestrator.Inherited{Statistics: orchestrator.WorkloadStatistics{
 		Pairs: []orchestrator.PairStatistics{
 			{Serving: "web", Filler: "calm", Coefficient: 0.01, Samples: 300, Variance: 0.01},
-			{Serving: "web", Filler: "loud", Coefficient: 0.2, Samples: 300, Variance: 0.01}, // the actual coefficient is 4
+			{Serving: "web", Filler: "loud", Coefficient: 0.1, Samples: 300, Variance: 0.01}, // the actual coefficient is 4
 		},
 		Images: []orchestrator.ImageStatistics{{Image: "web", Idle: 0.22, Mean: 0.45}},
 	}})
