orchestrator: a test of its load for each kept change

Seen red with the change off: TestSlowedTaskStays with moves below 40% of the speed; TestInterferingJobRunsUnderLightLoad with a pause of 2 s; TestMildTaskIsHarmless with a limit of 0.01; TestUtilizationLimitFollowsIdleTail with a reserve of 0.05; TestRunsOutlastShortCut with leases of 4.5 s (in the test itself).

--- a/internal/orchestrator/interference_test.go
+++ b/internal/orchestrator/interference_test.go
@@ -37,6 +37,7 @@
 	is := is.New(t)
 	m := newInterferenceModel()
 	before := m.utilizationLimit("web")
+	is.True(m.utilization("web", 1)-before <= 0.03) // tasks are not throttled far below the target
 	m.update(&ownLoadEstimate{}, "web", 1.0/9, nil, time.Unix(1e9, 0))
 	is.True(before < m.utilization("web", 1)) // the limit is below the target
 	is.True(m.utilizationLimit("web") > before+0.1)
--- a/internal/orchestrator/load_test.go
+++ b/internal/orchestrator/load_test.go
@@ -58,6 +58,40 @@
 	is.Equal(w.runningOn("j1"), []string{"w0", "w0", "w1", "w1"})
 }
 
+// A failure domain is cut off for 5.5 s and then reached again. Guards against leases that end
+// just before the end of such a cut: the tasks would run as long without a leader, and then
+// start anew.
+func TestRunsOutlastShortCut(t *testing.T) {
+	for _, c := range []struct {
+		lease time.Duration
+		holds bool
+	}{
+		{6500 * time.Millisecond, true}, // the lease of the coordinator
+		{4500 * time.Millisecond, false},
+	} {
+		t.Run(c.lease.String(), func(t *testing.T) {
+			is := is.New(t)
+			w := newSimulation(t, 1)
+			w.lease = c.lease
+			w.addWorker("w0", cores(4, 16), "r0")
+			w.addWorker("w1", cores(4, 16), "r1")
+			l := w.elect(false)
+			w.run(time.Second)
+			j := simpleJob("j1", 8, cores(1, 1))
+			j.Steps[0].LongRunning = true
+			w.submit(j)
+			w.run(time.Second)
+			before := w.starts
+			w.workers["w1"].unreachableFrom[l] = true
+			w.run(5500 * time.Millisecond)
+			delete(w.workers["w1"].unreachableFrom, l)
+			w.run(2 * time.Second)
+			is.Equal(len(w.runningOn("j1")), 8)
+			is.Equal(w.starts == before, c.holds)
+		})
+	}
+}
+
 // A network partition separates the leader and one worker from the store and the other
 // worker, and a successor is elected. Guards against two runs of a task: neither leader may
 // start tasks again that may still run on the worker that only the other reaches.
@@ -224,7 +258,10 @@
 // 4 ms without load. The utilization is 0.45, and higher for tasks of s1 (image web) beside
 // tasks of the image loud. It returns the number of tasks over the target of 18 ms and of all
 // tasks.
-func (w *simulation) setTailLatencies() (overTarget, all int) {
+func (w *simulation) setTailLatencies() (overTarget, all int) { return w.interfere(4) }
+
+// interfere is like setTailLatencies, with another coefficient of web and loud.
+func (w *simulation) interfere(coefficient float64) (overTarget, all int) {
 	for _, k := range w.workers {
 		loud := 0.0
 		for name, r := range k.runs {
@@ -236,7 +273,7 @@
 			u := 0.45
 			switch {
 			case strings.HasPrefix(name, "s1."):
-				u += 4 * loud
+				u += coefficient * loud
 			case !strings.HasPrefix(name, "s2."):
 				continue
 			}
--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -239,3 +239,92 @@
 	}
 	is.Equal(used, many)
 }
+
+// Under a light load a job waits whose image interferes with the only worker's latency-critical
+// task. Guards against such jobs that get a short run every two seconds: the platform looks
+// once a second and would find nothing running several times in a row.
+func TestInterferingJobRunsUnderLightLoad(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1)
+	w.addWorker("w0", cores(16, 64), "r0")
+	w.elect(false).step(orchestrator.Inherited{Statistics: interferenceStatistics(2)})
+	w.run(time.Second)
+	w.submit(latencyCriticalJob("s1", "web", 1, cores(8, 8)))
+	w.run(time.Second)
+	w.runTime = func(string, *simulatedWorker) time.Duration { return 700 * time.Millisecond }
+	w.submit(bestEffortJob("loud", "loud", 4, cores(3, 2)))
+	idle := time.Duration(0)
+	for range 100 {
+		w.run(50 * time.Millisecond)
+		if len(w.runningOn("loud")) > 0 || w.state("loud").Final() {
+			idle = 0
+			continue
+		}
+		idle += 50 * time.Millisecond
+		is.True(idle < time.Second)
+	}
+	is.Equal(w.state("loud"), orchestrator.StateSucceeded)
+}
+
+// interferenceStatistics returns the statistics of an earlier leader in which best-effort tasks
+// of image loud interfere with web by coefficient, and those of image mild by 0.1.
+func interferenceStatistics(coefficient float64) orchestrator.WorkloadStatistics {
+	return orchestrator.WorkloadStatistics{
+		Pairs: []orchestrator.PairStatistics{
+			{Serving: "web", Filler: "loud", Coefficient: coefficient, Samples: 300, Variance: 0.0001},
+			{Serving: "web", Filler: "mild", Coefficient: 0.1, Samples: 300, Variance: 0.0001},
+		},
+		Images: []orchestrator.ImageStatistics{{Image: "web", Idle: 0.22, Mean: 0.45}},
+	}
+}
+
+// A best-effort task is throttled, and one of an image that adds 0.019 arrives. Guards against
+// a limit for harmless tasks so low that tasks of images that do not interfere wait for
+// headroom.
+func TestMildTaskIsHarmless(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1)
+	w.addWorker("w0", cores(16, 64), "r0")
+	w.elect(false).step(orchestrator.Inherited{Statistics: interferenceStatistics(0.5)})
+	w.run(time.Second)
+	w.submit(latencyCriticalJob("s1", "web", 1, cores(8, 8)))
+	w.run(time.Second)
+	w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+	w.submit(bestEffortJob("loud", "loud", 1, cores(3, 2)))
+	for range 60 {
+		w.setTailLatencies()
+		w.run(50 * time.Millisecond)
+	}
+	is.True(w.speedOf("loud.0.0.0") < 100)
+	w.submit(bestEffortJob("mild", "mild", 1, cores(3, 2)))
+	w.run(200 * time.Millisecond)
+	is.Equal(w.runningOn("mild"), []string{"w0"})
+}
+
+// A best-effort task runs at about a quarter of its speed, and another worker is free. Guards
+// against moves of tasks that still get on: each move throws work away.
+func TestSlowedTaskStays(t *testing.T) {
+	is := is.New(t)
+	const coefficient = 5.5
+	w := newSimulation(t, 1)
+	w.addWorker("w0", cores(16, 64), "r0")
+	w.elect(false).step(orchestrator.Inherited{Statistics: interferenceStatistics(coefficient)})
+	w.run(time.Second)
+	w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+	w.submit(latencyCriticalJob("s1", "web", 1, cores(8, 8)))
+	w.run(time.Second)
+	w.submit(bestEffortJob("loud", "loud", 1, cores(3, 2)))
+	step := func(n int) {
+		for range n {
+			w.interfere(coefficient)
+			w.run(50 * time.Millisecond)
+		}
+	}
+	step(60)
+	w.addWorker("w1", cores(16, 64), "r0")
+	w.leader().step(orchestrator.WorkersListed{Workers: w.listedWorkers()})
+	step(60)
+	speed := w.speedOf("loud.0.0.0")
+	is.True(speed >= 20 && speed < 40)
+	is.Equal(w.runningOn("loud"), []string{"w0"})
+}
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -36,6 +36,7 @@
 	notes           []orchestrator.Note
 	wallOffset      time.Duration
 	disabled        orchestrator.MechanismSet // of leaders that are elected later
+	lease           time.Duration             // of the runs of leaders that are elected later
 }
 
 // faults holds the probability of each fault of a command.
@@ -105,7 +106,7 @@
 
 func newSimulation(t reporter, seed uint64) *simulation {
 	return &simulation{
-		t: t, now: time.Unix(1e9, 0), rng: rand.New(rand.NewPCG(seed, 1)),
+		t: t, now: time.Unix(1e9, 0), lease: 4500 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 1)),
 		workers: make(map[string]*simulatedWorker), jobs: make(map[string]orchestrator.Job),
 		storedRecords: make(map[string]orchestrator.Record), cancelRequests: make(map[string]bool),
 		done: make(map[string]bool), failed: make(map[string]int),
@@ -159,7 +160,7 @@
 	w.epoch += 100
 	l := &simulatedLeader{w: w, id: len(w.leaders), epoch: w.epoch, watched: make(map[string]bool), polledAt: make(map[string]time.Time)}
 	l.o = orchestrator.New(orchestrator.Settings{
-		Epoch: w.epoch, ElectedAt: w.now, ConfirmedAt: w.now, Lease: 4500 * time.Millisecond, LeaderLease: 9 * time.Second,
+		Epoch: w.epoch, ElectedAt: w.now, ConfirmedAt: w.now, Lease: w.lease, LeaderLease: 9 * time.Second,
 		MaxLease: 10 * time.Second, Retention: time.Hour, RemoteSlowdown: 3, Disabled: w.disabled,
 	})
 	w.leaders = append(w.leaders, l)
