coordinator: log and measure reads of the configuration, log 404

QueueUnknown has the version that decided a 404 and its age. Histogram configuration_read_seconds and gauge configuration_bytes on the metrics address. The functions about the configuration move to a file of their own; their logic is unchanged.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -53,6 +53,7 @@
 	leaving       atomic.Bool
 	configRefetch chan struct{} // makes syncConfiguration read the configuration again
 
+	configCheckedAt   atomic.Int64 // timekeeper time of the last answer to a read or watch of the configuration, Unix ns
 	lastStoreSuccess  atomic.Int64 // timekeeper time of the last served call, Unix ns
 	storeUnavailable  atomic.Bool
 	leaderPending     atomic.Pointer[pendingCounts] // from the leader's last answer to a ping; nil: none yet
@@ -154,9 +155,18 @@
 // Configured implements JobService.
 func (c *Coordinator) Configured() bool { return c.config.Load() != nil }
 
+// maxLoggedPath is the longest path of a request in a log line, in bytes.
+const maxLoggedPath = 200
+
 // Route implements JobService.
 func (c *Coordinator) Route(host, path string) (Queue, string, bool) {
-	return c.config.Load().route(host, path)
+	q, rest, ok := c.config.Load().route(host, path)
+	if !ok {
+		c.metrics.requestDuration.WithLabelValues("route", "", string(OutcomeNoSuchQueue)).Observe(0)
+		c.log.Info("QueueUnknown", "RequestHost", host, "Path", path[:min(len(path), maxLoggedPath)], "Outcome", string(OutcomeNoSuchQueue),
+			"Version", c.configVersion(), "CheckedAgo", c.timeSinceConfigurationCheck().Round(time.Millisecond).String())
+	}
+	return q, rest, ok
 }
 
 // timeSinceStoreSuccess returns the time since the store last served a call of this host.
@@ -212,90 +222,6 @@
 	c.closeFuncs = nil
 }
 
-// syncConfiguration keeps the newest configuration in effect. Each watch starts at the
-// store's revision of the preceding read, because the configuration's own revision may
-// already be compacted.
-func (c *Coordinator) syncConfiguration(ctx context.Context) {
-	for ctx.Err() == nil {
-		entries, revision, err := c.store.List(ctx, c.deps.Keys.Configuration)
-		if err != nil {
-			sleep(ctx, configurationRetryDelay)
-			continue
-		}
-		for _, e := range entries {
-			if e.Key == c.deps.Keys.Configuration {
-				c.applyConfiguration(e)
-			}
-		}
-		if c.watchConfiguration(ctx, revision) != nil {
-			sleep(ctx, configurationRetryDelay)
-		}
-	}
-}
-
-const (
-	// configurationWatchTimeout is how long one watch of the configuration lasts. Each watch
-	// is followed by a read, which detects a dead connection and finds changes whose events
-	// were lost. A change may take two seconds to be in effect, and the read comes well
-	// before that.
-	configurationWatchTimeout = 1000 * time.Millisecond
-	configurationRetryDelay   = 150 * time.Millisecond
-)
-
-// watchConfiguration runs one watch and applies the changes that it reports. It returns
-// when the configuration should be read again, because a watch may miss a change.
-func (c *Coordinator) watchConfiguration(ctx context.Context, revision uint64) error {
-	select {
-	case <-c.configRefetch:
-		return nil
-	default:
-	}
-	es, err := c.store.Watch(ctx, c.deps.Keys.Configuration, revision, configurationWatchTimeout)
-	if err != nil {
-		return err
-	}
-	for _, e := range es.Events {
-		if e.Key == c.deps.Keys.Configuration && !e.Deleted {
-			c.applyConfiguration(e)
-		}
-	}
-	return nil
-}
-
-func (c *Coordinator) applyConfiguration(e storer.Entry) {
-	n, err := c.deps.Decoder.Configuration(e.Value)
-	if err != nil {
-		c.log.Error("ConfigurationRefused", "Revision", e.Revision, "Cause", err.Error())
-		return
-	}
-	old := c.config.Load()
-	if old != nil && n.Version <= old.Version {
-		return // a delayed answer of the store must not bring back an older version
-	}
-	c.config.Store(&n)
-	c.metrics.configVersion.Set(float64(n.Version))
-	c.log.Info("ConfigurationApplied", "Version", n.Version, "Revision", e.Revision, "Queues", len(n.Queues))
-}
-
-// refetchOlderConfiguration triggers a read of the configuration if this host's version is
-// older than version, which is in effect on another host.
-func (c *Coordinator) refetchOlderConfiguration(version uint64) {
-	if old := c.config.Load(); old == nil || old.Version < version {
-		select {
-		case c.configRefetch <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// configVersion returns the version of the configuration in effect, or 0 if there is none.
-func (c *Coordinator) configVersion() uint64 {
-	if n := c.config.Load(); n != nil {
-		return n.Version
-	}
-	return 0
-}
-
 // orchestratorSettings returns the orchestrator's settings for one term. confirmed is the time
 // at which the election was sent to the store, and elected the time at which the store's
 // answer confirmed it.
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -26,6 +26,8 @@
 	storeFailures   prometheus.Counter
 	leading         prometheus.Gauge
 	configVersion   prometheus.Gauge
+	configBytes     prometheus.Gauge
+	configReads     *prometheus.HistogramVec
 }
 
 func newMetrics() *metrics {
@@ -51,8 +53,11 @@
 		storeFailures:   counter("store_failures_total", "Calls to the store without an answer or with a refusal."),
 		leading:         gauge("leading", "1 while this host leads."),
 		configVersion:   gauge("configuration_version", "Version of the configuration in force."),
+		configBytes:     gauge("configuration_bytes", "Size of the configuration in force, before it is encoded for the transfer."),
+		configReads:     histogram("configuration_read_seconds", "Time of the store's answers to reads and watches of the configuration, by call and outcome.", prometheus.ExponentialBuckets(0.004, 2, 12), "call", "outcome"),
 	}
-	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures, m.leading, m.configVersion)
+	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures, m.leading, m.configVersion,
+		m.configBytes, m.configReads)
 	return m
 }
 
