--- a/internal/coordinator/store_health_test.go
+++ b/internal/coordinator/store_health_test.go
@@ -61,6 +61,21 @@
 	return storer.Entry{}, &storer.UnavailableError{}
 }
 
+// A leader that hands over cancels its calls to the store. Guards against a host that then logs the
+// store as lost and counts a failure.
+func TestCancelledCallIsNoStoreFailure(t *testing.T) {
+	is := is.New(t)
+	c := New(Settings{Name: "a"}, Dependencies{Store: &silentStore{}}, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := c.store.Get(ctx, "key")
+	is.True(err != nil)
+	is.True(!c.storeUnavailable.Load())
+	_, err = c.store.Get(context.Background(), "key")
+	is.True(err != nil)
+	is.True(c.storeUnavailable.Load())
+}
+
 // The store stops answering while callers submit jobs. Guards against submissions that wait
 // for the store although this host knows that it serves no call: callers could try again in
 // time. Guards also against a refusal as not executed of a submission that was sent.
