--- a/cmd/peridotpitch/entry.go
+++ b/cmd/peridotpitch/entry.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// storeTimeout limits a call to the store. The store answers in 4 ms, and within half
+	// storeTimeout limits the wait for the store. The store answers in 4 ms, and within half
 	// a second when it is slow.
 	storeTimeout = 700 * time.Millisecond
 	// commandTimeout limits a command to a worker. Workers answer in milliseconds; a
