coordinator: an unchanged configuration is not transferred again

Cause: each watch of a second was followed by a read of the whole configuration, because a watch may miss a change. The cost of control grew with the size of the state, not with its changes; with 4,245 queues it was the whole link of 10 Mbit/s, and the next version had to share it. Why this works: a watch now begins at a revision that lies at least 3 s back, so that a change which one watch has missed is reported by the next, or the store says that it has dropped it. The configuration is read after a failed watch, after dropped history, when another host has a newer version, and otherwise at a rate of 8 KB/s. A read that was to bring a version that it can't bring (an unreadable one) is not repeated for this version. TestChangeMissedByWatchTakesEffect fails if a watch begins where the last one ended (in effect after 14 s), TestNewerVersionOfOtherHostIsRead without the version of other hosts. Weighed and not taken: the leader vouches for the version and followers don't watch (a change would reach them through a ping, within bounds of 2 s too late when the leader is cut off).

--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -9,12 +9,19 @@
 )
 
 const (
-	// configurationWatchTimeout is how long one watch of the configuration lasts. Each watch
-	// is followed by a read, which detects a dead connection and finds changes whose events
-	// were lost. A change may take two seconds to be in effect, and the read comes well
-	// before that.
+	// configurationWatchTimeout is how long one watch of the configuration lasts. Its end detects
+	// a dead connection.
 	configurationWatchTimeout = 1000 * time.Millisecond
 	configurationRetryDelay   = 150 * time.Millisecond
+	// configurationWatchOverlap is how far back at least a watch looks. A watch may miss a change
+	// that is made while the store is about to drop its history, which takes a second.
+	configurationWatchOverlap = 3 * time.Second
+	// minConfigurationReadInterval is the shortest time between two reads that nothing but time
+	// has caused. They find a change that watches have missed for longer than the overlap.
+	minConfigurationReadInterval = 5 * time.Second
+	// configurationReadRate bounds the cost of these reads, in bytes per second. Control may cost
+	// a host 23 kB/s in all.
+	configurationReadRate = 8_000
 	// configurationFailureLogInterval is the shortest time between two log lines about failed
 	// reads of the configuration.
 	configurationFailureLogInterval = 2 * time.Second
@@ -32,49 +39,93 @@
 	loggedAt time.Time
 }
 
-// syncConfiguration keeps the newest configuration in effect. Each watch starts at the
-// store's revision of the preceding read, because the configuration's own revision may
-// already be compacted.
+// configurationSync is the state of syncConfiguration.
+type configurationSync struct {
+	known        bool      // the store has been read since the last failure
+	resume       uint64    // the next watch reports changes after this revision of the store
+	checkpoint   uint64    // revision of the store that becomes resume once it is old enough
+	checkpointAt time.Time // when the checkpoint was current
+	readAt       time.Time
+	readBytes    int
+	triedVersion uint64 // newest version of another host that a read was to bring
+	failed       failedReads
+}
+
+// readInterval returns the time from one read to the next if no event causes it.
+func (s *configurationSync) readInterval() time.Duration {
+	return max(minConfigurationReadInterval, time.Duration(s.readBytes)*time.Second/configurationReadRate)
+}
+
+// recordQuietWatch moves resume forward after a watch that reported no change up to revision.
+// resume stays behind by the overlap.
+func (s *configurationSync) recordQuietWatch(revision uint64) {
+	if time.Since(s.checkpointAt) < configurationWatchOverlap {
+		return
+	}
+	s.resume = max(s.resume, s.checkpoint)
+	s.checkpoint, s.checkpointAt = revision, time.Now()
+}
+
+// syncConfiguration keeps the newest configuration in effect. It watches for changes and reads
+// the configuration only if a change may have been missed: a large configuration takes seconds of
+// a slow link, which callers' requests share.
 func (c *Coordinator) syncConfiguration(ctx context.Context) {
-	var failed failedReads
+	var s configurationSync
 	for ctx.Err() == nil {
-		begin := time.Now()
-		entries, revision, err := c.store.List(ctx, c.deps.Keys.Configuration)
-		c.recordConfigurationCall(callRead, begin, err, &failed)
-		if err != nil {
-			sleep(ctx, configurationRetryDelay)
-			continue
-		}
-		for _, e := range entries {
-			if e.Key == c.deps.Keys.Configuration {
-				c.applyConfiguration(e, callRead)
-			}
+		update := c.watchConfiguration
+		if !s.known || c.otherHostsVersion.Load() > max(c.configVersion(), s.triedVersion) || time.Since(s.readAt) >= s.readInterval() {
+			update = c.readConfiguration
 		}
-		if c.watchConfiguration(ctx, revision, &failed) != nil {
+		if err := update(ctx, &s); err != nil {
+			s.known = false
 			sleep(ctx, configurationRetryDelay)
 		}
 	}
 }
 
-// watchConfiguration runs one watch and applies the changes that it reports. It returns
-// when the configuration should be read again, because a watch may miss a change.
-func (c *Coordinator) watchConfiguration(ctx context.Context, revision uint64, failed *failedReads) error {
-	select {
-	case <-c.configRefetch:
-		return nil
-	default:
+// readConfiguration reads the configuration and applies it if it is newer.
+func (c *Coordinator) readConfiguration(ctx context.Context, s *configurationSync) error {
+	wanted, begin := c.otherHostsVersion.Load(), time.Now()
+	entries, revision, err := c.store.List(ctx, c.deps.Keys.Configuration)
+	c.recordConfigurationCall(callRead, begin, err, &s.failed)
+	if err != nil {
+		return err
+	}
+	s.known, s.resume, s.checkpoint, s.checkpointAt = true, revision, revision, begin
+	s.readAt, s.readBytes, s.triedVersion = time.Now(), 0, wanted
+	for _, e := range entries {
+		if e.Key == c.deps.Keys.Configuration {
+			s.readBytes = len(e.Value)
+			c.applyConfiguration(e, callRead)
+		}
 	}
+	return nil
+}
+
+// watchConfiguration runs one watch and applies the newest of the changes that it reports. A
+// change that the store has dropped from its history makes the next call a read.
+func (c *Coordinator) watchConfiguration(ctx context.Context, s *configurationSync) error {
 	begin := time.Now()
-	es, err := c.store.Watch(ctx, c.deps.Keys.Configuration, revision, configurationWatchTimeout)
-	c.recordConfigurationCall(callWatch, begin, err, failed)
+	es, err := c.store.Watch(ctx, c.deps.Keys.Configuration, s.resume, configurationWatchTimeout)
+	c.recordConfigurationCall(callWatch, begin, err, &s.failed)
 	if err != nil {
 		return err
 	}
+	var newest storer.Entry
 	for _, e := range es.Events {
 		if e.Key == c.deps.Keys.Configuration && !e.Deleted {
-			c.applyConfiguration(e, callWatch)
+			newest = e
 		}
 	}
+	switch {
+	case es.Compacted:
+		s.known = false
+	case newest.Revision > 0:
+		s.resume, s.readBytes = newest.Revision, len(newest.Value)
+		c.applyConfiguration(newest, callWatch)
+	default:
+		s.recordQuietWatch(es.StoreRevision)
+	}
 	return nil
 }
 
@@ -125,13 +176,13 @@
 		"Bytes", len(e.Value), "Call", call)
 }
 
-// refetchOlderConfiguration triggers a read of the configuration if this host's version is
+// noteOtherHostsVersion makes syncConfiguration read the configuration if this host's version is
 // older than version, which is in effect on another host.
-func (c *Coordinator) refetchOlderConfiguration(version uint64) {
-	if old := c.config.Load(); old == nil || old.Version < version {
-		select {
-		case c.configRefetch <- struct{}{}:
-		default:
+func (c *Coordinator) noteOtherHostsVersion(version uint64) {
+	for {
+		known := c.otherHostsVersion.Load()
+		if version <= known || c.otherHostsVersion.CompareAndSwap(known, version) {
+			return
 		}
 	}
 }
--- a/internal/coordinator/configuration_test.go
+++ b/internal/coordinator/configuration_test.go
@@ -275,7 +275,7 @@
 		time.Sleep(20 * time.Second)
 		store.setDeaf(true)
 		store.put(2, largeConfigurationBytes)
-		c.refetchOlderConfiguration(2)
+		c.noteOtherHostsVersion(2)
 		if d := timeUntilVersion(c, 2, maxConfigurationDelay); d > maxUndisturbedDelay {
 			t.Errorf("in effect after %s, want at most %s", d, maxUndisturbedDelay)
 		}
@@ -294,7 +294,7 @@
 		for v := uint64(2); v <= last; v++ {
 			store.put(v, largeConfigurationBytes)
 			time.Sleep(80 * time.Millisecond)
-			c.refetchOlderConfiguration(v) // the leader has a faster link
+			c.noteOtherHostsVersion(v) // the leader has a faster link
 			time.Sleep(250 * time.Millisecond)
 		}
 		if d := timeUntilVersion(c, last, time.Minute); d > maxUndisturbedDelay {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -49,9 +49,9 @@
 	processID string // identifies this process in the store and to other hosts
 	jitter    func(time.Duration) time.Duration
 
-	config        atomic.Pointer[Configuration]
-	leaving       atomic.Bool
-	configRefetch chan struct{} // makes syncConfiguration read the configuration again
+	config            atomic.Pointer[Configuration]
+	otherHostsVersion atomic.Uint64 // newest version of the configuration that another host has told
+	leaving           atomic.Bool
 
 	configCheckedAt   atomic.Int64 // timekeeper time of the last answer to a read or watch of the configuration, Unix ns
 	lastStoreSuccess  atomic.Int64 // timekeeper time of the last served call, Unix ns
@@ -72,9 +72,8 @@
 	processID := fmt.Sprintf("%s/%x", s.Name, rand.Uint64())
 	c := &Coordinator{
 		settings: s, deps: p, log: log, metrics: newMetrics(), processID: processID,
-		jitter:        func(d time.Duration) time.Duration { return rand.N(d + 1) },
-		configRefetch: make(chan struct{}, 1),
-		clients:       make(map[netip.AddrPort]*messenger.Client),
+		jitter:  func(d time.Duration) time.Duration { return rand.N(d + 1) },
+		clients: make(map[netip.AddrPort]*messenger.Client),
 	}
 	c.store = observedStore{TransactionalStore: p.Store, onResult: c.recordStoreResult}
 	return c
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -78,7 +78,7 @@
 }
 
 func (c *Coordinator) servePing(_ context.Context, p pingRequest) (pingAnswer, error) {
-	c.refetchOlderConfiguration(p.Version)
+	c.noteOtherHostsVersion(p.Version)
 	a := pingAnswer{Process: c.processID, StoreSilence: c.timeSinceStoreSuccess(), Version: c.configVersion()}
 	if ld := c.currentLeadership(); ld != nil {
 		a.Leading, a.Epoch, a.Pending = true, ld.term.Revision, ld.pending()
@@ -100,7 +100,7 @@
 	if err != nil {
 		return pingAnswer{}, err
 	}
-	c.refetchOlderConfiguration(a.Version)
+	c.noteOtherHostsVersion(a.Version)
 	if a.Leading && a.Loaded {
 		c.leaderPending.Store(&pendingCounts{byQueue: a.Pending, at: sent})
 	}
