coordinator: probe the store while a long transfer is the only call

Cause: a host takes the time since the last served call for the time since the store last answered. A follower's only calls are watches of the configuration: a watch waits up to 1 s, and the transfer of 1.1 MB over 10 Mbit/s takes 0.9 s more, while readiness ends after 1.5 s. Why this works: after 1.1 s without a served call a host reads the term, a small answer that shares the link. While calls fail nothing is added; they are repeated anyway. TestStoreIsProbedDuringLongTransfer: without the probe the host stays not ready.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -25,6 +25,10 @@
 	// host reports itself as not ready. The load balancer needs two failed checks, a
 	// second apart, before it also stops sending requests.
 	maxReadyStoreSilence = 1500 * time.Millisecond
+	// storeProbeSilence is how long the store may not have served a call before this host makes
+	// a small one. It is longer than a watch of the configuration, and shorter than
+	// maxReadyStoreSilence by one pingInterval and the answer.
+	storeProbeSilence = 1100 * time.Millisecond
 	// shutdownGracePeriod is how long a leaving host continues to serve requests after it
 	// reports itself as not ready. The period covers two checks of the load balancer, a second
 	// apart, and some slack.
@@ -56,6 +60,7 @@
 	configCheckedAt   atomic.Int64 // timekeeper time of the last answer to a read or watch of the configuration, Unix ns
 	lastStoreSuccess  atomic.Int64 // timekeeper time of the last served call, Unix ns
 	storeUnavailable  atomic.Bool
+	probingStore      atomic.Bool
 	leaderPending     atomic.Pointer[pendingCounts] // from the leader's last answer to a ping; nil: none yet
 	invalidWorkerKeys sync.Map                      // keys of worker entries that could not be decoded; each is logged once
 
@@ -173,6 +178,22 @@
 	return timekeeper.Now().Sub(time.Unix(0, c.lastStoreSuccess.Load()))
 }
 
+// probeStore reads the term in the background if the store has served no call for
+// storeProbeSilence. A call that brings a large configuration over a slow link takes longer, and
+// would otherwise look like a store that does not answer. If the last call failed, probeStore does
+// nothing: syncConfiguration repeats its calls until one is served.
+func (c *Coordinator) probeStore(ctx context.Context) {
+	if c.timeSinceStoreSuccess() < storeProbeSilence || c.storeUnavailable.Load() || !c.probingStore.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer c.probingStore.Store(false)
+		if _, err := c.readTerm(ctx); err != nil {
+			c.log.Debug("StoreProbeFailed", "Cause", err.Error())
+		}
+	}()
+}
+
 // recordStoreResult updates the store's availability from the result of a call. Conflicts
 // count as served calls.
 func (c *Coordinator) recordStoreResult(err error) {
--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -92,10 +92,11 @@
 }
 
 // monitorLeader checks the leader while this host does not lead, and campaigns if the leader
-// has failed.
+// has failed. It also probes a store that has been silent.
 func (c *Coordinator) monitorLeader(ctx context.Context) {
 	var o headObservation
 	for ctx.Err() == nil {
+		c.probeStore(ctx)
 		pause := pingInterval
 		if c.currentLeadership() == nil && !c.leaving.Load() {
 			pause = c.checkLeader(ctx, &o)
--- a/internal/coordinator/store_health_test.go
+++ b/internal/coordinator/store_health_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -76,6 +77,43 @@
 	is.True(c.storeUnavailable.Load())
 }
 
+// termStore answers reads of the term.
+type termStore struct {
+	storer.TransactionalStore
+	reads chan string
+}
+
+func (s termStore) Get(_ context.Context, key string) (storer.Entry, error) {
+	s.reads <- key
+	return storer.Entry{Key: key}, nil
+}
+
+// The only call of a host to the store is one that brings a large configuration, for seconds.
+// Guards against a host that reports itself as not ready and refuses submissions meanwhile,
+// although the store answers.
+func TestStoreIsProbedDuringLongTransfer(t *testing.T) {
+	is := is.New(t)
+	store := termStore{reads: make(chan string, 10)}
+	c := New(Settings{Name: "a"}, Dependencies{Store: store}, slog.New(slog.DiscardHandler))
+	c.config.Store(&Configuration{Version: 1})
+	c.recordStoreResult(nil)
+	c.probeStore(context.Background()) // the store has just answered
+	is.Equal(len(store.reads), 0)
+
+	c.lastStoreSuccess.Store(timekeeper.Now().Add(-maxReadyStoreSilence).UnixNano())
+	is.True(!c.Ready())
+	c.probeStore(context.Background())
+	is.Equal(<-store.reads, keyTerm)
+	for !c.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+
+	c.recordStoreResult(&storer.UnavailableError{})
+	c.lastStoreSuccess.Store(timekeeper.Now().Add(-maxReadyStoreSilence).UnixNano())
+	c.probeStore(context.Background()) // other calls are repeated
+	is.Equal(len(store.reads), 0)
+}
+
 // The store stops answering while callers submit jobs. Guards against submissions that wait
 // for the store although this host knows that it serves no call: callers could try again in
 // time. Guards also against a refusal as not executed of a submission that was sent.
