orchestrator: a run of a restarted or replaced worker is lost only once the leadership is confirmed

Cause: a leader has been replaced and does not know it. Its successor has reached the worker of a run and adopted it, so the worker's fence would refuse the old leader. Then the worker restarts, or another takes its place, and the fence is gone: both leaders conclude that the run is over, and each starts it again on a worker that the other can't reach. Evidence: TestRunOfRestartedWorkerIsReplacedByOneLeader, three workers, one restart; the same with "another worker answers at its address", which the random test does not draw. Why this works: such a run expires only after a write that was sent later than its end was found has been confirmed, as it is already for leases that end. So no other leader had been elected by then, and a later one finds the end itself. The write is requested at once; with a store that answers the task starts again within a second (TestRunOfRestartedWorkerStartsAgainSoon). While the store is away such tasks wait for it.

--- a/internal/orchestrator/model_test.go
+++ b/internal/orchestrator/model_test.go
@@ -23,8 +23,10 @@
 // Guards against the return of faults that TestInvariantsUnderFaults found with other seeds:
 //   - 22515: a run on a restarted worker outlasts the leadership, and its successor starts a
 //     second one (see TestRestartedWorkerDoesNotOutlastLeadership).
+//   - 348974: a deposed leader and its successor both replace the run of a restarted worker (see
+//     TestRunOfRestartedWorkerIsReplacedByOneLeader).
 func TestInvariantsWithFailedSeeds(t *testing.T) {
-	for _, seed := range []string{"22515"} {
+	for _, seed := range []string{"22515", "348974"} {
 		t.Run(seed, func(t *testing.T) {
 			setFlag(t, "rapid.seed", seed)
 			setFlag(t, "rapid.checks", "1")
--- a/internal/orchestrator/restart_test.go
+++ b/internal/orchestrator/restart_test.go
@@ -1,10 +1,14 @@
 package orchestrator_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"peridotpitch/internal/orchestrator"
 )
 
 // A leader has lost the store, and its successor can't reach one of the workers. The worker's
@@ -37,3 +41,61 @@
 	w.run(20 * time.Second) // the simulation fails at a second run
 	is.Equal(len(w.runningOn("j1")), 1)
 }
+
+// A leader has been replaced and does not know it yet, because no worker that it reaches has told
+// it. The worker that runs a task restarts, or another one takes its place; with it goes the fence
+// that would have told the old leader. Guards against two runs of the task, because both leaders
+// conclude that the run is over and start it again, each on a worker that the other can't reach.
+func TestRunOfRestartedWorkerIsReplacedByOneLeader(t *testing.T) {
+	for name, end := range map[string]func(*simulation, *simulatedWorker){
+		"restarted": func(w *simulation, k *simulatedWorker) { k.restart(w) },
+		"replaced":  func(_ *simulation, k *simulatedWorker) { k.replaced = true; clear(k.runs) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newCluster(t, 3, cores(8, 32))
+			j := simpleJob("j1", 1, cores(2, 2))
+			j.Steps[0].LongRunning = true
+			w.submit(j)
+			w.run(2 * time.Second)
+			is.Equal(len(w.runningOn("j1")), 1)
+			ended := w.workers[w.runningOn("j1")[0]]
+
+			old := w.leader()
+			old.storeUnreachable = true
+			next := w.elect(false)
+			onlyOld := true
+			for _, n := range slices.Sorted(maps.Keys(w.workers)) {
+				if k := w.workers[n]; k != ended {
+					if onlyOld {
+						k.unreachableFrom[next] = true
+					} else {
+						k.unreachableFrom[old] = true
+					}
+					onlyOld = false
+				}
+			}
+			// The successor adopts the run; the old leader's next poll comes after the restart.
+			for len(w.notesOf(orchestrator.EventAdopt)) == 0 {
+				next.poll(ended)
+			}
+			end(w, ended)
+			w.run(20 * time.Second) // the simulation fails at a second run
+			is.Equal(len(w.runningOn("j1")), 1)
+		})
+	}
+}
+
+// A worker restarts while its leader reaches the store. Guards against lost runs that stay without
+// a new one, or wait for leases that the new incarnation does not know.
+func TestRunOfRestartedWorkerStartsAgainSoon(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 3, cores(8, 32))
+	j := simpleJob("j1", 1, cores(2, 2))
+	j.Steps[0].LongRunning = true
+	w.submit(j)
+	w.run(2 * time.Second)
+	w.workers[w.runningOn("j1")[0]].restart(w)
+	w.run(time.Second)
+	is.Equal(len(w.runningOn("j1")), 1)
+}
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -38,6 +38,7 @@
 	startedAt        time.Time
 	ackedAt          time.Time // when the worker answered the last start or stop; zero: not yet
 	inFlight         bool      // a start or stop is sent and not answered
+	lostAt           time.Time // when it was found that the run has ended with its worker's process; zero: not found
 	startUnanswered  bool      // a start without an answer may still be executed
 	saved            string    // checkpoint that the start passes on
 	ticket           string
@@ -216,7 +217,7 @@
 // resendCommands sends a run's start or stop again if it got no answer.
 func (o *Orchestrator) resendCommands(r *run) {
 	w := r.worker
-	if r.inFlight || w.unreachable || !w.runsKnown || o.now.Sub(r.sentAt) < resendInterval {
+	if r.inFlight || !r.lostAt.IsZero() || w.unreachable || !w.runsKnown || o.now.Sub(r.sentAt) < resendInterval {
 		return
 	}
 	switch {
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -79,6 +79,7 @@
 	endsBeforeExpiry int // the lease has expired after the ends up to this number
 	unreachableFrom  map[*simulatedLeader]bool
 	dead             bool
+	replaced         bool // another worker answers at its address
 	failsTasks       bool // each run ends as failed
 	hangsTasks       bool // runs make no progress
 	ignoredStops     int  // number of stops that it answers without executing them
@@ -269,7 +270,10 @@
 			return
 		}
 	}
-	outcome := k.execute(w, c)
+	outcome := orchestrator.StartReplaced
+	if !k.replaced {
+		outcome = k.execute(w, c)
+	}
 	if answered {
 		w.answerCommand(c, outcome)
 	}
@@ -370,6 +374,17 @@
 	}
 }
 
+// notesOf returns the notes of an event.
+func (w *simulation) notesOf(event string) []orchestrator.Note {
+	var ns []orchestrator.Note
+	for _, n := range w.notes {
+		if n.Event == event {
+			ns = append(ns, n)
+		}
+	}
+	return ns
+}
+
 // history returns the notes on a task and on lost workers.
 func (w *simulation) history(task string) string {
 	var b strings.Builder
@@ -461,6 +476,10 @@
 		l.step(orchestrator.PollFailed{Worker: k.entry.ID})
 		return
 	}
+	if k.replaced {
+		l.step(orchestrator.PollFailed{Worker: k.entry.ID, Replaced: true})
+		return
+	}
 	if l.epoch < k.fence {
 		l.step(orchestrator.PollFailed{Worker: k.entry.ID, Fenced: true})
 		return
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -52,6 +52,7 @@
 	answeredPollSentAt time.Time // when the last answered poll was sent
 	answeredAt         time.Time // when the answer to that poll arrived
 	unreachable        bool      // the last poll failed
+	replacedAt         time.Time // when it was found that another worker answers at its address; zero: none
 	unansweredAt       time.Time // when a start or stop last got no answer
 
 	runs map[runKey]*run
@@ -285,7 +286,7 @@
 		o.passDue = true
 	}
 	w.incarnation, w.clock, w.clockAt, w.hasClock = e.Incarnation, e.Clock, e.ReceivedAt, true
-	w.answeredPollSentAt, w.answeredAt, w.unreachable = e.SentAt, e.ReceivedAt, false
+	w.answeredPollSentAt, w.answeredAt, w.unreachable, w.replacedAt = e.SentAt, e.ReceivedAt, false, time.Time{}
 	if e.DrainRemaining > 0 {
 		w.drainRemaining, w.drainRemainingAt = e.DrainRemaining, o.now
 	}
@@ -336,8 +337,9 @@
 	o.emit(Note{Event: EventWorkerLost, Worker: w.ID, Outcome: "restarted", Reason: "a new incarnation answers",
 		Figures: fmt.Sprintf("Runs=%d", len(w.runs))})
 	for _, r := range w.missing(e) {
-		o.expireRun(r)
+		r.lostAt = o.now
 	}
+	o.emit(WriteSoon{}) // the lost runs expire after the next confirmation
 	w.lastAppliedEnd, w.ackedUpto, w.unackedEnds = 0, 0, nil
 	w.failureStreak, w.quarantinedUntil, w.probing, w.probe, w.slowdown = 0, time.Time{}, false, nil, 1
 	// The clock of the new incarnation starts at 0. A lease end on the old clock can therefore be a
@@ -348,7 +350,9 @@
 	}
 	if o.mayOutlastLeadership(w) {
 		for _, r := range w.runs {
-			o.stop(r, "the worker has restarted, and the run's lease may outlast this leadership")
+			if r.lostAt.IsZero() {
+				o.stop(r, "the worker has restarted, and the run's lease may outlast this leadership")
+			}
 		}
 	}
 }
@@ -368,7 +372,7 @@
 	}
 	var rs []*run
 	for k, r := range w.runs {
-		if !listed[k] && r.ackedBefore(e.SentAt) {
+		if !listed[k] && r.ackedBefore(e.SentAt) && r.lostAt.IsZero() {
 			rs = append(rs, r)
 		}
 	}
@@ -389,10 +393,10 @@
 	switch {
 	case e.Fenced:
 		o.stepDown("worker " + w.ID + " has accepted a later leader")
-	case e.Replaced:
+	case e.Replaced && w.replacedAt.IsZero():
 		o.emit(Note{Event: EventWorkerLost, Worker: w.ID, Outcome: "replaced", Reason: "another worker answers at its address"})
-		o.workerEnded(w)
-		w.unreachable = true
+		w.unreachable, w.replacedAt = true, o.now
+		o.emit(WriteSoon{})
 	case !w.unreachable:
 		w.unreachable = true
 		o.emit(Note{Event: EventWorkerLost, Worker: w.ID, Outcome: "unreachable", Reason: "a look got no answer",
@@ -419,8 +423,25 @@
 	o.passDue = true
 }
 
+// expireLostRuns expires the runs that ended with their worker's process. A later leader may have
+// reached that process, and its fence has ended with it, so that nothing tells this leader that it is
+// deposed. The runs are this leader's to replace only if the leadership was confirmed after
+// their end was found.
+func (o *Orchestrator) expireLostRuns(w *worker) {
+	if !w.replacedAt.IsZero() && o.confirmedAt.After(w.replacedAt) {
+		w.replacedAt = time.Time{}
+		o.workerEnded(w)
+	}
+	for _, r := range w.runs {
+		if !r.lostAt.IsZero() && o.confirmedAt.After(r.lostAt) {
+			o.expireRun(r)
+		}
+	}
+}
+
 // tickWorker expires a worker's leases, updates its roster entry and resends commands.
 func (o *Orchestrator) tickWorker(w *worker) {
+	o.expireLostRuns(w)
 	unreachable := w.unreachable || !w.hasClock
 	// A later leader may have reached the worker and extended its leases. The leases have
 	// certainly ended only if this leader was confirmed after their end.
