orchestrator: Wait lines name what excludes the candidates

A Wait line has the number of candidates and how many each obstacle excludes now. fits is the same function with a name for its result. TestWaitNamesObstacles.

--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -165,6 +165,24 @@
 	is.Equal(len(w.runningOn("s1")), 0)
 }
 
+// A long-running task waits although the emptiest worker has more free than it needs. Guards against
+// a log from which it can't be told what excludes the candidates.
+func TestWaitNamesObstacles(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 4, cores(8, 32))
+	first := simpleJob("first", 4, cores(7.5, 2))
+	first.Steps[0].LongRunning = true
+	w.submit(first)
+	w.run(time.Second)
+	small := simpleJob("small", 2, cores(0.25, 2))
+	small.Steps[0].LongRunning = true
+	w.submit(small) // 94% of the processors are taken
+	w.run(time.Second)
+	notes := w.notesOf(orchestrator.EventWait)
+	is.True(len(notes) > 0)
+	is.True(strings.HasSuffix(notes[len(notes)-1].Figures, "Needs=0.2/2.0 Free=0.5/30.0 Candidates=4 ShortJobReserve=4"))
+}
+
 // A long-running task is larger than the capacity that becomes free when a short task ends.
 // Guards against short jobs that use all freed capacity for as long as they arrive.
 func TestLargeLongRunningTaskGetsReservedWorker(t *testing.T) {
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -228,25 +228,51 @@
 	return best, bestScore
 }
 
+// obstacle is the reason why a task may not start on a usable worker now.
+type obstacle string
+
+const (
+	obstacleNone             obstacle = ""
+	obstacleRefusal          obstacle = "Refusal"         // the worker has just refused a start for lack of capacity
+	obstacleProbe            obstacle = "Probe"           // it runs one task at a time after failed runs
+	obstacleReservation      obstacle = "Reservation"     // it is reserved for another task
+	obstacleCapacity         obstacle = "Capacity"        // the task does not fit in the free capacity
+	obstacleLimit            obstacle = "Limit"           // as many of the step's tasks run there as may
+	obstacleShortJobReserve  obstacle = "ShortJobReserve" // the free capacity is kept for short jobs
+	obstacleRack             obstacle = "Rack"            // the task waits for the rack of its data
+	obstacleBestEffortLimits obstacle = "BestEffortLimits"
+)
+
 // fits reports whether a task may start on a worker now.
-func (o *Orchestrator) fits(t *task, w *worker) bool {
+func (o *Orchestrator) fits(t *task, w *worker) bool { return o.obstacle(t, w) == obstacleNone }
+
+// obstacle returns why a task may not start on a usable worker now.
+func (o *Orchestrator) obstacle(t *task, w *worker) obstacle {
 	s := t.step
-	if o.now.Before(w.noCapacityUntil) || w.probe != nil || w.reservedFor != nil && w.reservedFor != t && o.now.Before(w.reservedUntil) {
-		return false
-	}
-	if !w.free().covers(s.countedSize()) || w.atLimit(s) {
-		return false
-	}
-	if s.LongRunning && o.capacityScarce && o.now.Sub(t.waitingSince) < longRunningMaxWait {
-		return false
+	switch {
+	case o.now.Before(w.noCapacityUntil):
+		return obstacleRefusal
+	case w.probe != nil:
+		return obstacleProbe
+	case w.reservedFor != nil && w.reservedFor != t && o.now.Before(w.reservedUntil):
+		return obstacleReservation
+	case !w.free().covers(s.countedSize()):
+		return obstacleCapacity
+	case w.atLimit(s):
+		return obstacleLimit
+	case s.LongRunning && o.capacityScarce && o.now.Sub(t.waitingSince) < longRunningMaxWait:
+		return obstacleShortJobReserve
 	}
 	if s.RackAffinity != "" && w.Rack != s.RackAffinity {
 		wait := time.Duration(rackWaitShare * float64(s.expectedRunTime(o.stats(s.occurrence.job.Policy.Queue).runTimeRatio)))
 		if o.now.Sub(t.waitingSince) < wait && o.rackExists(s) {
-			return false
+			return obstacleRack
 		}
 	}
-	return !s.Fills || o.bestEffortFits(t, w)
+	if s.Fills && !o.bestEffortFits(t, w) {
+		return obstacleBestEffortLimits
+	}
+	return obstacleNone
 }
 
 // bestEffortFits reports whether a best-effort task may start on a worker: enough of the
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -233,18 +234,29 @@
 		Reason: reason, Age: o.now.Sub(s.readyAt), Figures: fmt.Sprintf("Left=%d Ready=%d%s", s.unfinished, len(o.ready), o.capacityFigures(s))})
 }
 
-// capacityFigures returns what a task of the step needs and what the candidate with the most
-// free processors has free, as cores/GB. It is empty for best-effort tasks.
+// capacityFigures returns what a task of the step needs, what the candidate with the most free
+// processors has free, as cores/GB, and how many candidates each obstacle excludes. It is empty for
+// best-effort tasks.
 func (o *Orchestrator) capacityFigures(s *step) string {
-	if s.Fills {
+	i := slices.IndexFunc(s.tasks, func(t *task) bool { return !t.done && len(t.runs) == 0 })
+	if s.Fills || i < 0 {
 		return ""
 	}
 	workers, _ := o.candidates(s)
 	var most Resources
+	excluded := make(map[obstacle]int)
 	for _, w := range workers {
 		if free := w.free(); free.CPU > most.CPU {
 			most = free
 		}
+		excluded[o.obstacle(s.tasks[i], w)]++
 	}
-	return fmt.Sprintf(" Needs=%.1f/%.1f Free=%.1f/%.1f", float64(s.Size.CPU)/1000, float64(s.Size.Memory)/1000, float64(most.CPU)/1000, float64(most.Memory)/1000)
+	figures := fmt.Sprintf(" Needs=%.1f/%.1f Free=%.1f/%.1f Candidates=%d", float64(s.Size.CPU)/1000, float64(s.Size.Memory)/1000,
+		float64(most.CPU)/1000, float64(most.Memory)/1000, len(workers))
+	for _, b := range slices.Sorted(maps.Keys(excluded)) {
+		if b != obstacleNone {
+			figures += fmt.Sprintf(" %s=%d", b, excluded[b])
+		}
+	}
+	return figures
 }
