orchestrator: a long-running task that lost its run goes before those that never ran

Cause: in a cluster of which over 92% is taken, a long-running task waits 4.5 s before it may take what is kept for short jobs. Tasks of jobs that have never started have waited for longer, so they take the processors that the failed run has left, for good. Besides, the first waiting task of a step that finds no worker keeps the others waiting, in the order of their index. Ruled out: the order of steps and the share of reserved workers; both changed, neither changes the test. Why this works: while such a task waits, at most 30 s, tasks of its service that have never run don't start and reserve nothing; within a step the longest wait goes first. Admission that slows down was weighed against stopping best-effort tasks: these take no counted processors, so stopping them frees nothing for the task.

--- /dev/null
+++ b/internal/orchestrator/longrunning_test.go
@@ -0,0 +1,128 @@
+package orchestrator_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"peridotpitch/internal/orchestrator"
+)
+
+// maxGap is how long a long-running task may be without a run while there is capacity for it: "the
+// last holds for each task that lasts, from 6 s after its last run, however full the service is".
+const maxGap = 6 * time.Second
+
+// fullCluster is a cluster whose processors are all wanted: by the long-running job "old", by a
+// stream of short jobs, and by a long-running job that has not started yet.
+type fullCluster struct {
+	*simulation
+	submitted int                  // short jobs
+	gapSince  map[string]time.Time // since when a task of "old" has had no run
+	longest   time.Duration        // longest gap so far
+}
+
+const (
+	fullClusterWorkers = 20
+	// shortJobInterval makes the short jobs ask for a fifth more than the cluster can run beside
+	// the long-running tasks.
+	shortJobInterval = 50 * time.Millisecond
+)
+
+// newFullCluster returns a full cluster after ten seconds. Short jobs have the priority 0, "old" the
+// given one; a task of "new" has the given number of processors.
+func newFullCluster(t *testing.T, priority int, newCores float64) *fullCluster {
+	c := &fullCluster{simulation: newCluster(t, fullClusterWorkers, cores(8, 64)), gapSince: make(map[string]time.Time)}
+	c.runTime = func(string, *simulatedWorker) time.Duration { return 600 * time.Millisecond }
+	old := longRunningJob("old", fullClusterWorkers, cores(5, 2))
+	old.Policy = orchestrator.Policy{Service: "s", Priority: priority, Attempts: 3, Stretch: 2, TargetDuration: time.Second}
+	c.submit(old)
+	c.advance(5 * time.Second)
+	c.submit(longRunningJob("new", 10, cores(newCores, 2)))
+	c.advance(5 * time.Second)
+	return c
+}
+
+func longRunningJob(id string, tasks int, size orchestrator.Resources) orchestrator.Job {
+	j := simpleJob(id, tasks, size)
+	j.Steps[0].LongRunning = true
+	return j
+}
+
+// advance runs the cluster for d, with the stream of short jobs, and measures the gaps.
+func (c *fullCluster) advance(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.submitted++
+		c.submit(simpleJob(fmt.Sprintf("short%05d", c.submitted), 2, cores(3, 2)))
+		c.run(shortJobInterval)
+		running := make(map[string]bool)
+		for _, k := range c.workers {
+			for name := range k.runs {
+				running[name] = true
+			}
+		}
+		for i := range fullClusterWorkers {
+			name := fmt.Sprintf("old.0.0.%d", i)
+			since, gap := c.gapSince[name]
+			switch {
+			case running[name]:
+				delete(c.gapSince, name)
+			case !gap:
+				c.gapSince[name] = c.now
+			default:
+				c.longest = max(c.longest, c.now.Sub(since))
+			}
+		}
+	}
+}
+
+// failOne lets one run of "old" fail by itself.
+func (c *fullCluster) failOne() {
+	var names []string
+	runs := make(map[string]*simulatedRun)
+	for _, k := range c.workers {
+		for name, r := range k.runs {
+			if strings.HasPrefix(name, "old.") {
+				names, runs[name] = append(names, name), r
+			}
+		}
+	}
+	slices.Sort(names)
+	runs[names[c.rng.IntN(len(names))]].failing = true
+}
+
+// Single tasks of a long-running job fail by themselves in a full cluster, in which a long-running
+// job that has never started waits as well. Guards against a task that stays without a run because
+// its processors go to others: to short jobs, also of higher priority, and to long-running tasks that
+// have waited longer but have no run to lose.
+func TestFailedLongRunningTaskComesBackToFullCluster(t *testing.T) {
+	for name, p := range map[string]struct {
+		priority int
+		newCores float64
+	}{
+		"short jobs":                 {0, 3},
+		"larger task that is new":    {0, 4},
+		"largest task that is new":   {0, 7},
+		"short jobs of higher class": {1, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newFullCluster(t, p.priority, p.newCores)
+			c.longest = 0
+			for range 20 {
+				c.failOne()
+				c.advance(time.Second)
+			}
+			c.advance(2 * maxGap)
+			c.checkGaps(t)
+		})
+	}
+}
+
+func (c *fullCluster) checkGaps(t *testing.T) {
+	t.Helper()
+	if c.longest > maxGap {
+		t.Errorf("a task was without a run for %s, want at most %s; now without: %v", c.longest, maxGap, slices.Sorted(maps.Keys(c.gapSince)))
+	}
+}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -60,6 +60,7 @@
 	dirty            map[string]*job // jobs with unwritten changes, by ID
 	expired          []string        // finished jobs whose records are to be deleted
 	capacityScarce   bool            // only the reserve for short jobs is left
+	returning        map[string]bool // services with a returning task, as of the last pass
 	lightlyLoaded    bool            // less than lightLoadShare of the workers' processors is used
 	passDue          bool            // a scheduling pass is due, because a change may let a task start
 	loadNotedAt      time.Time       // when noteLoad last ran
@@ -145,6 +146,7 @@
 	moves             int             // moves because it was throttled, hung or slow, less its preemptions
 	unsuitableWorkers map[string]bool // workers on which a run failed or was too slow
 	waitingSince      time.Time       // when the last run ended, or the step became ready
+	lastRunEnd        time.Time       // when the last run that had begun ended; zero: none has
 	// nextPreemption is the earliest time at which other tasks may be stopped for this one.
 	nextPreemption time.Time
 
@@ -628,6 +630,18 @@
 
 func (t *task) job() *job { return t.step.occurrence.job }
 
+// returns reports whether a long-running task waits that had a run before.
+func (t *task) returns() bool {
+	return t.step.LongRunning && len(t.runs) == 0 && !t.lastRunEnd.IsZero()
+}
+
+// yieldsToReturning reports whether a long-running task that has never run must wait, because a
+// returning task of its service does. It has nothing to lose, and would take for good the capacity
+// that the run of the other has left.
+func (o *Orchestrator) yieldsToReturning(t *task) bool {
+	return t.step.LongRunning && t.lastRunEnd.IsZero() && o.returning[t.job().Policy.Service]
+}
+
 // maxAttempts returns the number of failed runs of the task after which its job fails.
 func (t *task) maxAttempts() int {
 	if a := t.job().Policy.Attempts; a > 0 {
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -82,10 +82,7 @@
 	}
 	starts := 0
 	var workers []*worker
-	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 {
-			continue
-		}
+	for _, t := range s.waitingTasks() {
 		if reason := o.blockedByUnreached(p, t); reason != "" {
 			o.noteWait(s, reason)
 			continue
@@ -113,6 +110,22 @@
 	return starts
 }
 
+// waitingTasks returns the tasks of the step that neither run nor have succeeded. Those of
+// long-running steps are in the order of their waits: the first that finds no worker keeps the others
+// waiting.
+func (s *step) waitingTasks() []*task {
+	var ts []*task
+	for _, t := range s.tasks {
+		if !t.done && len(t.runs) == 0 {
+			ts = append(ts, t)
+		}
+	}
+	if s.LongRunning {
+		slices.SortStableFunc(ts, func(a, b *task) int { return a.waitingSince.Compare(b.waitingSince) })
+	}
+	return ts
+}
+
 // launch starts a task on a worker and notes the decision.
 func (o *Orchestrator) launch(t *task, w *worker, number int, score float64) {
 	s := t.step
@@ -239,6 +252,7 @@
 	obstacleCapacity         obstacle = "Capacity"        // the task does not fit in the free capacity
 	obstacleLimit            obstacle = "Limit"           // as many of the step's tasks run there as may
 	obstacleShortJobReserve  obstacle = "ShortJobReserve" // the free capacity is kept for short jobs
+	obstacleReturningTask    obstacle = "ReturningTask"   // a long-running task that had a run before waits
 	obstacleRack             obstacle = "Rack"            // the task waits for the rack of its data
 	obstacleBestEffortLimits obstacle = "BestEffortLimits"
 )
@@ -260,6 +274,8 @@
 		return obstacleCapacity
 	case w.atLimit(s):
 		return obstacleLimit
+	case o.yieldsToReturning(t):
+		return obstacleReturningTask
 	case s.LongRunning && o.capacityScarce && o.now.Sub(t.waitingSince) < longRunningMaxWait:
 		return obstacleShortJobReserve
 	}
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -20,6 +20,7 @@
 // schedule starts tasks on workers, the most urgent first.
 func (o *Orchestrator) schedule() {
 	o.lightlyLoaded = o.updateLoad()
+	o.updateReturning()
 	p := &pass{candidates: make(map[string][]*worker), reasons: make(map[string]string), unplaced: make(map[string]Resources)}
 	for _, w := range o.workersByID() {
 		if w.mayRunInheritedTasks && !w.runsKnown && !w.provenIdle {
@@ -36,6 +37,23 @@
 	}
 }
 
+// maxPrecedence is how long a returning task keeps new ones of its service waiting. It may be one that
+// fits on no worker that is left.
+const maxPrecedence = 30 * time.Second
+
+// updateReturning determines the services with returning tasks that have precedence.
+func (o *Orchestrator) updateReturning() {
+	o.returning = make(map[string]bool)
+	for s := range o.ready {
+		if !s.LongRunning || o.returning[s.occurrence.job.Policy.Service] {
+			continue
+		}
+		if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.returns() && o.now.Sub(t.waitingSince) < maxPrecedence }) {
+			o.returning[s.occurrence.job.Policy.Service] = true
+		}
+	}
+}
+
 // passPause returns the pause between two passes. It grows with the queue, because a pass
 // goes through all waiting steps.
 func (o *Orchestrator) passPause() time.Duration {
--- a/internal/orchestrator/reservation.go
+++ b/internal/orchestrator/reservation.go
@@ -17,7 +17,7 @@
 // would never be enough for the large task.
 func (o *Orchestrator) reserveWorker(t *task, workers []*worker) string {
 	const noCapacity = "no worker has room"
-	if !o.enabled(MechanismReservations) || !t.step.LongRunning || o.now.Sub(t.waitingSince) < longRunningMaxWait {
+	if !o.enabled(MechanismReservations) || !t.step.LongRunning || o.yieldsToReturning(t) || o.now.Sub(t.waitingSince) < longRunningMaxWait {
 		return noCapacity
 	}
 	reserved := 0
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -52,6 +52,7 @@
 	throttleSentAt   time.Time
 	throttleInFlight bool
 	nextMoveSearch   time.Time // earliest time of the next search for a better worker
+	begun            bool      // a worker has accepted its start or listed it
 	throttled        bool      // the run may have been below full speed at some time
 }
 
@@ -107,6 +108,9 @@
 	w.addUsage(t.step.Step, -1)
 	t.runs = slices.DeleteFunc(t.runs, func(k *run) bool { return k == r })
 	t.waitingSince = o.now
+	if r.begun {
+		t.lastRunEnd = o.now
+	}
 	o.passDue = true
 	j := t.job()
 	if j.runCount--; j.runCount == 0 {
@@ -185,6 +189,7 @@
 
 // startAccepted handles a start that the worker has accepted.
 func (o *Orchestrator) startAccepted(r *run) {
+	r.begun = true
 	if r.ackedAt.IsZero() {
 		r.ackedAt = o.now
 		r.startedAt = o.now
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -32,6 +32,7 @@
 	starts          int
 	faults          faults
 	succeeds        func(task string, run int) bool // whether a run ends as done
+	refuses         func(task string) bool          // whether a worker refuses a start for lack of capacity; nil: never
 	runTime         func(task string, w *simulatedWorker) time.Duration
 	notes           []orchestrator.Note
 	wallOffset      time.Duration
@@ -61,6 +62,7 @@
 	endsAt    time.Time
 	saved     string
 	stopping  bool
+	failing   bool // it fails at once
 	speed     int
 }
 
@@ -335,6 +337,9 @@
 	if a.LeaseEnd <= k.clock(w.now) {
 		return orchestrator.StartExpired
 	}
+	if w.refuses != nil && w.refuses(a.Task) {
+		return orchestrator.StartNoCapacity
+	}
 	k.leaseEnd = max(k.leaseEnd, min(a.LeaseEnd, k.clock(w.now)+10*time.Second))
 	w.checkStart(k, a)
 	w.starts++
@@ -437,6 +442,8 @@
 		switch {
 		case expired:
 			how = orchestrator.EndExpired
+		case r.failing:
+			how = orchestrator.EndFailed
 		case r.stopping && !w.now.Before(r.endsAt):
 			how = orchestrator.EndStopped
 		case !r.stopping && !k.hangsTasks && !w.now.Before(r.endsAt) && !w.longRunning(name):
