orchestrator: what a long-running task has waited survives a change of leaders

With a change every 5 s a task never becomes urgent. Cause: the time of the last run's end is in no record; a successor counts from its own load. Why this works: the record of a task without a run has that time, limited to the last minute and the present on the successor's clock. A task whose recorded run is not found counts as one that lost its run. Older programs skip the field, and records without it read as before.

--- a/internal/orchestrator/longrunning_test.go
+++ b/internal/orchestrator/longrunning_test.go
@@ -120,6 +120,25 @@
 	}
 }
 
+// The same, and the leader changes every five seconds. Guards against waits that count anew with
+// each leader, so that a task never becomes urgent.
+func TestFailedLongRunningTaskComesBackDespiteLeaderChanges(t *testing.T) {
+	c := newFullCluster(t, 0, 4)
+	c.longest = 0
+	for i := range 20 {
+		c.failOne()
+		c.advance(time.Second)
+		if i%5 == 4 {
+			c.elect(false)
+		}
+	}
+	for range 3 {
+		c.advance(5 * time.Second)
+		c.elect(false)
+	}
+	c.checkGaps(t)
+}
+
 func (c *fullCluster) checkGaps(t *testing.T) {
 	t.Helper()
 	if c.longest > maxGap {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -482,6 +482,9 @@
 		}
 		for _, t := range s.tasks {
 			t.waitingSince = o.now
+			if !t.lastRunEnd.IsZero() {
+				t.waitingSince = t.lastRunEnd // a leader inherits how long the task has waited
+			}
 		}
 	}
 	o.passDue = true
--- a/internal/orchestrator/record.go
+++ b/internal/orchestrator/record.go
@@ -36,6 +36,7 @@
 	Failed     []int    // numbers of the failed runs
 	Saved      string   // reference to the last checkpoint
 	Workers    []string // workers that may run the task
+	LastRunEnd int64    // of a long-running task without a run: when its last run ended, in Unix ms; 0: it runs or never ran
 }
 
 // EncodeRecord returns a record's value in the store.
@@ -80,6 +81,9 @@
 			continue
 		}
 		tr := TaskRecord{Occurrence: s.occurrence.number, Step: s.index, Index: i, NextRun: t.nextRun, Failed: t.failed, Saved: t.saved}
+		if s.LongRunning && len(t.runs) == 0 && !t.lastRunEnd.IsZero() {
+			tr.LastRunEnd = t.lastRunEnd.UnixMilli()
+		}
 		for _, r := range t.runs {
 			tr.Workers = append(tr.Workers, r.worker.ID)
 		}
@@ -123,7 +127,29 @@
 		t.nextRun += tr.NextRun - 1 // before, nextRun is 1 or 1 + runNumberMargin
 		t.failed, t.saved = tr.Failed, tr.Saved
 		t.recordedWorkers = tr.Workers
+		switch {
+		case tr.LastRunEnd > 0:
+			t.lastRunEnd = inheritedTime(time.UnixMilli(tr.LastRunEnd), now)
+		case s.LongRunning:
+			t.lastRunEnd = now // unless the recorded run is found on its worker
+		}
+	}
+}
+
+// maxInheritedWait bounds how long ago a time in a record of an earlier leader may be. The clocks of
+// two hosts may differ by seconds.
+const maxInheritedWait = time.Minute
+
+// inheritedTime returns a time from an earlier leader's clock, limited to what is possible on the clock
+// of this one.
+func inheritedTime(t, now time.Time) time.Time {
+	if t.After(now) {
+		return now
+	}
+	if earliest := now.Add(-maxInheritedWait); t.Before(earliest) {
+		return earliest
 	}
+	return t
 }
 
 // stepAt returns a step of an occurrence, or nil if the job has no such step or occurrence.
