orchestrator: a refused start does not begin a task's wait anew

What was seen: with workers that refuse single starts for lack of capacity, a long-running task that has lost its run stays without one for 15.85 s in a full cluster (TestRefusedStartKeepsWaitOfLongRunningTask). Cause: the removal of a run that has never begun sets the time since when its task waits, as the end of a run does; the next 4.5 s begin. Why this works: only a run that a worker has accepted or listed ends a wait.

--- a/internal/orchestrator/longrunning_test.go
+++ b/internal/orchestrator/longrunning_test.go
@@ -139,6 +139,25 @@
 	c.checkGaps(t)
 }
 
+// The worker refuses the first start after each failure for lack of capacity. Guards against a wait
+// that counts anew after a refused start.
+func TestRefusedStartKeepsWaitOfLongRunningTask(t *testing.T) {
+	c := newFullCluster(t, 0, 4)
+	c.longest = 0
+	for range 10 {
+		refused := false
+		c.refuses = func(task string) bool {
+			first := strings.HasPrefix(task, "old.") && !refused
+			refused = refused || first
+			return first
+		}
+		c.failOne()
+		c.advance(2 * time.Second)
+	}
+	c.advance(2 * maxGap)
+	c.checkGaps(t)
+}
+
 func (c *fullCluster) checkGaps(t *testing.T) {
 	t.Helper()
 	if c.longest > maxGap {
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -107,9 +107,9 @@
 	}
 	w.addUsage(t.step.Step, -1)
 	t.runs = slices.DeleteFunc(t.runs, func(k *run) bool { return k == r })
-	t.waitingSince = o.now
 	if r.begun {
-		t.lastRunEnd = o.now
+		// The wait of a task whose start was refused goes on.
+		t.waitingSince, t.lastRunEnd = o.now, o.now
 	}
 	o.passDue = true
 	j := t.job()
