orchestrator: precedence of returning tasks by worker; starts of long-running tasks are recorded

Wait lines of a task without a run for 29 s: "ReturningTask=91", so 91 workers had room and the task itself counted as new. Cause: a record of a running task is written only after an end. The leader changed during a cut, the runs behind it lapsed, and the successor did not know that the tasks had had any. And precedence held back new tasks on all workers, also on those where no returning task fits. Why this works: the first accepted start of a long-running task's run marks its job's record as changed, a few jobs a second; precedence holds only on workers that have room for a returning task, or will have once their short tasks end. TestTaskOfLostWorkerReturnsBeforeNewTasks fails without the record of starts.

--- a/internal/orchestrator/longrunning_test.go
+++ b/internal/orchestrator/longrunning_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"peridotpitch/internal/orchestrator"
 )
 
@@ -139,6 +141,23 @@
 	c.checkGaps(t)
 }
 
+// The leader and a worker are lost together, so that the successor finds a run of "old" nowhere; no
+// run of the job had ended before. Guards against a task that counts as new then, because only ends
+// had been recorded: the next free worker goes to the job that has never started.
+func TestTaskOfLostWorkerReturnsBeforeNewTasks(t *testing.T) {
+	is := is.New(t)
+	c := newFullCluster(t, 0, 4)
+	c.workers["w0"].dead = true
+	clear(c.workers["w0"].runs)
+	c.elect(false)
+	c.advance(11 * time.Second) // the successor waits for the leases
+	is.Equal(len(c.runningOn("old")), fullClusterWorkers-1)
+	c.addWorker("w20", cores(8, 64), "r0")
+	c.leader().step(orchestrator.WorkersListed{Workers: c.listedWorkers()})
+	c.advance(maxGap)
+	is.Equal(len(c.runningOn("old")), fullClusterWorkers)
+}
+
 // The worker refuses the first start after each failure for lack of capacity. Guards against a wait
 // that counts anew after a refused start.
 func TestRefusedStartKeepsWaitOfLongRunningTask(t *testing.T) {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -51,24 +51,24 @@
 	queueStats    map[string]*queueStats // by queue
 	interference  interferenceModel
 
-	inheritedApplied bool            // Inherited has been applied
-	handedOff        bool            // the earlier leader handed over cleanly
-	confirmedAt      time.Time       // when it was last certain that no other leader had been elected
-	statisticsAt     time.Time       // when NextBatch last returned the workload statistics
-	rosterVersion    uint64          // version of the roster after its last change
-	rosterWritten    uint64          // roster version that is in the store
-	dirty            map[string]*job // jobs with unwritten changes, by ID
-	expired          []string        // finished jobs whose records are to be deleted
-	capacityScarce   bool            // only the reserve for short jobs is left
-	returning        map[string]bool // services with a returning task, as of the last pass
-	lightlyLoaded    bool            // less than lightLoadShare of the workers' processors is used
-	passDue          bool            // a scheduling pass is due, because a change may let a task start
-	loadNotedAt      time.Time       // when noteLoad last ran
-	lastPassAt       time.Time       // of the last scheduling pass
-	scoreOffset      int             // index of the worker at which choose begins if it scores only some of the workers
-	steppedDown      bool            // a later leader exists
-	leaving          bool            // this leader hands over
-	wallOffset       time.Duration   // WallOffset of the last Tick
+	inheritedApplied bool                   // Inherited has been applied
+	handedOff        bool                   // the earlier leader handed over cleanly
+	confirmedAt      time.Time              // when it was last certain that no other leader had been elected
+	statisticsAt     time.Time              // when NextBatch last returned the workload statistics
+	rosterVersion    uint64                 // version of the roster after its last change
+	rosterWritten    uint64                 // roster version that is in the store
+	dirty            map[string]*job        // jobs with unwritten changes, by ID
+	expired          []string               // finished jobs whose records are to be deleted
+	capacityScarce   bool                   // only the reserve for short jobs is left
+	returning        map[string][]Resources // by service: sizes of the returning tasks that have precedence
+	lightlyLoaded    bool                   // less than lightLoadShare of the workers' processors is used
+	passDue          bool                   // a scheduling pass is due, because a change may let a task start
+	loadNotedAt      time.Time              // when noteLoad last ran
+	lastPassAt       time.Time              // of the last scheduling pass
+	scoreOffset      int                    // index of the worker at which choose begins if it scores only some of the workers
+	steppedDown      bool                   // a later leader exists
+	leaving          bool                   // this leader hands over
+	wallOffset       time.Duration          // WallOffset of the last Tick
 }
 
 // finishedJob is a job whose final state is in the store.
@@ -638,11 +638,18 @@
 	return t.step.LongRunning && len(t.runs) == 0 && !t.lastRunEnd.IsZero()
 }
 
-// yieldsToReturning reports whether a long-running task that has never run must wait, because a
-// returning task of its service does. It has nothing to lose, and would take for good the capacity
-// that the run of the other has left.
-func (o *Orchestrator) yieldsToReturning(t *task) bool {
-	return t.step.LongRunning && t.lastRunEnd.IsZero() && o.returning[t.job().Policy.Service]
+// yieldsToReturning reports whether a long-running task that has never run must leave a worker to a
+// returning task of its service. It would take for good the capacity that the run of the other has left.
+func (o *Orchestrator) yieldsToReturning(t *task, w *worker) bool {
+	if !t.step.LongRunning || !t.lastRunEnd.IsZero() {
+		return false
+	}
+	sizes := o.returning[t.job().Policy.Service]
+	if len(sizes) == 0 {
+		return false
+	}
+	free := w.freeAfterShortTasks()
+	return slices.ContainsFunc(sizes, free.covers)
 }
 
 // maxAttempts returns the number of failed runs of the task after which its job fails.
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -274,7 +274,7 @@
 		return obstacleCapacity
 	case w.atLimit(s):
 		return obstacleLimit
-	case o.yieldsToReturning(t):
+	case o.yieldsToReturning(t, w):
 		return obstacleReturningTask
 	case s.LongRunning && o.capacityScarce && o.now.Sub(t.waitingSince) < longRunningMaxWait:
 		return obstacleShortJobReserve
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -37,19 +37,20 @@
 	}
 }
 
-// maxPrecedence is how long a returning task keeps new ones of its service waiting. It may be one that
-// fits on no worker that is left.
+// maxPrecedence is how long a returning task keeps new ones of its service from the workers on which
+// it would fit. Other limits may keep it from all of these.
 const maxPrecedence = 30 * time.Second
 
-// updateReturning determines the services with returning tasks that have precedence.
+// updateReturning determines the sizes of the returning tasks that have precedence.
 func (o *Orchestrator) updateReturning() {
-	o.returning = make(map[string]bool)
+	o.returning = make(map[string][]Resources)
 	for s := range o.ready {
-		if !s.LongRunning || o.returning[s.occurrence.job.Policy.Service] {
+		service := s.occurrence.job.Policy.Service
+		if !s.LongRunning || slices.Contains(o.returning[service], s.countedSize()) {
 			continue
 		}
 		if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.returns() && o.now.Sub(t.waitingSince) < maxPrecedence }) {
-			o.returning[s.occurrence.job.Policy.Service] = true
+			o.returning[service] = append(o.returning[service], s.countedSize())
 		}
 	}
 }
--- a/internal/orchestrator/reservation.go
+++ b/internal/orchestrator/reservation.go
@@ -17,13 +17,13 @@
 // would never be enough for the large task.
 func (o *Orchestrator) reserveWorker(t *task, workers []*worker) string {
 	const noCapacity = "no worker has room"
-	if !o.enabled(MechanismReservations) || !t.step.LongRunning || o.yieldsToReturning(t) || o.now.Sub(t.waitingSince) < longRunningMaxWait {
+	if !o.enabled(MechanismReservations) || !t.step.LongRunning || o.now.Sub(t.waitingSince) < longRunningMaxWait {
 		return noCapacity
 	}
 	reserved := 0
 	var best *worker
 	for _, w := range workers {
-		if w.atLimit(t.step) || w.free().covers(t.step.countedSize()) {
+		if w.atLimit(t.step) || w.free().covers(t.step.countedSize()) || o.yieldsToReturning(t, w) {
 			continue // the task does not wait for capacity on this worker
 		}
 		if w.reservedFor != nil && o.now.Before(w.reservedUntil) {
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -194,10 +194,13 @@
 		r.ackedAt = o.now
 		r.startedAt = o.now
 	}
+	j := r.task.job()
 	if r.phase == phaseStarting {
 		r.phase = phaseRunning
+		if r.task.step.LongRunning {
+			o.markDirty(j) // a later leader must know that the task has had a run
+		}
 	}
-	j := r.task.job()
 	if !j.started {
 		j.started = true
 		if j.state == StateQueued {
