--- a/internal/orchestrator/longrunning_test.go
+++ b/internal/orchestrator/longrunning_test.go
@@ -158,6 +158,23 @@
 	is.Equal(len(c.runningOn("old")), fullClusterWorkers)
 }
 
+// A worker's process is gone and its run lost; the leader changes before the task has a new one. Guards
+// against a wait that counts anew because the loss of a run, unlike its end, was not recorded.
+func TestWaitOfLostRunSurvivesLeaderChange(t *testing.T) {
+	c := newFullCluster(t, 0, 4)
+	c.longest = 0
+	lost := c.workers["w0"]
+	lost.replaced = true
+	clear(lost.runs)
+	c.advance(3 * time.Second)
+	c.elect(false)
+	c.advance(1500 * time.Millisecond)
+	c.addWorker("w20", cores(8, 64), "r0")
+	c.leader().step(orchestrator.WorkersListed{Workers: c.listedWorkers()})
+	c.advance(2 * maxGap)
+	c.checkGaps(t)
+}
+
 // The worker refuses the first start after each failure for lack of capacity. Guards against a wait
 // that counts anew after a refused start.
 func TestRefusedStartKeepsWaitOfLongRunningTask(t *testing.T) {
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -115,6 +115,9 @@
 	}
 	o.passDue = true
 	j := t.job()
+	if t.step.LongRunning && !j.state.Final() {
+		o.markDirty(j) // with the time since when the task waits
+	}
 	if j.runCount--; j.runCount == 0 {
 		j.idleSince = o.now
 	}
