--- a/internal/orchestrator/load_test.go
+++ b/internal/orchestrator/load_test.go
@@ -337,6 +337,32 @@
 	is.Equal(w.starts, started)
 }
 
+// A request to cancel is stored, and the leader is replaced before it hears of it. Guards against a
+// successor that starts tasks of the cancelled job, or leaves its runs alone.
+func TestCancelBeforeLeaderChangeIsCarriedOut(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 2, cores(4, 16))
+	w.submit(simpleJob("short", 2, cores(1, 1))) // its end lets tasks of j1 start
+	j := simpleJob("j1", 10, cores(1, 1))
+	j.Steps[0].LongRunning = true
+	w.submit(j)
+	w.run(850 * time.Millisecond)
+	is.True(len(w.runningOn("j1")) > 0)
+	old := w.leader()
+	old.storeUnreachable = true
+	w.cancelRequests["j1"] = true
+	w.elect(false)
+	starts := len(w.notesOf(orchestrator.EventStart))
+	w.run(100 * time.Millisecond) // before the successor reads new inputs from the store
+	is.Equal(w.state("j1"), orchestrator.StateCancelled)
+	w.run(900 * time.Millisecond)
+	is.Equal(len(w.runningOn("j1")), 0)
+	for _, n := range w.notesOf(orchestrator.EventStart)[starts:] {
+		is.True(n.Job != "j1")
+	}
+	is.True(old.deposed)
+}
+
 // Gangs need all their tasks on one rack. Guards against members that start without the
 // others or on another rack.
 func TestGangStartsTogetherOnOneRack(t *testing.T) {
