A leader that is behind says so, and puts off starts

Now a Tick tells how late the last one was applied: passes wait for as long, so that ends, stops, renewals and confirmations go first. LeaderBehind (from 0.5 s on, once in 2 s) and the gauge leader_lag_seconds tell an operator. TestLeaderBehindPutsOffStarts fails without the pause, TestLeaderBehindIsLogged guards the line. Not done: a refusal of new submissions while the leader is behind.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -34,6 +34,10 @@
 	writeRetryDelay = 60 * time.Millisecond
 	// tickInterval is the interval of the Tick events that the orchestrator receives.
 	tickInterval = 50 * time.Millisecond
+	// minLoggedLag is the lag from which a leader counts as behind. Other hosts elect another one
+	// when it has neither answered nor written for silentElectionTimeout.
+	minLoggedLag   = 500 * time.Millisecond
+	lagLogInterval = 2 * time.Second
 	// inputPollInterval is the interval at which the leader reads new jobs and cancel
 	// requests from the store, in case a notice was lost.
 	inputPollInterval = time.Second
@@ -54,6 +58,7 @@
 	cancel      context.CancelFunc
 	done        chan struct{} // closed when run has returned
 	writeWakeup chan struct{} // makes runWriter write at once
+	lagLoggedAt time.Time     // of the last LeaderBehind; used by runTicker only
 
 	mu          sync.Mutex // guards the fields below
 	orch        *orchestrator.Orchestrator
@@ -152,16 +157,30 @@
 func (ld *leadership) runTicker(ctx context.Context) {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
+	var lag time.Duration
 	for {
 		select {
-		case <-t.C:
-			ld.apply(orchestrator.Tick{WallOffset: timekeeper.WallOffset()})
+		case due := <-t.C:
+			ld.apply(orchestrator.Tick{WallOffset: timekeeper.WallOffset(), Lag: lag})
+			lag = time.Since(due)
+			ld.recordLag(lag)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// recordLag records how late a Tick was applied, and logs it if the leader is behind.
+func (ld *leadership) recordLag(lag time.Duration) {
+	ld.c.metrics.leaderLag.Set(lag.Seconds())
+	if lag < minLoggedLag || time.Since(ld.lagLoggedAt) < lagLogInterval {
+		return
+	}
+	ld.lagLoggedAt = time.Now()
+	ld.c.log.Warn("LeaderBehind", "Epoch", ld.term.Revision, "Lag", lag.Round(time.Millisecond).String(),
+		"Outcome", "scheduling passes wait for as long")
+}
+
 // handleNotice applies a job or cancel request that another host has stored. A job of
 // another term is ignored here; load or pollInputs finds it.
 func (ld *leadership) handleNotice(n notice) {
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -25,6 +25,7 @@
 	electionsWon    prometheus.Counter
 	storeFailures   prometheus.Counter
 	leading         prometheus.Gauge
+	leaderLag       prometheus.Gauge
 	configVersion   prometheus.Gauge
 	configBytes     prometheus.Gauge
 	configReads     *prometheus.HistogramVec
@@ -52,11 +53,12 @@
 		electionsWon:    counter("elections_won_total", "Elections that this host won."),
 		storeFailures:   counter("store_failures_total", "Calls to the store without an answer or with a refusal."),
 		leading:         gauge("leading", "1 while this host leads."),
+		leaderLag:       gauge("leader_lag_seconds", "How late the leader's last regular event was applied."),
 		configVersion:   gauge("configuration_version", "Version of the configuration in force."),
 		configBytes:     gauge("configuration_bytes", "Size of the configuration in force, before it is encoded for the transfer."),
 		configReads:     histogram("configuration_read_seconds", "Time of the store's answers to reads and watches of the configuration, by call and outcome.", prometheus.ExponentialBuckets(0.004, 2, 12), "call", "outcome"),
 	}
-	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures, m.leading, m.configVersion,
+	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures, m.leading, m.leaderLag, m.configVersion,
 		m.configBytes, m.configReads)
 	return m
 }
--- a/internal/coordinator/store_health_test.go
+++ b/internal/coordinator/store_health_test.go
@@ -1,8 +1,10 @@
 package coordinator
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -140,3 +142,18 @@
 	is.Equal(c.Submit(context.Background(), j).Outcome, OutcomeUndecided)
 	is.Equal(store.commits, 2)
 }
+
+// The leader applies events late for seconds. Guards against a leader that falls silent without a word,
+// and against a line for every event.
+func TestLeaderBehindIsLogged(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	c := New(Settings{Name: "a"}, Dependencies{}, slog.New(slog.NewTextHandler(&log, nil)))
+	ld := &leadership{c: c, term: term{Revision: 7}}
+	ld.recordLag(minLoggedLag / 2)
+	is.Equal(log.Len(), 0)
+	for range 5 {
+		ld.recordLag(1200 * time.Millisecond)
+	}
+	is.Equal(strings.Count(log.String(), "msg=LeaderBehind Epoch=7 Lag=1.2s"), 1)
+}
--- a/internal/orchestrator/event.go
+++ b/internal/orchestrator/event.go
@@ -176,6 +176,8 @@
 	// WallOffset is how far the time of day, to which schedules refer, is ahead of the time
 	// of events.
 	WallOffset time.Duration
+	// Lag is how late the last Tick was applied.
+	Lag time.Duration
 }
 
 func (Inherited) event()        {}
--- a/internal/orchestrator/load_test.go
+++ b/internal/orchestrator/load_test.go
@@ -337,6 +337,32 @@
 	is.Equal(w.starts, started)
 }
 
+// The leader applies events a second late. Guards against scheduling passes that take the time which
+// stops, renewals and confirmations need: passes wait for as long as the leader is behind, cancels
+// don't.
+func TestLeaderBehindPutsOffStarts(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 2, cores(4, 16))
+	w.lag = time.Second
+	w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+	w.submit(simpleJob("j0", 1, cores(1, 1)))
+	w.run(1100 * time.Millisecond)
+	is.Equal(len(w.runningOn("j0")), 1)
+	passes := make(map[time.Time]bool)
+	for i := range 40 {
+		w.submit(simpleJob(fmt.Sprintf("j%d", i+1), 1, cores(0.1, 0)))
+		before := len(w.notesOf(orchestrator.EventStart))
+		w.run(50 * time.Millisecond)
+		if len(w.notesOf(orchestrator.EventStart)) > before {
+			passes[w.now] = true
+		}
+	}
+	is.True(len(passes) <= 2) // in two seconds
+	w.cancel("j0")
+	w.run(400 * time.Millisecond) // a stop takes 300 ms
+	is.Equal(len(w.runningOn("j0")), 0)
+}
+
 // A request to cancel is stored, and the leader is replaced before it hears of it. Guards against a
 // successor that starts tasks of the cancelled job, or leaves its runs alone.
 func TestCancelBeforeLeaderChangeIsCarriedOut(t *testing.T) {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -68,6 +68,7 @@
 	scoreOffset      int                    // index of the worker at which choose begins if it scores only some of the workers
 	steppedDown      bool                   // a later leader exists
 	leaving          bool                   // this leader hands over
+	lag              time.Duration          // Lag of the last Tick
 	wallOffset       time.Duration          // WallOffset of the last Tick
 }
 
@@ -206,7 +207,7 @@
 	case HandOver:
 		o.handOver()
 	case Tick:
-		o.wallOffset = e.WallOffset
+		o.wallOffset, o.lag = e.WallOffset, e.Lag
 		o.tick()
 	}
 	if o.leaving {
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -56,9 +56,10 @@
 }
 
 // passPause returns the pause between two passes. It grows with the queue, because a pass
-// goes through all waiting steps.
+// goes through all waiting steps. A leader that is behind leaves at least as much time to the events
+// that wait: ends, stops, renewals of leases and confirmations go before starts.
 func (o *Orchestrator) passPause() time.Duration {
-	return passInterval + time.Duration(len(o.ready))*passIntervalPerStep
+	return max(passInterval+time.Duration(len(o.ready))*passIntervalPerStep, o.lag)
 }
 
 // urgency holds the values that decide a step's place in the queue.
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -36,6 +36,7 @@
 	runTime         func(task string, w *simulatedWorker) time.Duration
 	notes           []orchestrator.Note
 	wallOffset      time.Duration
+	lag             time.Duration             // of the leaders' Ticks
 	disabled        orchestrator.MechanismSet // of leaders that are elected later
 	lease           time.Duration             // of the runs of leaders that are elected later
 }
@@ -617,7 +618,7 @@
 			l.step(e)
 		}
 		if ms%50 == 0 {
-			l.step(orchestrator.Tick{WallOffset: w.wallOffset})
+			l.step(orchestrator.Tick{WallOffset: w.wallOffset, Lag: w.lag})
 		}
 		if ms%100 == 0 {
 			l.write(false)
