orchestrator: within a step, tasks that lost their run go before those that never ran

The waiting tasks of a step are tried by the length of their waits, up to the first that finds no worker. One that has never run waits longest, and yields to the returning task of its own step, which is never tried. Why this works: returning tasks are tried first.

--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// configurationWatchTimeout is how long one watch of the configuration lasts. Its end detects
-	// a dead connection.
+	// configurationWatchTimeout is how long one watch of the configuration lasts. A watch without
+	// an answer after it has a dead connection.
 	configurationWatchTimeout = 1000 * time.Millisecond
 	configurationRetryDelay   = 150 * time.Millisecond
 	// configurationWatchOverlap is how far back at least a watch looks. A watch may miss a change
@@ -27,10 +27,12 @@
 	configurationFailureLogInterval = 2 * time.Second
 )
 
-// Calls to the store that bring the configuration, as the log and the metrics name them.
+// configurationCall is a call to the store that brings the configuration.
+type configurationCall string
+
 const (
-	callRead  = "read"
-	callWatch = "watch"
+	callRead  configurationCall = "read"
+	callWatch configurationCall = "watch"
 )
 
 // failedReads counts failed reads of the configuration since the last log line about them.
@@ -41,13 +43,13 @@
 
 // configurationSync is the state of syncConfiguration.
 type configurationSync struct {
-	known        bool      // the store has been read since the last failure
+	known        bool      // the configuration has been read since the last failed call
 	resume       uint64    // the next watch reports changes after this revision of the store
 	checkpoint   uint64    // revision of the store that becomes resume once it is old enough
 	checkpointAt time.Time // when the checkpoint was current
 	readAt       time.Time
 	readBytes    int
-	triedVersion uint64 // newest version of another host that a read was to bring
+	triedVersion uint64 // newest version of another host for which the configuration was read
 	failed       failedReads
 }
 
@@ -130,19 +132,19 @@
 }
 
 // recordConfigurationCall records the result of a read or watch of the configuration.
-func (c *Coordinator) recordConfigurationCall(call string, begin time.Time, err error, failed *failedReads) {
+func (c *Coordinator) recordConfigurationCall(call configurationCall, begin time.Time, err error, failed *failedReads) {
 	took := time.Since(begin)
 	if err == nil {
-		c.metrics.configReads.WithLabelValues(call, "done").Observe(took.Seconds())
+		c.metrics.configReads.WithLabelValues(string(call), "done").Observe(took.Seconds())
 		c.configCheckedAt.Store(timekeeper.Now().UnixNano())
 		return
 	}
-	c.metrics.configReads.WithLabelValues(call, "failed").Observe(took.Seconds())
+	c.metrics.configReads.WithLabelValues(string(call), "failed").Observe(took.Seconds())
 	failed.count++
 	if time.Since(failed.loggedAt) < configurationFailureLogInterval {
 		return
 	}
-	c.log.Warn("ConfigurationReadFailed", "Call", call, "Took", took.Round(time.Millisecond).String(), "Version", c.configVersion(),
+	c.log.Warn("ConfigurationReadFailed", "Call", string(call), "Took", took.Round(time.Millisecond).String(), "Version", c.configVersion(),
 		"CheckedAgo", c.timeSinceConfigurationCheck().Round(time.Millisecond).String(), "Failures", failed.count, "Cause", err.Error())
 	*failed = failedReads{loggedAt: time.Now()}
 }
@@ -159,7 +161,7 @@
 
 // applyConfiguration puts a configuration that call has brought into effect, unless it is
 // unreadable or not newer than the one in effect.
-func (c *Coordinator) applyConfiguration(e storer.Entry, call string) {
+func (c *Coordinator) applyConfiguration(e storer.Entry, call configurationCall) {
 	n, err := c.deps.Decoder.Configuration(e.Value)
 	if err != nil {
 		c.log.Error("ConfigurationRefused", "Revision", e.Revision, "Cause", err.Error())
@@ -173,7 +175,7 @@
 	c.metrics.configVersion.Set(float64(n.Version))
 	c.metrics.configBytes.Set(float64(len(e.Value)))
 	c.log.Info("ConfigurationApplied", "Version", n.Version, "Revision", e.Revision, "Queues", len(n.Queues),
-		"Bytes", len(e.Value), "Call", call)
+		"Bytes", len(e.Value), "Call", string(call))
 }
 
 // noteOtherHostsVersion makes syncConfiguration read the configuration if this host's version is
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -58,8 +58,8 @@
 		configBytes:     gauge("configuration_bytes", "Size of the configuration in force, before it is encoded for the transfer."),
 		configReads:     histogram("configuration_read_seconds", "Time of the store's answers to reads and watches of the configuration, by call and outcome.", prometheus.ExponentialBuckets(0.004, 2, 12), "call", "outcome"),
 	}
-	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures, m.leading, m.leaderLag, m.configVersion,
-		m.configBytes, m.configReads)
+	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures,
+		m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads)
 	return m
 }
 
--- a/internal/orchestrator/longrunning_test.go
+++ b/internal/orchestrator/longrunning_test.go
@@ -22,7 +22,9 @@
 type fullCluster struct {
 	*simulation
 	submitted int                  // short jobs
-	gapSince  map[string]time.Time // since when a task of "old" has had no run
+	tasks     int                  // of "old"
+	begun     map[string]bool      // tasks of "old" that have had a run
+	gapSince  map[string]time.Time // since when such a task has had no run
 	longest   time.Duration        // longest gap so far
 }
 
@@ -34,11 +36,13 @@
 )
 
 // newFullCluster returns a full cluster after ten seconds. Short jobs have the priority 0, "old" the
-// given one; a task of "new" has the given number of processors.
-func newFullCluster(t *testing.T, priority int, newCores float64) *fullCluster {
-	c := &fullCluster{simulation: newCluster(t, fullClusterWorkers, cores(8, 64)), gapSince: make(map[string]time.Time)}
+// given one and the given number of tasks, of which fullClusterWorkers find room; a task of "new" has
+// the given number of processors.
+func newFullCluster(t *testing.T, priority, tasks int, newCores float64) *fullCluster {
+	c := &fullCluster{simulation: newCluster(t, fullClusterWorkers, cores(8, 64)), tasks: tasks,
+		begun: make(map[string]bool), gapSince: make(map[string]time.Time)}
 	c.runTime = func(string, *simulatedWorker) time.Duration { return 600 * time.Millisecond }
-	old := longRunningJob("old", fullClusterWorkers, cores(5, 2))
+	old := longRunningJob("old", tasks, cores(5, 2))
 	old.Policy = orchestrator.Policy{Service: "s", Priority: priority, Attempts: 3, Stretch: 2, TargetDuration: time.Second}
 	c.submit(old)
 	c.advance(5 * time.Second)
@@ -65,12 +69,14 @@
 				running[name] = true
 			}
 		}
-		for i := range fullClusterWorkers {
+		for i := range c.tasks {
 			name := fmt.Sprintf("old.0.0.%d", i)
 			since, gap := c.gapSince[name]
 			switch {
 			case running[name]:
+				c.begun[name] = true
 				delete(c.gapSince, name)
+			case !c.begun[name]:
 			case !gap:
 				c.gapSince[name] = c.now
 			default:
@@ -102,15 +108,17 @@
 func TestFailedLongRunningTaskComesBackToFullCluster(t *testing.T) {
 	for name, p := range map[string]struct {
 		priority int
+		tasks    int
 		newCores float64
 	}{
-		"short jobs":                 {0, 3},
-		"larger task that is new":    {0, 4},
-		"largest task that is new":   {0, 7},
-		"short jobs of higher class": {1, 4},
+		"short jobs":                 {0, fullClusterWorkers, 3},
+		"larger task that is new":    {0, fullClusterWorkers, 4},
+		"largest task that is new":   {0, fullClusterWorkers, 7},
+		"short jobs of higher class": {1, fullClusterWorkers, 4},
+		"new task of the same step":  {0, fullClusterWorkers + 2, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := newFullCluster(t, p.priority, p.newCores)
+			c := newFullCluster(t, p.priority, p.tasks, p.newCores)
 			c.longest = 0
 			for range 20 {
 				c.failOne()
@@ -125,7 +133,7 @@
 // The same, and the leader changes every five seconds. Guards against waits that count anew with
 // each leader, so that a task never becomes urgent.
 func TestFailedLongRunningTaskComesBackDespiteLeaderChanges(t *testing.T) {
-	c := newFullCluster(t, 0, 4)
+	c := newFullCluster(t, 0, fullClusterWorkers, 4)
 	c.longest = 0
 	for i := range 20 {
 		c.failOne()
@@ -146,7 +154,7 @@
 // had been recorded: the next free worker goes to the job that has never started.
 func TestTaskOfLostWorkerReturnsBeforeNewTasks(t *testing.T) {
 	is := is.New(t)
-	c := newFullCluster(t, 0, 4)
+	c := newFullCluster(t, 0, fullClusterWorkers, 4)
 	c.workers["w0"].dead = true
 	clear(c.workers["w0"].runs)
 	c.elect(false)
@@ -161,7 +169,7 @@
 // A worker's process is gone and its run lost; the leader changes before the task has a new one. Guards
 // against a wait that counts anew because the loss of a run, unlike its end, was not recorded.
 func TestWaitOfLostRunSurvivesLeaderChange(t *testing.T) {
-	c := newFullCluster(t, 0, 4)
+	c := newFullCluster(t, 0, fullClusterWorkers, 4)
 	c.longest = 0
 	lost := c.workers["w0"]
 	lost.replaced = true
@@ -178,7 +186,7 @@
 // The worker refuses the first start after each failure for lack of capacity. Guards against a wait
 // that counts anew after a refused start.
 func TestRefusedStartKeepsWaitOfLongRunningTask(t *testing.T) {
-	c := newFullCluster(t, 0, 4)
+	c := newFullCluster(t, 0, fullClusterWorkers, 4)
 	c.longest = 0
 	for range 10 {
 		refused := false
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -634,8 +634,8 @@
 
 func (t *task) job() *job { return t.step.occurrence.job }
 
-// returns reports whether a long-running task waits that had a run before.
-func (t *task) returns() bool {
+// returning reports whether a long-running task waits that had a run before.
+func (t *task) returning() bool {
 	return t.step.LongRunning && len(t.runs) == 0 && !t.lastRunEnd.IsZero()
 }
 
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -110,9 +110,8 @@
 	return starts
 }
 
-// waitingTasks returns the tasks of the step that neither run nor have succeeded. Those of
-// long-running steps are in the order of their waits: the first that finds no worker keeps the others
-// waiting.
+// waitingTasks returns the tasks of the step that neither run nor have succeeded. Returning tasks come
+// first, in the order of their waits: the first task that finds no worker keeps the others waiting.
 func (s *step) waitingTasks() []*task {
 	var ts []*task
 	for _, t := range s.tasks {
@@ -121,7 +120,15 @@
 		}
 	}
 	if s.LongRunning {
-		slices.SortStableFunc(ts, func(a, b *task) int { return a.waitingSince.Compare(b.waitingSince) })
+		slices.SortStableFunc(ts, func(a, b *task) int {
+			if a.returning() != b.returning() {
+				if a.returning() {
+					return -1
+				}
+				return 1
+			}
+			return a.waitingSince.Compare(b.waitingSince)
+		})
 	}
 	return ts
 }
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -49,7 +49,7 @@
 		if !s.LongRunning || slices.Contains(o.returning[service], s.countedSize()) {
 			continue
 		}
-		if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.returns() && o.now.Sub(t.waitingSince) < maxPrecedence }) {
+		if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.returning() && o.now.Sub(t.waitingSince) < maxPrecedence }) {
 			o.returning[service] = append(o.returning[service], s.countedSize())
 		}
 	}
