orchestrator: failures that only unreachable workers know count as attempts

A job that can't be done was started twice more after four failed runs. Cause: the store is away while a task fails on three workers, so no record has these ends; then their failure domain is cut off with the leader. The successor adopts the fourth run and takes an adopted task for known: when that run fails, it starts the task at once. The ends of the other three are taken note of after the cut. Why this works: the number of an adopted run tells how many came before it. If all of those with an unknown end may have used up the attempts, the task waits for the workers that have not answered, as one that was seen nowhere does. Tasks with attempts to spare start at once as before.

--- a/internal/orchestrator/load_test.go
+++ b/internal/orchestrator/load_test.go
@@ -363,6 +363,48 @@
 	is.Equal(len(w.runningOn("j0")), 0)
 }
 
+// A task has failed three times on workers that the successor of the leader can't reach; the store was
+// away, so no record has these ends. The successor adopts the fourth run, which fails as well. Guards
+// against a fifth start: the ends of the first three are taken note of later, and the task had no
+// attempts left.
+func TestFailuresOnUnreachableWorkersCountAsAttempts(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 4, cores(1, 4))
+	w.succeeds = func(string, int) bool { return false }
+	runs := 0
+	w.runTime = func(string, *simulatedWorker) time.Duration {
+		if runs++; runs == 4 {
+			return time.Second
+		}
+		return 100 * time.Millisecond
+	}
+	j := simpleJob("poison", 1, cores(1, 1))
+	j.Policy.Attempts = 4
+	w.submit(j)
+	old := w.leader()
+	old.storeUnreachable = true
+	for w.starts < 4 {
+		w.run(10 * time.Millisecond)
+	}
+	last := w.runningOn("poison")
+	is.Equal(len(last), 1)
+
+	next := w.elect(false)
+	for n, k := range w.workers {
+		if n == last[0] {
+			k.unreachableFrom[old] = true
+		} else {
+			k.unreachableFrom[next] = true
+		}
+	}
+	w.run(4 * time.Second) // the leases of the old leader last for longer
+	is.Equal(w.starts, 4)
+	w.heal()
+	w.run(2 * time.Second)
+	is.Equal(w.state("poison"), orchestrator.StateFailed)
+	is.Equal(w.starts, 4)
+}
+
 // A request to cancel is stored, and the leader is replaced before it hears of it. Guards against a
 // successor that starts tasks of the cancelled job, or leaves its runs alone.
 func TestCancelBeforeLeaderChangeIsCarriedOut(t *testing.T) {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -153,6 +153,7 @@
 
 	observed        bool     // this leader has started or adopted a run of it
 	recordedWorkers []string // workers of its runs in the record of an earlier leader
+	unknownRuns     int      // runs before the adopted one whose ends this leader may not know
 }
 
 // New returns the state machine of a leader that has just been elected.
@@ -634,6 +635,12 @@
 
 func (t *task) job() *job { return t.step.occurrence.job }
 
+// mayBeExhausted reports whether the task has no attempts left if all runs with an unknown end have
+// failed.
+func (t *task) mayBeExhausted() bool {
+	return !t.step.LongRunning && len(t.failed)+t.unknownRuns >= t.maxAttempts()
+}
+
 // returning reports whether a long-running task waits that had a run before.
 func (t *task) returning() bool {
 	return t.step.LongRunning && len(t.runs) == 0 && !t.lastRunEnd.IsZero()
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -151,10 +151,11 @@
 
 // blockedByUnreached returns why a task must not start on any worker yet, or an empty string.
 // A task of an inherited job must not start while an earlier leader may have started it on a
-// worker that has not answered this leader yet.
+// worker that has not answered this leader yet, or while such a worker may still report the failure
+// that uses up its attempts.
 func (o *Orchestrator) blockedByUnreached(p *pass, t *task) string {
 	j := t.job()
-	if !j.inherited || t.observed {
+	if !j.inherited || t.observed && !t.mayBeExhausted() {
 		return ""
 	}
 	for _, w := range p.unreached {
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -311,6 +311,9 @@
 		o.emit(StopRun{Worker: w.ID, Task: row.Task, Run: row.Run})
 		return nil
 	}
+	if t.job().inherited && !t.observed {
+		t.unknownRuns = max(0, row.Run-1-len(t.failed))
+	}
 	r := o.addRun(t, w, row.Run, phaseRunning)
 	o.startAccepted(r)
 	r.progressPercent, r.confirmedSpeed, r.throttled = row.Percent, unknownSpeed, true
