orchestrator: interference model without maps in scheduling passes

Cause: with 1,100 workers, a third of the leader's processor time went into looking up coefficients by two image names, for each worker that a pass considers for a best-effort task.

Change: latency-critical images are structs, and best-effort images are numbered, so that a pass reads coefficients and covariances from slices. The share of images with which a step interferes is kept for 250 ms.

--- a/internal/orchestrator/headroom.go
+++ b/internal/orchestrator/headroom.go
@@ -34,7 +34,7 @@
 // headroom is the predicted utilization that best-effort tasks may still add to the tasks of
 // a latency-critical image on a worker.
 type headroom struct {
-	image       string
+	image       *criticalImage
 	utilization float64 // utilization that may still be added; negative: too much is added
 }
 
@@ -42,17 +42,35 @@
 const headroomMaxAge = 100 * time.Millisecond
 
 // bestEffortLoads returns the share of the worker's processors that best-effort tasks may
-// use, by image. percent returns the speed limit of a run in percent.
-func (w *worker) bestEffortLoads(percent func(*run) int) map[string]float64 {
-	loads := make(map[string]float64)
+// use, by image. percent returns the speed limit of a run in percent. The result is valid until
+// the next call.
+func (o *Orchestrator) bestEffortLoads(w *worker, percent func(*run) int) []imageLoad {
+	loads := o.loadsBuffer[:0]
 	for _, r := range w.runs {
 		if r.task.step.Fills {
-			loads[r.task.step.Image] += w.bestEffortLoad(r.task.step.Step, percent(r))
+			loads = addLoad(loads, o.imageIndex(r.task.step), w.bestEffortLoad(r.task.step.Step, percent(r)))
 		}
 	}
+	o.loadsBuffer = loads
 	return loads
 }
 
+// imageIndex returns the index of a best-effort step's image in the interference model.
+func (o *Orchestrator) imageIndex(s *step) int {
+	if !s.imageIndexed {
+		s.imageIndexed, s.imageIndex = true, o.interference.index(s.Image)
+	}
+	return s.imageIndex
+}
+
+// criticalImage returns the image of a latency-critical step in the interference model.
+func (o *Orchestrator) criticalImage(s *step) *criticalImage {
+	if s.critical == nil {
+		s.critical = o.interference.image(s.Image)
+	}
+	return s.critical
+}
+
 // bestEffortLoad returns the share of the worker's processors that a best-effort task of the
 // step may use at a speed limit of percent.
 func (w *worker) bestEffortLoad(s *Step, percent int) float64 {
@@ -68,15 +86,15 @@
 		return w.headrooms
 	}
 	w.headroomsValid, w.headroomsAt, w.headrooms = true, o.now, w.headrooms[:0]
-	loads := w.bestEffortLoads((*run).effectiveSpeed)
+	loads := o.bestEffortLoads(w, (*run).effectiveSpeed)
 	for _, r := range w.runs {
 		if r.task.step.LatencyTarget <= 0 {
 			continue
 		}
-		image := r.task.step.Image
+		image := o.criticalImage(r.task.step)
 		// The allowed addition, less the predicted addition of the present best-effort tasks and
 		// a margin for the errors of their coefficients.
-		left := min(max(baseBudget, lowTotalUtilization-r.ownLoad), maxBudget, o.interference.utilizationLimit(image)-maxOwnLoadRise-r.ownLoad) - o.interference.addedUtilization(image, loads) - marginDeviations*math.Sqrt(o.interference.addedVariance(image, loads))
+		left := min(max(baseBudget, lowTotalUtilization-r.ownLoad), maxBudget, image.utilizationLimit()-maxOwnLoadRise-r.ownLoad) - image.addedUtilization(loads) - marginDeviations*math.Sqrt(image.addedVariance(loads))
 		if i := slices.IndexFunc(w.headrooms, func(h headroom) bool { return h.image == image }); i >= 0 {
 			w.headrooms[i].utilization = min(w.headrooms[i].utilization, left)
 			continue
@@ -99,26 +117,26 @@
 			return
 		}
 	}
-	loads := w.bestEffortLoads((*run).effectiveSpeed)
+	loads := o.bestEffortLoads(w, (*run).effectiveSpeed)
 	for _, row := range rows {
 		r := w.runs[runKey{row.Task, row.Run}]
 		if r == nil || r.task.step.LatencyTarget <= 0 || row.Figure <= 0 {
 			continue
 		}
-		image := r.task.step.Image
+		image := o.criticalImage(r.task.step)
 		estimate := &r.task.step.ownLoad
 		if !o.enabled(MechanismStepLoad) {
 			estimate = &r.ownLoadEstimate
 		}
-		o.interference.update(estimate, image, r.tailRatio, loads, o.now)
-		own := min(maxOwnLoad, max(minOwnLoad, o.interference.utilization(image, r.tailRatio)-o.interference.addedUtilization(image, loads)))
+		image.update(estimate, r.tailRatio, loads, o.now)
+		own := min(maxOwnLoad, max(minOwnLoad, image.utilization(r.tailRatio)-image.addedUtilization(loads)))
 		r.ownLoad += ownLoadWeight * (own - r.ownLoad)
 	}
 }
 
 // upperCoefficient returns the coefficient with the margin for its errors.
 func (e *pairEstimate) upperCoefficient() float64 {
-	return e.coefficient + marginDeviations*math.Sqrt(e.covariance[e.bestEffort])
+	return e.coefficient + marginDeviations*math.Sqrt(e.covariance(e.index))
 }
 
 // headroomWith returns the utilization that best-effort tasks may still add on a worker
@@ -127,9 +145,9 @@
 // near its target.
 func (o *Orchestrator) headroomWith(s *step, w *worker) float64 {
 	left := baseBudget
-	load := w.bestEffortLoad(s.Step, 100)
+	load, index := w.bestEffortLoad(s.Step, 100), o.imageIndex(s)
 	for _, h := range o.headrooms(w) {
-		e := o.interference.pair(h.image, s.Image)
+		e := h.image.pair(index)
 		left = min(left, h.utilization-e.upperCoefficient()*load)
 	}
 	return left
@@ -138,9 +156,9 @@
 // harmless reports whether samples show that a best-effort task of the step interferes with
 // no latency-critical task on a worker.
 func (o *Orchestrator) harmless(s *step, w *worker) bool {
-	load := w.bestEffortLoad(s.Step, 100)
+	load, index := w.bestEffortLoad(s.Step, 100), o.imageIndex(s)
 	for _, h := range o.headrooms(w) {
-		e := o.interference.pair(h.image, s.Image)
+		e := h.image.pair(index)
 		if e.samples < harmlessMinSamples || e.upperCoefficient()*load > harmlessUtilization {
 			return false
 		}
@@ -165,9 +183,9 @@
 		return 100
 	}
 	speed := 1.0
-	load := w.bestEffortLoad(s.Step, 100)
+	load, index := w.bestEffortLoad(s.Step, 100), o.imageIndex(s)
 	for _, h := range o.headrooms(w) {
-		if add := o.interference.pair(h.image, s.Image).coefficient * load; add > minThrottledUtilization && add > h.utilization {
+		if add := h.image.pair(index).coefficient * load; add > minThrottledUtilization && add > h.utilization {
 			speed = min(speed, h.utilization/add)
 		}
 	}
@@ -175,20 +193,32 @@
 }
 
 // interferingShare returns the share of the latency-critical images with which a best-effort
-// task of the step interferes by at least separationCoefficient.
+// task of the step interferes by at least separationCoefficient. It is at most
+// interferingShareMaxAge old.
 func (o *Orchestrator) interferingShare(s *step) float64 {
-	if len(o.interference.meanOwnLoad) == 0 {
-		return 0
+	if !s.interferingAt.IsZero() && o.now.Sub(s.interferingAt) < interferingShareMaxAge {
+		return s.interferingShare
 	}
-	n := 0
-	for image := range o.interference.meanOwnLoad {
-		if o.interference.pair(image, s.Image).coefficient >= separationCoefficient {
-			n++
+	s.interferingAt, s.interferingShare = o.now, 0
+	measured, interfering := 0, 0
+	for _, c := range o.interference.images {
+		if !c.measured {
+			continue
+		}
+		measured++
+		if c.pair(o.imageIndex(s)).coefficient >= separationCoefficient {
+			interfering++
 		}
 	}
-	return float64(n) / float64(len(o.interference.meanOwnLoad))
+	if measured > 0 {
+		s.interferingShare = float64(interfering) / float64(measured)
+	}
+	return s.interferingShare
 }
 
+// interferingShareMaxAge bounds the age of a step's cached interferingShare.
+const interferingShareMaxAge = 250 * time.Millisecond
+
 // separationCoefficient is the coefficient from which a pair of images is kept on separate
 // workers if possible. With this coefficient, a best-effort task that uses a tenth of a worker
 // adds as much as baseBudget.
@@ -200,5 +230,5 @@
 	if w.load.bestEffort == 0 {
 		return 0
 	}
-	return o.interference.addedUtilization(s.Image, w.bestEffortLoads((*run).effectiveSpeed))
+	return o.criticalImage(s).addedUtilization(o.bestEffortLoads(w, (*run).effectiveSpeed))
 }
--- a/internal/orchestrator/interference.go
+++ b/internal/orchestrator/interference.go
@@ -43,11 +43,43 @@
 // pairEstimate is the estimated interference of a best-effort image with a
 // latency-critical image.
 type pairEstimate struct {
-	bestEffort  string // empty: all best-effort images beyond maxBestEffortImages
+	index       int // of the best-effort image; sharedIndex: all images beyond maxBestEffortImages
 	coefficient float64
 	samples     int
-	// covariance holds, by best-effort image, the covariance of its coefficient with this one.
-	covariance map[string]float64
+	// covariances holds, by index of the best-effort image, the covariance of its coefficient
+	// with this one. Missing elements are 0.
+	covariances []float64
+}
+
+func (e *pairEstimate) covariance(index int) float64 {
+	if index >= len(e.covariances) {
+		return 0
+	}
+	return e.covariances[index]
+}
+
+func (e *pairEstimate) addCovariance(index int, d float64) {
+	for len(e.covariances) <= index {
+		e.covariances = append(e.covariances, 0)
+	}
+	e.covariances[index] += d
+}
+
+// criticalImage is what is known of a latency-critical image.
+type criticalImage struct {
+	name           string
+	pairs          []*pairEstimate // by index of the best-effort image; nil: none yet
+	estimates      int             // elements of pairs that are not nil
+	idleTailRatio  float64         // lowest measured tail latency as a share of the latency target
+	meanOwnLoad    float64         // mean own load of the tasks
+	measured       bool            // meanOwnLoad is measured
+	sampleVariance float64         // variance of a measured utilization around its prediction
+}
+
+// imageLoad is the share of a worker's processors that the best-effort tasks of an image may use.
+type imageLoad struct {
+	index int
+	load  float64
 }
 
 // interferenceModel predicts how best-effort tasks raise the tail latency of
@@ -56,152 +88,167 @@
 // plus for each best-effort task the coefficient of the pair of images times the share of
 // the worker's processors that the task may use. Most pairs do not interfere; a few do so
 // strongly.
+//
+// Best-effort images are numbered, because a scheduling pass looks up a pair for each worker
+// that it considers.
 type interferenceModel struct {
-	pairs map[string]map[string]*pairEstimate // by latency-critical image and best-effort image
-
-	// By latency-critical image:
-	idleTailRatios  map[string]float64 // lowest measured tail latency as a share of the latency target
-	meanOwnLoad     map[string]float64 // mean own load of the tasks
-	sampleVariances map[string]float64 // variance of a measured utilization around its prediction
+	images  map[string]*criticalImage
+	indexes map[string]int // by best-effort image
 }
 
+// sharedIndex is the index of the estimate that the best-effort images beyond
+// maxBestEffortImages share, and of best-effort tasks without an image.
+const sharedIndex = 0
+
 func newInterferenceModel() interferenceModel {
-	return interferenceModel{
-		pairs:           make(map[string]map[string]*pairEstimate),
-		idleTailRatios:  make(map[string]float64),
-		meanOwnLoad:     make(map[string]float64),
-		sampleVariances: make(map[string]float64),
+	return interferenceModel{images: make(map[string]*criticalImage), indexes: map[string]int{"": sharedIndex}}
+}
+
+// index returns the index of a best-effort image.
+func (m interferenceModel) index(bestEffort string) int {
+	i, ok := m.indexes[bestEffort]
+	if !ok {
+		i = len(m.indexes)
+		m.indexes[bestEffort] = i
+	}
+	return i
+}
+
+// image returns a latency-critical image.
+func (m interferenceModel) image(name string) *criticalImage {
+	c := m.images[name]
+	if c == nil {
+		c = &criticalImage{name: name, idleTailRatio: defaultIdleTailRatio, meanOwnLoad: defaultOwnLoad, sampleVariance: initialSampleVariance}
+		m.images[name] = c
 	}
+	return c
 }
 
-func (m interferenceModel) pair(critical, bestEffort string) *pairEstimate {
-	pairs := m.pairs[critical]
-	if pairs == nil {
-		pairs = make(map[string]*pairEstimate)
-		m.pairs[critical] = pairs
+// pair returns the estimate for a best-effort image.
+func (c *criticalImage) pair(index int) *pairEstimate {
+	if index < len(c.pairs) && c.pairs[index] != nil {
+		return c.pairs[index]
 	}
-	e := pairs[bestEffort]
-	if e == nil && len(pairs) >= maxBestEffortImages {
-		bestEffort = ""
-		e = pairs[bestEffort]
+	if c.estimates >= maxBestEffortImages && index != sharedIndex {
+		return c.pair(sharedIndex)
 	}
-	if e == nil {
-		e = &pairEstimate{bestEffort: bestEffort, coefficient: initialCoefficient, covariance: map[string]float64{bestEffort: initialVariance}}
-		pairs[bestEffort] = e
+	for len(c.pairs) <= index {
+		c.pairs = append(c.pairs, nil)
 	}
+	e := &pairEstimate{index: index, coefficient: initialCoefficient}
+	e.addCovariance(index, initialVariance)
+	c.pairs[index] = e
+	c.estimates++
 	return e
 }
 
-// addedUtilization returns the utilization that best-effort tasks add to a task of a
-// latency-critical image. loads is a result of bestEffortLoads.
-func (m interferenceModel) addedUtilization(critical string, loads map[string]float64) float64 {
+// addedUtilization returns the utilization that best-effort tasks add to a task of the image.
+func (c *criticalImage) addedUtilization(loads []imageLoad) float64 {
 	sum := 0.0
-	for image, load := range loads {
-		sum += m.pair(critical, image).coefficient * load
+	for _, l := range loads {
+		sum += c.pair(l.index).coefficient * l.load
 	}
 	return sum
 }
 
-// idleTailRatio returns the tail latency of an idle task of a latency-critical image as a
-// share of the latency target.
-func (m interferenceModel) idleTailRatio(critical string) float64 {
-	if idle, ok := m.idleTailRatios[critical]; ok {
-		return idle
+// addedVariance returns the variance of addedUtilization.
+func (c *criticalImage) addedVariance(loads []imageLoad) float64 {
+	sum := 0.0
+	for _, l := range loads {
+		e := c.pair(l.index)
+		for _, other := range loads {
+			sum += l.load * other.load * e.covariance(c.pair(other.index).index)
+		}
 	}
-	return defaultIdleTailRatio
+	return max(0, sum)
 }
 
 // utilization returns the utilization at which the model gives a tail latency. tailRatio is
 // the tail latency as a share of the latency target. If tailRatio is the lowest so far,
 // utilization also stores it as the idle tail ratio of the image.
-func (m interferenceModel) utilization(critical string, tailRatio float64) float64 {
-	idle := m.idleTailRatio(critical)
-	if tailRatio < idle {
-		idle = tailRatio
-		m.idleTailRatios[critical] = tailRatio
-	}
-	return 1 - idle/tailRatio
+func (c *criticalImage) utilization(tailRatio float64) float64 {
+	c.idleTailRatio = min(c.idleTailRatio, tailRatio)
+	return 1 - c.idleTailRatio/tailRatio
 }
 
 // utilizationLimit returns the utilization to which best-effort tasks may raise the tasks of
-// a latency-critical image.
-func (m interferenceModel) utilizationLimit(critical string) float64 {
-	return 1 - m.idleTailRatio(critical) - targetReserve
-}
+// the image.
+func (c *criticalImage) utilizationLimit() float64 { return 1 - c.idleTailRatio - targetReserve }
 
 // update corrects the model and an own load by a measured tail latency. The residual of the
 // prediction is divided between the own load and the coefficients by their variances: if other
 // tasks of the step have just shown the own load, nearly all of the residual is interference.
-func (m interferenceModel) update(own *ownLoadEstimate, critical string, tailRatio float64, loads map[string]float64, now time.Time) {
-	mean, ok := m.meanOwnLoad[critical]
-	if !ok {
-		mean = defaultOwnLoad
-	}
-	noise, ok := m.sampleVariances[critical]
-	if !ok {
-		noise = initialSampleVariance
-	}
-	e := own.predict(mean, now)
-	added := m.addedVariance(critical, loads)
-	total := noise + e.variance + added
+func (c *criticalImage) update(own *ownLoadEstimate, tailRatio float64, loads []imageLoad, now time.Time) {
+	e := own.predict(c.meanOwnLoad, now)
+	added := c.addedVariance(loads)
+	total := c.sampleVariance + e.variance + added
 	limit := maxResidualDeviations * math.Sqrt(total)
-	residual := m.utilization(critical, tailRatio) - e.mean - m.addedUtilization(critical, loads)
+	residual := c.utilization(tailRatio) - e.mean - c.addedUtilization(loads)
 	residual = min(limit, max(-limit, residual))
-	m.updateCoefficients(critical, loads, residual, noise+e.variance)
+	c.updateCoefficients(loads, residual, c.sampleVariance+e.variance)
 	*own = e.correct(residual, total)
-	m.meanOwnLoad[critical] = mean + meanLoadWeight*(own.mean-mean)
-	if added < noise { // otherwise the residual tells more about the coefficients
-		noise += sampleVarianceWeight * (residual*residual - total)
-		m.sampleVariances[critical] = min(initialSampleVariance, max(minSampleVariance, noise))
-	}
-}
-
-// addedVariance returns the variance of addedUtilization.
-func (m interferenceModel) addedVariance(critical string, loads map[string]float64) float64 {
-	sum := 0.0
-	for image, load := range loads {
-		e := m.pair(critical, image)
-		for other, l := range loads {
-			sum += load * l * e.covariance[m.pair(critical, other).bestEffort]
-		}
+	c.meanOwnLoad += meanLoadWeight * (own.mean - c.meanOwnLoad)
+	c.measured = true
+	if added < c.sampleVariance { // otherwise the residual tells more about the coefficients
+		noise := c.sampleVariance + sampleVarianceWeight*(residual*residual-total)
+		c.sampleVariance = min(initialSampleVariance, max(minSampleVariance, noise))
 	}
-	return max(0, sum)
 }
 
 // updateCoefficients distributes the residual of a prediction over the coefficients of the
-// best-effort images beside a task of a latency-critical image. It is a Kalman filter whose
-// state is the coefficients of that latency-critical image. If best-effort images always run
+// best-effort images beside a task of the image. It is a Kalman filter whose
+// state is the coefficients of the image. If best-effort images always run
 // together, samples show only the sum of their effects. The covariances record that the single
 // coefficients are uncertain.
-func (m interferenceModel) updateCoefficients(critical string, loads map[string]float64, residual, sampleVariance float64) {
-	present := make(map[string]float64, len(loads))
-	for image, load := range loads {
-		if load > 0 {
-			present[m.pair(critical, image).bestEffort] += load
+func (c *criticalImage) updateCoefficients(loads []imageLoad, residual, sampleVariance float64) {
+	type change struct {
+		estimate   *pairEstimate
+		covariance float64 // of the coefficient with the sample
+	}
+	present := make([]imageLoad, 0, len(loads))
+	for _, l := range loads {
+		if l.load > 0 {
+			present = addLoad(present, c.pair(l.index).index, l.load)
 		}
 	}
-	for image := range present {
-		e := m.pair(critical, image)
+	for _, l := range present {
+		e := c.pair(l.index)
 		e.samples++
-		e.covariance[image] += varianceDrift
+		e.addCovariance(l.index, varianceDrift)
 	}
 	total := sampleVariance
-	sampleCovariance := make(map[string]float64) // covariance of each coefficient with the sample
-	for image, e := range m.pairs[critical] {
-		c := 0.0
-		for other, load := range present {
-			c += e.covariance[other] * load
+	changes := make([]change, 0, c.estimates)
+	for _, e := range c.pairs {
+		if e == nil {
+			continue
 		}
-		if c != 0 {
-			sampleCovariance[image] = c
-			total += c * present[image]
+		covariance, own := 0.0, 0.0
+		for _, l := range present {
+			covariance += e.covariance(l.index) * l.load
+			if l.index == e.index {
+				own = l.load
+			}
+		}
+		if covariance != 0 {
+			changes = append(changes, change{e, covariance})
+			total += covariance * own
+		}
+	}
+	for _, h := range changes {
+		h.estimate.coefficient = min(maxCoefficient, max(0, h.estimate.coefficient+h.covariance/total*residual))
+		for _, other := range changes {
+			h.estimate.addCovariance(other.estimate.index, -h.covariance*other.covariance/total)
 		}
 	}
-	for image, c := range sampleCovariance {
-		e := m.pair(critical, image)
-		e.coefficient = min(maxCoefficient, max(0, e.coefficient+c/total*residual))
-		for other, d := range sampleCovariance {
-			e.covariance[other] -= c * d / total
+}
+
+// addLoad adds a load of an image to loads.
+func addLoad(loads []imageLoad, index int, load float64) []imageLoad {
+	for i := range loads {
+		if loads[i].index == index {
+			loads[i].load += load
+			return loads
 		}
 	}
+	return append(loads, imageLoad{index, load})
 }
--- a/internal/orchestrator/interference_test.go
+++ b/internal/orchestrator/interference_test.go
@@ -35,13 +35,13 @@
 // throttled far below the target.
 func TestUtilizationLimitFollowsIdleTail(t *testing.T) {
 	is := is.New(t)
-	m := newInterferenceModel()
-	before := m.utilizationLimit("web")
-	is.True(m.utilization("web", 1)-before <= 0.03) // tasks are not throttled far below the target
-	m.update(&ownLoadEstimate{}, "web", 1.0/9, nil, time.Unix(1e9, 0))
-	is.True(before < m.utilization("web", 1)) // the limit is below the target
-	is.True(m.utilizationLimit("web") > before+0.1)
-	is.True(m.utilizationLimit("web") < m.utilization("web", 1))
+	m := newInterferenceModel().image("web")
+	before := m.utilizationLimit()
+	is.True(m.utilization(1)-before <= 0.03) // tasks are not throttled far below the target
+	m.update(&ownLoadEstimate{}, 1.0/9, nil, time.Unix(1e9, 0))
+	is.True(before < m.utilization(1)) // the limit is below the target
+	is.True(m.utilizationLimit() > before+0.1)
+	is.True(m.utilizationLimit() < m.utilization(1))
 }
 
 // The load of callers swings for all tasks of a step at the same time, and the same
@@ -58,6 +58,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := newInterferenceModel()
+			web := m.image("web")
 			estimates := make(map[int]*ownLoadEstimate)
 			swingSamples(func(task int, tailRatio float64, loads map[string]float64, now time.Time) {
 				if c.ofStep {
@@ -66,9 +67,15 @@
 				if estimates[task] == nil {
 					estimates[task] = &ownLoadEstimate{}
 				}
-				m.update(estimates[task], "web", tailRatio, loads, now)
+				var byIndex []imageLoad
+				for _, image := range []string{"calm", "loud"} {
+					if load, ok := loads[image]; ok {
+						byIndex = append(byIndex, imageLoad{m.index(image), load})
+					}
+				}
+				web.update(estimates[task], tailRatio, byIndex, now)
 			})
-			loud, calm := m.pair("web", "loud").coefficient, m.pair("web", "calm").coefficient
+			loud, calm := web.pair(m.index("loud")).coefficient, web.pair(m.index("calm")).coefficient
 			// The actual coefficients are 3 and 0.1. A third of the loud one may be missing, and
 			// calm must not count as interfering.
 			if holds := loud >= 2 && calm < separationCoefficient; holds != c.holds {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -50,6 +50,7 @@
 	sortedWorkers []*worker              // all workers, sorted by ID; nil: to be sorted again
 	queueStats    map[string]*queueStats // by queue
 	interference  interferenceModel
+	loadsBuffer   []imageLoad // reused by bestEffortLoads
 
 	inheritedApplied bool                   // Inherited has been applied
 	handedOff        bool                   // the earlier leader handed over cleanly
@@ -132,6 +133,11 @@
 	waitNotedAt            time.Time     // when a reason for waiting was last noted
 	advice                 advice
 	ownLoad                ownLoadEstimate // of latency-critical tasks
+	critical               *criticalImage  // image of a latency-critical step in the interference model; nil: not looked up
+	imageIndexed           bool            // imageIndex is set
+	imageIndex             int             // index of a best-effort step's image in the interference model
+	interferingShare       float64         // as of interferingAt
+	interferingAt          time.Time       // zero: not computed
 }
 
 type task struct {
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -408,7 +408,7 @@
 	}
 	n := 0
 	for _, h := range o.headrooms(w) {
-		if h.image != s.Image {
+		if h.image.name != s.Image {
 			n++
 		}
 	}
--- a/internal/orchestrator/record.go
+++ b/internal/orchestrator/record.go
@@ -233,15 +233,19 @@
 // workloadStatistics returns the statistics of this leader.
 func (o *Orchestrator) workloadStatistics() *WorkloadStatistics {
 	e := &WorkloadStatistics{Ratios: make(map[string]float64), Variances: make(map[string]float64)}
-	for critical, pairs := range o.interference.pairs {
-		for bestEffort, p := range pairs {
-			if p.samples > 0 {
-				e.Pairs = append(e.Pairs, PairStatistics{Serving: critical, Filler: bestEffort, Coefficient: p.coefficient, Samples: p.samples, Variance: p.covariance[bestEffort]})
+	names := make([]string, len(o.interference.indexes))
+	for name, i := range o.interference.indexes {
+		names[i] = name
+	}
+	for _, c := range o.interference.images {
+		for _, p := range c.pairs {
+			if p != nil && p.samples > 0 {
+				e.Pairs = append(e.Pairs, PairStatistics{Serving: c.name, Filler: names[p.index], Coefficient: p.coefficient, Samples: p.samples, Variance: p.covariance(p.index)})
 			}
 		}
-	}
-	for image, mean := range o.interference.meanOwnLoad {
-		e.Images = append(e.Images, ImageStatistics{Image: image, Idle: o.interference.idleTailRatio(image), Mean: mean})
+		if c.measured {
+			e.Images = append(e.Images, ImageStatistics{Image: c.name, Idle: c.idleTailRatio, Mean: c.meanOwnLoad})
+		}
 	}
 	for queue, s := range o.queueStats {
 		e.Ratios[queue], e.Variances[queue] = s.runTimeRatio, s.runTimeVariance
@@ -252,11 +256,13 @@
 // restoreWorkloadStatistics takes over the statistics of an earlier leader.
 func (o *Orchestrator) restoreWorkloadStatistics(e WorkloadStatistics) {
 	for _, p := range e.Pairs {
-		r := o.interference.pair(p.Serving, p.Filler)
-		r.coefficient, r.samples, r.covariance[p.Filler] = p.Coefficient, p.Samples, p.Variance
+		r := o.interference.image(p.Serving).pair(o.interference.index(p.Filler))
+		r.coefficient, r.samples = p.Coefficient, p.Samples
+		r.covariances[r.index] = p.Variance
 	}
 	for _, i := range e.Images {
-		o.interference.idleTailRatios[i.Image], o.interference.meanOwnLoad[i.Image] = i.Idle, i.Mean
+		c := o.interference.image(i.Image)
+		c.idleTailRatio, c.meanOwnLoad, c.measured = i.Idle, i.Mean, true
 	}
 	for queue, ratio := range e.Ratios {
 		o.stats(queue).runTimeRatio, o.stats(queue).runTimeVariance = ratio, e.Variances[queue]
--- a/internal/orchestrator/throttle.go
+++ b/internal/orchestrator/throttle.go
@@ -92,11 +92,11 @@
 		w.overTargetSince = w.tailRatioAt
 	}
 	w.minSpeed = 100
-	full := w.bestEffortLoads(func(*run) int { return 100 })
-	if len(full) == 0 {
+	if w.load.bestEffort == 0 {
 		return
 	}
-	current := w.bestEffortLoads((*run).effectiveSpeed)
+	full := slices.Clone(o.bestEffortLoads(w, func(*run) int { return 100 }))
+	current := o.bestEffortLoads(w, (*run).effectiveSpeed)
 	for _, r := range w.runs {
 		if !r.task.step.Fills {
 			continue
@@ -122,20 +122,20 @@
 // latency-critical tasks beside it below utilizationLimit, if the other best-effort tasks
 // are throttled to the same percentage. full and current are results of bestEffortLoads, at
 // full speed and at the present speeds.
-func (o *Orchestrator) allowedSpeed(w *worker, bestEffort *run, full, current map[string]float64) int {
+func (o *Orchestrator) allowedSpeed(w *worker, bestEffort *run, full, current []imageLoad) int {
 	speed := 1.0
 	for _, r := range w.runs {
 		if r.task.step.LatencyTarget <= 0 || r.tailRatio <= 0 {
 			continue
 		}
-		image := r.task.step.Image
-		total := o.interference.addedUtilization(image, full)
-		part := o.interference.pair(image, bestEffort.task.step.Image).coefficient * w.bestEffortLoad(bestEffort.task.step.Step, 100)
+		image := o.criticalImage(r.task.step)
+		total := image.addedUtilization(full)
+		part := image.pair(o.imageIndex(bestEffort.task.step)).coefficient * w.bestEffortLoad(bestEffort.task.step.Step, 100)
 		if part < minContributionShare*total || part < minThrottledUtilization {
 			continue
 		}
-		own := o.interference.utilization(image, r.tailRatio) - o.interference.addedUtilization(image, current)
-		speed = min(speed, max(0, o.interference.utilizationLimit(image)-own)/total)
+		own := image.utilization(r.tailRatio) - image.addedUtilization(current)
+		speed = min(speed, max(0, image.utilizationLimit()-own)/total)
 	}
 	if percent := int(100 * speed); percent >= minRunSpeed {
 		return percent
