orchestrator: the tasks of a step share one scoring of the workers

Cause: each task of a step scored 300 workers, or all if it fits on none of these, although a start changes only the score of its worker.

Change: a ranking holds the scores for the waiting tasks of a step in one pass, and is corrected after each start. Steps whose tasks differ (unsuitable workers, racks, long-running, starved jobs) score as before.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -50,7 +50,8 @@
 	sortedWorkers []*worker              // all workers, sorted by ID; nil: to be sorted again
 	queueStats    map[string]*queueStats // by queue
 	interference  interferenceModel
-	loadsBuffer   []imageLoad // reused by bestEffortLoads
+	loadsBuffer   []imageLoad    // reused by bestEffortLoads
+	rankingBuffer []rankedWorker // reused by rank
 
 	inheritedApplied bool                   // Inherited has been applied
 	handedOff        bool                   // the earlier leader handed over cleanly
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -37,9 +37,6 @@
 	// passIntervalPerStep is added to the pause for each ready step, so that passes take at
 	// most a few hundredths of a core.
 	passIntervalPerStep = 100 * time.Microsecond
-	// maxScoredWorkers bounds the workers that are scored for one task. Scoring all of 2,700
-	// workers takes milliseconds for each start, and the best of 300 is nearly as good.
-	maxScoredWorkers = 300
 	// maxStartsPerPass bounds the starts of one pass, so that a burst does not delay polls of
 	// workers.
 	maxStartsPerPass = 160
@@ -82,7 +79,10 @@
 	}
 	starts := 0
 	var workers []*worker
-	for _, t := range s.waitingTasks() {
+	var ranked *ranking
+	waiting := s.waitingTasks()
+	alike := o.alike(s, waiting)
+	for i, t := range waiting {
 		if reason := o.blockedByUnreached(p, t); reason != "" {
 			o.noteWait(s, reason)
 			continue
@@ -94,7 +94,19 @@
 				return starts
 			}
 		}
-		w, score := o.choose(t, workers)
+		var w *worker
+		var score float64
+		best := -1
+		if alike {
+			if ranked == nil {
+				ranked = o.rank(waiting[i:], workers)
+			}
+			if best = o.best(ranked, t); best >= 0 {
+				w, score = ranked.fitting[best].worker, ranked.fitting[best].score
+			}
+		} else {
+			w, score = o.choose(t, workers)
+		}
 		if w == nil {
 			if bySizeOnly {
 				p.unplaced[s.occurrence.job.Policy.Service+"/"+s.Image] = s.Size
@@ -106,6 +118,9 @@
 		}
 		o.launch(t, w, t.nextRun, score)
 		starts++
+		if alike && i+1 < len(waiting) {
+			o.started(ranked, best, waiting[i+1])
+		}
 	}
 	return starts
 }
