One malformed value or panic no longer ends a process or the leadership of all hosts

Cause: a panic in the handler of a request or of a call of another host ended the process, since neither fasthttp nor drpc contains it. A panic of the scheduler did the same. A record or a roster in the store that could not be decoded kept every host from leading: load failed and was repeated for ever. A job in a notice of another host was not validated.

A host whose scheduler panicked does not campaign for 5 s. A record that can't be decoded, or is of another job than its key, is set aside with its key in the log. An unreadable roster counts as a list of unknown workers: inherited tasks wait until all leases of earlier leaders have ended.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -57,12 +57,14 @@
 	otherHostsVersion atomic.Uint64 // newest version of the configuration that another host has told
 	leaving           atomic.Bool
 
-	configCheckedAt   atomic.Int64 // timekeeper time of the last answer to a read or watch of the configuration, Unix ns
-	lastStoreSuccess  atomic.Int64 // timekeeper time of the last served call, Unix ns
-	storeUnavailable  atomic.Bool
-	probingStore      atomic.Bool
-	leaderPending     atomic.Pointer[pendingCounts] // from the leader's last answer to a ping; nil: none yet
-	invalidWorkerKeys sync.Map                      // keys of worker entries that could not be decoded; each is logged once
+	configCheckedAt  atomic.Int64 // timekeeper time of the last answer to a read or watch of the configuration, Unix ns
+	lastStoreSuccess atomic.Int64 // timekeeper time of the last served call, Unix ns
+	storeUnavailable atomic.Bool
+	probingStore     atomic.Bool
+	// campaignPausedUntil is the timekeeper time until which this host does not campaign, Unix ns.
+	campaignPausedUntil atomic.Int64
+	leaderPending       atomic.Pointer[pendingCounts] // from the leader's last answer to a ping; nil: none yet
+	invalidWorkerKeys   sync.Map                      // keys of worker entries that could not be decoded; each is logged once
 
 	mu         sync.Mutex  // guards the fields below
 	term       term        // newest term that this host has read or written
@@ -156,6 +158,9 @@
 // Leaving implements JobService.
 func (c *Coordinator) Leaving() bool { return c.leaving.Load() }
 
+// CountPanic implements JobService.
+func (c *Coordinator) CountPanic() { c.metrics.panics.Inc() }
+
 // Configured implements JobService.
 func (c *Coordinator) Configured() bool { return c.config.Load() != nil }
 
--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -216,7 +216,7 @@
 // campaign tries to make this host the leader. The election succeeds only if the stored term
 // is still previous.
 func (c *Coordinator) campaign(ctx context.Context, previous term, reason string) {
-	if c.leaving.Load() {
+	if c.leaving.Load() || timekeeper.Now().UnixNano() < c.campaignPausedUntil.Load() {
 		return
 	}
 	pause := c.jitter(maxCampaignJitter)
--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -31,7 +33,9 @@
 		}
 		sleep(ctx, loadRetryDelay)
 	}
-	inherited.HandedOff = handedOff
+	// A clean hand-over names the workers of all runs, but with an unreadable roster these workers
+	// may be unknown.
+	inherited.HandedOff = handedOff && !slices.ContainsFunc(inherited.Roster.Workers, func(e orchestrator.RosterEntry) bool { return e.ID == unknownWorkers })
 	// This event comes before the first poll of a worker. Otherwise ended runs of jobs that
 	// are not loaded would be acknowledged, and their current runs stopped.
 	ld.apply(inherited)
@@ -63,17 +67,25 @@
 	}
 	if roster.Revision > 0 {
 		if inherited.Roster, err = orchestrator.DecodeRoster(roster.Value); err != nil {
-			return inherited, 0, err
+			ld.c.log.Error("RosterUnreadable", "Key", keyRoster, "Revision", roster.Revision, "Cause", err.Error(),
+				"Outcome", "unfinished tasks wait until all leases of earlier leaders have ended")
+			inherited.Roster = orchestrator.Roster{Workers: []orchestrator.RosterEntry{{ID: unknownWorkers}}}
 		}
 	}
 	if inherited.Statistics, err = ld.readWorkloadStatistics(ctx); err != nil {
 		return inherited, 0, err
 	}
 	recordByID := make(map[string]*orchestrator.Record)
+	unreadable := make(map[string]bool) // by ID of the job
 	for _, e := range records {
 		r, err := orchestrator.DecodeRecord(e.Value)
+		if err == nil && r.ID != strings.TrimPrefix(e.Key, prefixRecord) {
+			err = &recordIDError{ID: r.ID}
+		}
 		if err != nil {
-			return inherited, 0, err
+			ld.c.log.Error("RecordUnreadable", "Key", e.Key, "Revision", e.Revision, "Cause", err.Error(), "Outcome", "the job is left out")
+			unreadable[strings.TrimPrefix(e.Key, prefixRecord)] = true
+			continue
 		}
 		recordByID[r.ID] = &r
 		if r.State.Final() {
@@ -95,11 +107,23 @@
 			ld.c.log.Error("JobUnreadable", "Key", e.Key, "Cause", err.Error())
 			continue
 		}
+		if unreadable[j.ID] {
+			continue // without its progress, tasks that have succeeded would run again
+		}
 		inherited.Jobs = append(inherited.Jobs, orchestrator.InheritedJob{Job: j, Revision: e.Revision, Record: recordByID[j.ID], Cancelled: cancelled[j.ID]})
 	}
 	return inherited, revision, nil
 }
 
+// unknownWorkers stands for all workers that an unreadable roster may list. No worker answers under
+// this ID, so that inherited tasks wait for the end of its leases.
+const unknownWorkers = "(unreadable roster)"
+
+// recordIDError reports a record that names another job than its key.
+type recordIDError struct{ ID string }
+
+func (e *recordIDError) Error() string { return "the record is of job " + strconv.Quote(e.ID) }
+
 func (ld *leadership) readWorkloadStatistics(ctx context.Context) (orchestrator.WorkloadStatistics, error) {
 	e, err := ld.c.store.Get(ctx, keyWorkloadStatistics)
 	if err != nil || e.Revision == 0 {
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +51,9 @@
 	workerRelistInterval = 6 * time.Second
 	// loadRetryDelay is the pause after a failed read of the state that earlier leaders stored.
 	loadRetryDelay = 100 * time.Millisecond
+	// campaignPauseAfterPanic is how long a host does not campaign after its leadership has ended
+	// with a panic, so that another host leads, whose program may have another version.
+	campaignPauseAfterPanic = 5 * time.Second
 )
 
 // leadership is the state of this host as leader during one term.
@@ -64,6 +69,7 @@
 	orch        *orchestrator.Orchestrator
 	loaded      bool // the state of earlier leaders has been read
 	handingOver bool // handOver has begun: no more commands are sent
+	failed      bool // the orchestrator has panicked: its state must not be used
 	yielding    bool // yieldTo has begun a hand-over
 	pollers     map[string]*poller
 
@@ -123,11 +129,30 @@
 func (ld *leadership) apply(e orchestrator.Event) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
+	if ld.failed {
+		return
+	}
+	defer ld.recoverPanic(e)
 	for _, a := range ld.orch.Apply(e, timekeeper.Now()) {
 		ld.execute(a)
 	}
 }
 
+// recoverPanic ends the leadership after a panic of the orchestrator, whose state may be
+// inconsistent then. The host goes on serving callers, and another one leads. ld.mu must be held.
+func (ld *leadership) recoverPanic(e orchestrator.Event) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	ld.failed = true
+	ld.c.metrics.panics.Inc()
+	ld.c.campaignPausedUntil.Store(timekeeper.Now().Add(campaignPauseAfterPanic).UnixNano())
+	ld.c.log.Error("LeaderPanicked", "Epoch", ld.term.Revision, "Event", fmt.Sprintf("%T", e), "Panic", fmt.Sprint(p),
+		"Stack", string(debug.Stack()), "Outcome", "the leadership ends")
+	ld.cancel()
+}
+
 // execute starts an action. ld.mu must be held.
 func (ld *leadership) execute(a orchestrator.Action) {
 	switch a := a.(type) {
@@ -185,6 +210,10 @@
 // another term is ignored here; load or pollInputs finds it.
 func (ld *leadership) handleNotice(n notice) {
 	if n.Job != nil && n.Epoch == ld.term.Revision {
+		if err := n.Job.Validate(); err != nil {
+			ld.c.log.Error("JobUnreadable", "Key", prefixJob+n.Job.ID, "Cause", err.Error())
+			return
+		}
 		ld.apply(orchestrator.JobAccepted{Job: *n.Job, Revision: n.Revision})
 	}
 	if n.Cancel != "" {
@@ -198,7 +227,7 @@
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	s, known := ld.orch.State(id)
-	return s, known, ld.loaded && !ld.handingOver
+	return s, known, ld.loaded && !ld.handingOver && !ld.failed
 }
 
 // pending returns the number of pending jobs by queue. It returns nil before all jobs are
@@ -206,7 +235,7 @@
 func (ld *leadership) pending() map[string]int {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if !ld.loaded || ld.handingOver {
+	if !ld.loaded || ld.handingOver || ld.failed {
 		return nil
 	}
 	return ld.orch.Pending()
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -24,6 +24,7 @@
 	leaderWrites    prometheus.Counter
 	electionsWon    prometheus.Counter
 	storeFailures   prometheus.Counter
+	panics          prometheus.Counter
 	leading         prometheus.Gauge
 	leaderLag       prometheus.Gauge
 	configVersion   prometheus.Gauge
@@ -52,6 +53,7 @@
 		leaderWrites:    counter("leader_writes_total", "Writes of the leader to the store."),
 		electionsWon:    counter("elections_won_total", "Elections that this host won."),
 		storeFailures:   counter("store_failures_total", "Calls to the store without an answer or with a refusal."),
+		panics:          counter("panics_total", "Panics of the scheduler or of a request's handler that were contained."),
 		leading:         gauge("leading", "1 while this host leads."),
 		leaderLag:       gauge("leader_lag_seconds", "How late the leader's last regular event was applied."),
 		configVersion:   gauge("configuration_version", "Version of the configuration in force."),
@@ -59,7 +61,7 @@
 		configReads:     histogram("configuration_read_seconds", "Time of the store's answers to reads and watches of the configuration, by call and outcome.", prometheus.ExponentialBuckets(0.004, 2, 12), "call", "outcome"),
 	}
 	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures,
-		m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads)
+		m.panics, m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads)
 	return m
 }
 
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -98,9 +98,7 @@
 func (p *poller) run() {
 	ld := p.ld
 	for p.ctx.Err() == nil {
-		ld.mu.Lock()
-		r, ok := ld.orch.NextPoll(p.target.ID, timekeeper.Now())
-		ld.mu.Unlock()
+		r, ok := ld.nextPoll(p.target.ID)
 		if !ok {
 			return
 		}
@@ -126,6 +124,17 @@
 	}
 }
 
+// nextPoll returns the parameters of the next poll of a worker, and false if it must not be polled any
+// more.
+func (ld *leadership) nextPoll(id string) (orchestrator.PollRequest, bool) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	if ld.failed {
+		return orchestrator.PollRequest{}, false
+	}
+	return ld.orch.NextPoll(id, timekeeper.Now())
+}
+
 // waitForAck waits until the ended runs of the last poll are stored, at most maxAckWait.
 func (p *poller) waitForAck() {
 	for range ackChecks {
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -105,6 +105,8 @@
 	// Pending returns the number of accepted jobs of a queue that have not started any
 	// task, and false if the leader's count is unknown or too old.
 	Pending(queue string) (int, bool)
+	// CountPanic counts a panic in the handler of a request.
+	CountPanic()
 }
 
 // Target identifies a worker and its address.
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -193,6 +194,19 @@
 	}
 }
 
+// call serves a call. A panic of the method ends only this call.
+func (s *Server) call(rpc string, f Method, stream drpc.Stream) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.Error("PeerCallPanicked", "Method", rpc, "Panic", fmt.Sprint(p), "Stack", string(debug.Stack()))
+			err = errInternal
+		}
+	}()
+	return f(stream.Context(), stream)
+}
+
+var errInternal = errors.New("internal error")
+
 // HandleRPC implements drpc.Handler.
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
 	s.beginCall()
@@ -202,7 +216,7 @@
 		return drpcerr.WithCode(fmt.Errorf("unknown method %q", rpc), codeUnknownMethod)
 	}
 	start := time.Now()
-	err := f(stream.Context(), stream)
+	err := s.call(rpc, f, stream)
 	if err != nil {
 		s.log.Debug("call of an entry host failed", "Method", rpc, "Took", time.Since(start), "Cause", err)
 		if errors.Is(err, context.Canceled) {
--- a/internal/orchestrator/restart_test.go
+++ b/internal/orchestrator/restart_test.go
@@ -99,3 +99,28 @@
 	w.run(time.Second)
 	is.Equal(len(w.runningOn("j1")), 1)
 }
+
+// A leader dies while a task runs on a worker that its successor can't reach, and the successor
+// can't read the roster. Guards against a second run of the task: the worker is listed, but nothing
+// says any more that it may run tasks of an earlier leader.
+func TestUnreadableRosterKeepsInheritedTasksWaiting(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1)
+	w.addWorker("w0", cores(4, 16), "r0")
+	w.elect(false)
+	w.run(time.Second)
+	j := simpleJob("j1", 1, cores(1, 1))
+	j.Steps[0].LongRunning = true
+	w.submit(j)
+	w.run(time.Second)
+	is.Equal(w.runningOn("j1"), []string{"w0"})
+	w.addWorker("w1", cores(4, 16), "r1")
+	w.roster = orchestrator.Roster{Workers: []orchestrator.RosterEntry{{ID: "(unreadable roster)"}}}
+	l := w.elect(false)
+	w.workers["w0"].unreachableFrom[l] = true
+	before := w.starts
+	w.run(4 * time.Second)
+	is.Equal(w.starts, before)
+	w.run(10 * time.Second) // the leases of the earlier leader have ended
+	is.Equal(w.starts, before+1)
+}
