coordinator: no count of pending jobs from a leadership that may have ended

Cause: a leader that wakes up from a pause answered with the count from before it, at any age, until its next write failed; the platform allows 2 s.

The last read of a state request answers with the state in the record.

Tests, seen red without the change: TestPendingCountAfterPause, TestStateOfJobThatEndsBetweenReads.

--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -132,11 +132,7 @@
 		return unavailableAnswer(err)
 	}
 	if e.Revision > 0 {
-		r, err := orchestrator.DecodeRecord(e.Value)
-		if err != nil {
-			return unavailableAnswer(err)
-		}
-		return Answer{Outcome: OutcomeDone, State: r.State}
+		return recordAnswer(e)
 	}
 	e, err = c.store.Get(ctx, prefixJob+id)
 	if err != nil {
@@ -151,11 +147,20 @@
 		return unavailableAnswer(err)
 	}
 	if e.Revision > 0 {
-		return Answer{Outcome: OutcomeDone, State: orchestrator.StateRunning}
+		return recordAnswer(e)
 	}
 	return Answer{Outcome: OutcomeNoSuchJob, Reason: "no such job"}
 }
 
+// recordAnswer returns the state in a job's record.
+func recordAnswer(e storer.Entry) Answer {
+	r, err := orchestrator.DecodeRecord(e.Value)
+	if err != nil {
+		return unavailableAnswer(err)
+	}
+	return Answer{Outcome: OutcomeDone, State: r.State}
+}
+
 // Cancel implements JobService. It stores the cancel request before it answers the caller.
 func (c *Coordinator) Cancel(ctx context.Context, id string) Answer {
 	begin := time.Now()
--- a/internal/coordinator/containment_test.go
+++ b/internal/coordinator/containment_test.go
@@ -128,3 +128,42 @@
 	is.True(!ld.failed)
 	is.True(strings.Contains(log.String(), "msg=JobUnreadable"))
 }
+
+// A leader wakes up from a pause, during which another host may have been elected. Guards against
+// a count of pending jobs that is older than the platform allows.
+func TestPendingCountAfterPause(t *testing.T) {
+	is := is.New(t)
+	ld, _ := newTestLeadership(nil)
+	ld.apply(orchestrator.Inherited{})
+	ld.loaded = true
+	_, known := ld.c.Pending("q")
+	is.True(known)
+	ld.lastConfirmedSent.Store(timekeeper.Now().Add(-maxPendingAge - time.Second).UnixNano())
+	_, known = ld.c.Pending("q")
+	is.True(!known)
+}
+
+// finishingStore lists a job's final record only at the second read of it, as if the job had ended between
+// the reads.
+type finishingStore struct {
+	entryStore
+	reads *int
+}
+
+func (s finishingStore) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if strings.HasPrefix(key, prefixRecord) {
+		if *s.reads++; *s.reads == 1 {
+			return storer.Entry{Key: key}, nil
+		}
+	}
+	return s.entryStore.Get(ctx, key)
+}
+
+// Guards against a job that is shown as running although its final state is in the store.
+func TestStateOfJobThatEndsBetweenReads(t *testing.T) {
+	is := is.New(t)
+	store := finishingStore{entryStore{entries: map[string][]byte{prefixRecord + "j1": encodedRecord(t, "j1", orchestrator.StateSucceeded)}}, new(int)}
+	c := New(Settings{Name: "a"}, Dependencies{Store: store}, slog.New(slog.DiscardHandler))
+	a := c.state(context.Background(), "j1")
+	is.Equal(a, Answer{Outcome: OutcomeDone, State: orchestrator.StateSucceeded})
+}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -231,11 +231,12 @@
 }
 
 // pending returns the number of pending jobs by queue. It returns nil before all jobs are
-// loaded and during a hand-over.
+// loaded, during a hand-over, and if the leadership has not been confirmed for maxPendingAge: after
+// a pause of the process, another host may lead and count.
 func (ld *leadership) pending() map[string]int {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if !ld.loaded || ld.handingOver || ld.failed {
+	if !ld.loaded || ld.handingOver || ld.failed || ld.timeSinceConfirmedWrite() > maxPendingAge {
 		return nil
 	}
 	return ld.orch.Pending()
