Records are written oldest change first, as many in a write as the store takes

Cause: a write held 9 jobs, as many as fit if all have ended, and took them from a map in no order. With 2,000 ends a second of hundreds of jobs, some records waited for many writes; until then each poll of a worker lists its ends again.

Change: the limit counts keys (3 of a final record, 1 of another): 27 fit beside the head, the roster and the statistics. Final records go first, then the others by the age of their changes.

Test: TestWaveOfChangesIsWrittenOldestFirst, 3 writes for 60 jobs where it was 7.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -29,9 +29,9 @@
 	// writeBatchDelay is the pause after a write if unwritten changes remain that no caller
 	// waits for. Changes that are made during the pause share the next write.
 	writeBatchDelay = 90 * time.Millisecond
-	// maxBatchJobs limits the jobs in one write. A final state takes three entries (a
-	// record and two deleted keys), and a transaction takes at most 32.
-	maxBatchJobs = 9
+	// maxBatchKeys limits the keys of records and jobs in one write. A transaction takes at most
+	// 32 entries, of which two conditions, head, roster and statistics leave this many.
+	maxBatchKeys = 27
 	// writeRetryDelay is the pause after a failed write.
 	writeRetryDelay = 60 * time.Millisecond
 	// tickInterval is the interval of the Tick events that the orchestrator receives.
--- a/internal/coordinator/write.go
+++ b/internal/coordinator/write.go
@@ -50,7 +50,7 @@
 	ld.writeMu.Lock()
 	defer ld.writeMu.Unlock()
 	ld.mu.Lock()
-	batch, _ := ld.orch.NextBatch(maxBatchJobs, all, timekeeper.Now())
+	batch, _ := ld.orch.NextBatch(maxBatchKeys, all, timekeeper.Now())
 	ld.mu.Unlock()
 	tx, err := ld.transaction(batch)
 	if err != nil {
@@ -66,7 +66,7 @@
 	case err == nil:
 		ld.headRevision = revision
 		ld.recordConfirmedWrite(sent, batch)
-		if len(batch.Entries) == maxBatchJobs {
+		if batch.More {
 			ld.wakeWriter()
 		}
 		return true
--- a/internal/orchestrator/record_test.go
+++ b/internal/orchestrator/record_test.go
@@ -1,6 +1,8 @@
 package orchestrator_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,3 +56,34 @@
 	next, _ := l.o.NextBatch(9, true, w.now.Add(time.Minute))
 	is.Equal(*next.Statistics, e)
 }
+
+// The store is out of reach while runs of many jobs begin. Guards against ends that are not acknowledged for
+// long after a wave: with as few jobs in each write as if all had ended, and in no order, some
+// records waited for many writes.
+func TestWaveOfChangesIsWrittenOldestFirst(t *testing.T) {
+	is := is.New(t)
+	const jobs, keys = 60, 27
+	w := newCluster(t, 10, cores(8, 64))
+	l := w.leader()
+	l.storeUnreachable = true
+	for i := range jobs {
+		j := simpleJob(fmt.Sprintf("j%02d", i), 1, cores(1, 1))
+		j.Steps[0].LongRunning = true
+		w.submit(j)
+		w.run(20 * time.Millisecond)
+	}
+	w.run(200 * time.Millisecond)
+	var written []string
+	writes := 0
+	for l.o.HasUnwrittenChanges() {
+		b, _ := l.o.NextBatch(keys, true, w.now)
+		for _, e := range b.Entries {
+			written = append(written, e.Record.ID)
+		}
+		l.step(orchestrator.Written{Batch: b})
+		writes++
+	}
+	is.Equal(writes, (jobs+keys-1)/keys)
+	is.Equal(len(written), jobs)
+	is.True(slices.IsSorted(written))
+}
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -529,6 +530,7 @@
 	Entries       []BatchEntry
 	Roster        *Roster             // nil: unchanged
 	Statistics    *WorkloadStatistics // nil: not due
+	More          bool                // further changes are due and did not fit
 	rosterVersion uint64
 	enrolled      []string // workers that Roster lists as not idle
 }
@@ -548,20 +550,44 @@
 // statisticsInterval is the pause between two writes of the leader's workload statistics.
 const statisticsInterval = 2 * time.Second
 
-// NextBatch returns the most urgent changes, of at most limit jobs, and false if neither a
-// record nor the roster is to be written. all includes changes that are younger than
-// batchDelay.
+// finalRecordKeys is the number of keys that the write of a final record changes: the record, the
+// job and the request to cancel it.
+const finalRecordKeys = 3
+
+// NextBatch returns the most urgent changes, which change at most limit keys of records and jobs,
+// and false if neither a record nor the roster is to be written. all includes changes that are
+// younger than batchDelay. Final records go first, because callers wait for them, and then the
+// others by the age of their changes.
 func (o *Orchestrator) NextBatch(limit int, all bool, now time.Time) (Batch, bool) {
 	var b Batch
-	for _, final := range []bool{true, false} {
-		for _, j := range o.dirty {
-			due := final || all || now.Sub(j.changedAt) >= batchDelay
-			if len(b.Entries) < limit && j.state.Final() == final && due {
-				b.Entries = append(b.Entries, BatchEntry{Record: j.record(), version: j.version})
+	due := make([]*job, 0, len(o.dirty))
+	for _, j := range o.dirty {
+		if j.state.Final() || all || now.Sub(j.changedAt) >= batchDelay {
+			due = append(due, j)
+		}
+	}
+	slices.SortFunc(due, func(a, b *job) int {
+		if a.state.Final() != b.state.Final() {
+			if a.state.Final() {
+				return -1
 			}
+			return 1
+		}
+		return cmp.Or(a.changedAt.Compare(b.changedAt), cmp.Compare(a.ID, b.ID))
+	})
+	for _, j := range due {
+		keys := 1
+		if j.state.Final() {
+			keys = finalRecordKeys
+		}
+		if keys > limit {
+			b.More = true
+			break
 		}
+		limit -= keys
+		b.Entries = append(b.Entries, BatchEntry{Record: j.record(), version: j.version})
 	}
-	for _, id := range o.expired[:min(len(o.expired), limit-len(b.Entries))] {
+	for _, id := range o.expired[:min(len(o.expired), limit)] {
 		b.Entries = append(b.Entries, BatchEntry{Record: Record{ID: id}, Delete: true})
 	}
 	if o.rosterWritten < o.rosterVersion {
