orchestrator: Load says what the scheduling passes did

Cause: an operator could not see whether a leader's limit of starts holds waiting tasks back, or how much work its passes are.

Change: Load has passes, starts, workers considered, and ready steps that were put off.

--- a/internal/orchestrator/load_test.go
+++ b/internal/orchestrator/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -553,3 +554,41 @@
 		}
 	}
 }
+
+// loadFigure returns the sum of a figure of all notes on the load.
+func (w *simulation) loadFigure(t *testing.T, name string) int {
+	t.Helper()
+	sum := 0
+	for _, n := range w.notesOf(orchestrator.EventLoad) {
+		_, rest, ok := strings.Cut(n.Figures+" ", " "+name+"=")
+		if !ok {
+			t.Fatalf("Load has no %s: %s", name, n.Figures)
+		}
+		value, _, _ := strings.Cut(rest, " ")
+		i, err := strconv.Atoi(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum += i
+	}
+	return sum
+}
+
+// A burst of wide steps arrives at a large fleet: 20 jobs of 40 tasks at 600 workers. Guards against a leader
+// whose work for a step is its tasks times the workers: a start changes only the score of its worker.
+func TestBurstOfWideStepsScoresWorkersOnce(t *testing.T) {
+	is := is.New(t)
+	const jobs, tasks, workers = 20, 40, 600
+	w := newSimulation(t, 1)
+	for i := range workers {
+		w.addWorker(fmt.Sprintf("w%03d", i), cores(16, 64), "r0")
+	}
+	w.elect(false)
+	w.run(2 * time.Second)
+	for i := range jobs {
+		w.submit(bestEffortJob(fmt.Sprintf("b%d", i), "batch", tasks, cores(2, 2)))
+	}
+	w.run(1100 * time.Millisecond)
+	is.Equal(w.loadFigure(t, "Starts"), jobs*tasks)
+	is.True(w.loadFigure(t, "Scored") <= jobs*(workers+tasks)) // and not jobs*tasks*300
+}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -66,6 +66,7 @@
 	lightlyLoaded    bool                   // less than lightLoadShare of the workers' processors is used
 	passDue          bool                   // a scheduling pass is due, because a change may let a task start
 	loadNotedAt      time.Time              // when noteLoad last ran
+	work             passWork               // of the scheduling passes since loadNotedAt
 	tickOffset       int                    // index of the first worker of the last tick
 	lastPassAt       time.Time              // of the last scheduling pass
 	scoreOffset      int                    // index of the worker at which choose begins if it scores only some of the workers
@@ -315,8 +316,18 @@
 			}
 		}
 	}
-	o.emit(Note{Event: EventLoad, Figures: fmt.Sprintf("Workers=%d Cores=%d Counted=%d Serving=%d Filling=%d Unused=%d Jobs=%d WaitingTasks=%d WaitingCores=%d",
-		usable, cores/1000, counted/1000, latencyCritical/1000, bestEffort/1000, unused/1000, len(o.jobs), waiting, cpu/1000)})
+	o.emit(Note{Event: EventLoad, Figures: fmt.Sprintf("Workers=%d Cores=%d Counted=%d Serving=%d Filling=%d Unused=%d Jobs=%d WaitingTasks=%d WaitingCores=%d Passes=%d Starts=%d Scored=%d PutOffSteps=%d",
+		usable, cores/1000, counted/1000, latencyCritical/1000, bestEffort/1000, unused/1000, len(o.jobs), waiting, cpu/1000,
+		o.work.passes, o.work.starts, o.work.scored, o.work.putOffSteps)})
+	o.work = passWork{}
+}
+
+// passWork is the work of the scheduling passes since the last note on the load.
+type passWork struct {
+	passes      int
+	starts      int
+	scored      int // checks whether a task may start on a worker
+	putOffSteps int // ready steps that a pass left to the next one, because it had reached maxStartsPerPass
 }
 
 // inherit takes over the state that an earlier leader left in the store.
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -281,7 +281,10 @@
 )
 
 // fits reports whether a task may start on a worker now.
-func (o *Orchestrator) fits(t *task, w *worker) bool { return o.obstacle(t, w) == obstacleNone }
+func (o *Orchestrator) fits(t *task, w *worker) bool {
+	o.work.scored++
+	return o.obstacle(t, w) == obstacleNone
+}
 
 // obstacle returns why a task may not start on a usable worker now.
 func (o *Orchestrator) obstacle(t *task, w *worker) obstacle {
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -27,14 +27,18 @@
 			p.unreached = append(p.unreached, w)
 		}
 	}
+	o.work.passes++
 	starts := 0
-	for _, u := range o.queue() {
+	queue := o.queue()
+	for i, u := range queue {
 		if starts >= maxStartsPerPass {
 			o.passDue = true // the next pass continues
-			return
+			o.work.putOffSteps += len(queue) - i
+			break
 		}
 		starts += o.scheduleStep(p, u.step)
 	}
+	o.work.starts += starts
 }
 
 // maxPrecedence is how long a returning task keeps new ones of its service from the workers on which
