orchestrator: steps that fit nowhere are not scored one by one

Only best-effort steps used what the pass had learnt from a smaller task of the same image.

Change: steps of quick and batch jobs do so too, by service and size. Preemption for them is tried as before.

Test: TestReadyStepsInFullClusterAreNotScoredOneByOne; it fails without the change.

--- a/internal/orchestrator/load_test.go
+++ b/internal/orchestrator/load_test.go
@@ -592,3 +592,33 @@
 	is.Equal(w.loadFigure(t, "Starts"), jobs*tasks)
 	is.True(w.loadFigure(t, "Scored") <= jobs*(workers+tasks)) // and not jobs*tasks*300
 }
+
+// Many quick jobs wait while tasks of equal priority hold all processors of a large fleet. Guards against passes
+// whose work is the waiting steps times the workers: once a task fits nowhere, no larger one of its
+// service does.
+func TestReadyStepsInFullClusterAreNotScoredOneByOne(t *testing.T) {
+	is := is.New(t)
+	const workers = 300
+	w := newSimulation(t, 1)
+	w.runTime = func(string, *simulatedWorker) time.Duration { return 100 * time.Second }
+	for i := range workers {
+		w.addWorker(fmt.Sprintf("w%03d", i), cores(4, 64), "r0")
+	}
+	w.elect(false)
+	w.run(2 * time.Second)
+	hold := simpleJob("hold", 4*workers, cores(1, 1))
+	hold.Steps[0].Estimate = 100 * time.Second // its tasks are not slow
+	w.submit(hold)
+	w.run(2 * time.Second)
+	is.Equal(w.starts, 4*workers)
+	passes, scored := w.loadFigure(t, "Passes"), w.loadFigure(t, "Scored")
+	for i := range 100 {
+		j := simpleJob(fmt.Sprintf("q%02d", i), 10, cores(1, 1))
+		j.Steps[0].MaxPerWorker = i % 2 * 2 // half of them bound their tasks on one worker
+		w.submit(j)
+	}
+	w.run(2 * time.Second)
+	passes, scored = w.loadFigure(t, "Passes")-passes, w.loadFigure(t, "Scored")-scored
+	is.True(passes > 0)
+	is.True(scored <= 3*passes*workers) // and not 100*passes*workers
+}
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -73,8 +73,8 @@
 		return o.scheduleGang(p, s)
 	}
 	bySizeOnly := o.placedBySizeOnly(s)
-	if bySizeOnly && p.knownFull(s) {
-		o.noteWait(s, "no worker has room")
+	if p.knownFull(s) && (bySizeOnly || !s.Fills && !s.LongRunning) {
+		o.waitForCapacity(p, s)
 		return 0
 	}
 	starts := 0
@@ -109,7 +109,7 @@
 		}
 		if w == nil {
 			if bySizeOnly {
-				p.unplaced[s.occurrence.job.Policy.Service+"/"+s.Image] = s.Size
+				p.unplaced[s.unplacedKey()] = s.Size
 			}
 			if !o.preempt(t, workers) {
 				o.noteWait(s, o.reserveWorker(t, workers))
@@ -125,6 +125,24 @@
 	return starts
 }
 
+// waitForCapacity handles a step that fits on no worker, as a smaller one has shown in this pass.
+func (o *Orchestrator) waitForCapacity(p *pass, s *step) {
+	const reason = "no worker has room"
+	if s.Fills {
+		o.noteWait(s, reason)
+		return
+	}
+	for _, t := range s.waitingTasks() {
+		if o.blockedByUnreached(p, t) != "" {
+			continue
+		}
+		if workers, _ := o.cachedCandidates(p, s); len(workers) == 0 || !o.preempt(t, workers) {
+			o.noteWait(s, reason)
+		}
+		return
+	}
+}
+
 // waitingTasks returns the tasks of the step that neither run nor have succeeded. Returning tasks come
 // first, in the order of their waits: the first task that finds no worker keeps the others waiting.
 func (s *step) waitingTasks() []*task {
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -13,7 +13,7 @@
 type pass struct {
 	candidates map[string][]*worker // by service and label
 	reasons    map[string]string    // by service and label: why there are no candidates
-	unplaced   map[string]Resources // by service and image: size of the last best-effort task that fits on no worker
+	unplaced   map[string]Resources // by unplacedKey: size of the last task placed by size only that fits on no worker
 	unreached  []*worker            // workers without an answer that may still run tasks of an earlier leader
 }
 
@@ -99,18 +99,26 @@
 	return slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.done && len(t.runs) == 0 })
 }
 
-// placedBySizeOnly reports whether the step is a best-effort step and only service, image and
-// size decide where its tasks can start. If one such task fits on no worker, a larger one of
-// the same service and image does not either.
+// placedBySizeOnly reports whether only service and size, and the image of a best-effort step, decide
+// where the step's tasks can start. If one such task fits on no worker, a larger one with the same
+// unplacedKey does not either, whatever else that one requires.
 func (o *Orchestrator) placedBySizeOnly(s *step) bool {
-	return s.Fills && !o.lightlyLoaded && s.RequiredLabel == "" && s.RackAffinity == "" && s.MaxPerWorker == 0 && !s.Gang && !s.occurrence.job.Policy.Advised
+	return !(s.Fills && o.lightlyLoaded) && !s.LongRunning && s.RequiredLabel == "" && s.RackAffinity == "" && s.MaxPerWorker == 0 && !s.Gang && !s.occurrence.job.Policy.Advised
 }
 
-// knownFull reports whether this pass has found no worker for a task of the same service and
-// image that is no larger than the step's tasks.
+// unplacedKey returns the service, and the image of a best-effort step.
+func (s *step) unplacedKey() string {
+	if s.Fills {
+		return "best-effort " + s.occurrence.job.Policy.Service + "/" + s.Image
+	}
+	return s.occurrence.job.Policy.Service
+}
+
+// knownFull reports whether this pass has found no worker for a task with the same unplacedKey
+// that is no larger than the step's tasks.
 func (p *pass) knownFull(s *step) bool {
-	size, ok := p.unplaced[s.occurrence.job.Policy.Service+"/"+s.Image]
-	return ok && s.Size.CPU >= size.CPU && s.Size.Memory >= size.Memory
+	size, ok := p.unplaced[s.unplacedKey()]
+	return ok && s.Size.CPU >= size.CPU && s.Size.Memory >= size.Memory && s.Size.GPU >= size.GPU
 }
 
 // lightLoadShare is the share of the usable workers' processors below which the load is
