coordinator: a host that was paused confirms its configuration before it serves requests

Cause: a process that was frozen or suspended for seconds handled the requests that had arrived meanwhile by the configuration from before the pause: jobs for withdrawn queues were accepted, and queues added meanwhile answered 404, until its next watch was answered.

Change: each process checks each 250 ms that it runs. After a gap of 1.5 s, or while the check itself is late, it is not ready and answers 503 until a read or watch that was sent after the pause is answered; the configuration is read at once. Line Resumed.

Tests: TestPauseIsNoticed, TestConfigurationIsConfirmedAfterPause; each red with its part off.

--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -75,7 +75,7 @@
 	var s configurationSync
 	for ctx.Err() == nil {
 		update := c.watchConfiguration
-		if !s.known || c.otherHostsVersion.Load() > max(c.configVersion(), s.triedVersion) || time.Since(s.readAt) >= s.readInterval() {
+		if !s.known || c.pausedSinceConfiguration() || c.otherHostsVersion.Load() > max(c.configVersion(), s.triedVersion) || time.Since(s.readAt) >= s.readInterval() {
 			update = c.readConfiguration
 		}
 		if err := update(ctx, &s); err != nil {
@@ -87,7 +87,7 @@
 
 // readConfiguration reads the configuration and applies it if it is newer.
 func (c *Coordinator) readConfiguration(ctx context.Context, s *configurationSync) error {
-	wanted, begin := c.otherHostsVersion.Load(), time.Now()
+	wanted, begin, asked := c.otherHostsVersion.Load(), time.Now(), timekeeper.Now()
 	entries, revision, err := c.store.List(ctx, c.deps.Keys.Configuration)
 	c.recordConfigurationCall(callRead, begin, err, &s.failed)
 	if err != nil {
@@ -101,13 +101,14 @@
 			c.applyConfiguration(e, callRead)
 		}
 	}
+	c.configAskedAt.Store(asked.UnixNano())
 	return nil
 }
 
 // watchConfiguration runs one watch and applies the newest of the changes that it reports. A
 // change that the store has dropped from its history makes the next call a read.
 func (c *Coordinator) watchConfiguration(ctx context.Context, s *configurationSync) error {
-	begin := time.Now()
+	begin, asked := time.Now(), timekeeper.Now()
 	es, err := c.store.Watch(ctx, c.deps.Keys.Configuration, s.resume, configurationWatchTimeout)
 	c.recordConfigurationCall(callWatch, begin, err, &s.failed)
 	if err != nil {
@@ -122,15 +123,24 @@
 	switch {
 	case es.Compacted:
 		s.known = false
+		return nil
 	case newest.Revision > 0:
 		s.resume, s.readBytes = newest.Revision, len(newest.Value)
 		c.applyConfiguration(newest, callWatch)
 	default:
 		s.recordQuietWatch(es.StoreRevision)
 	}
+	c.configAskedAt.Store(asked.UnixNano())
 	return nil
 }
 
+// pausedSinceConfiguration reports whether this process has been paused since it asked the store for the
+// configuration in effect, so that a newer one may have been in effect elsewhere for long. An answer that was on
+// its way during the pause does not count.
+func (c *Coordinator) pausedSinceConfiguration() bool {
+	return c.pauses.pausedSince(time.Unix(0, c.configAskedAt.Load()), timekeeper.Now())
+}
+
 // recordConfigurationCall records the result of a read or watch of the configuration.
 func (c *Coordinator) recordConfigurationCall(call configurationCall, begin time.Time, err error, failed *failedReads) {
 	took := time.Since(begin)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -57,6 +57,8 @@
 	otherHostsVersion atomic.Uint64 // newest version of the configuration that another host has told
 	leaving           atomic.Bool
 
+	pauses           pauseDetector
+	configAskedAt    atomic.Int64 // timekeeper time at which the last answered read or watch of the configuration was sent, Unix ns
 	configCheckedAt  atomic.Int64 // timekeeper time of the last answer to a read or watch of the configuration, Unix ns
 	lastStoreSuccess atomic.Int64 // timekeeper time of the last served call, Unix ns
 	storeUnavailable atomic.Bool
@@ -105,6 +107,7 @@
 	defer cancel()
 	group.Go(func() error { c.syncConfiguration(groupCtx); return nil })
 	group.Go(func() error { c.monitorLeader(groupCtx); return nil })
+	group.Go(func() error { c.pauses.run(groupCtx, c.logResume); return nil })
 	group.Go(func() error { return c.metrics.serve(groupCtx, c.settings.MetricsAddress) })
 	group.Go(func() error {
 		select {
@@ -152,7 +155,7 @@
 
 // Ready implements JobService.
 func (c *Coordinator) Ready() bool {
-	return !c.leaving.Load() && c.config.Load() != nil && c.timeSinceStoreSuccess() < maxReadyStoreSilence
+	return !c.leaving.Load() && c.Configured() && c.timeSinceStoreSuccess() < maxReadyStoreSilence
 }
 
 // Leaving implements JobService.
@@ -162,7 +165,15 @@
 func (c *Coordinator) CountPanic() { c.metrics.panics.Inc() }
 
 // Configured implements JobService.
-func (c *Coordinator) Configured() bool { return c.config.Load() != nil }
+func (c *Coordinator) Configured() bool {
+	return c.config.Load() != nil && !c.pausedSinceConfiguration()
+}
+
+// logResume logs the end of a pause of this process.
+func (c *Coordinator) logResume(pause time.Duration) {
+	c.log.Warn("Resumed", "Pause", pause.Round(time.Millisecond).String(), "Version", c.configVersion(),
+		"Outcome", "requests are refused until the store has confirmed the configuration")
+}
 
 // maxLoggedPath is the longest path of a request in a log line, in bytes.
 const maxLoggedPath = 200
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -93,7 +93,7 @@
 	Ready() bool
 	// Leaving reports whether this host is shutting down.
 	Leaving() bool
-	// Configured reports whether a configuration is in effect.
+	// Configured reports whether a configuration is in effect, and was after the last pause of this process.
 	Configured() bool
 	// Route returns the queue of a request and the rest of its path, and false if there
 	// is no such queue. It must not be called before Configured reports true.
