A leader's own lag is no reason to count a worker as unreachable

Cause: a poll timed out 0.5 s after the wait that it had asked for, however late the leader itself was. With its processor used up it counted workers as unreachable that had answered; such a worker gets no starts, and the leases of its runs are not renewed until it answers.

--- a/internal/coordinator/command_test.go
+++ b/internal/coordinator/command_test.go
@@ -1,10 +1,14 @@
 package coordinator
 
 import (
+	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"peridotpitch/internal/orchestrator"
 )
 
 // Guards against a command that counts as executed although the worker refused it without
@@ -30,3 +34,32 @@
 		})
 	}
 }
+
+// pollRecorder records the first poll and ends the poller.
+type pollRecorder struct {
+	WorkerClient
+	poller  *poller
+	request PollRequest
+}
+
+func (r *pollRecorder) Poll(_ context.Context, _ Target, l PollRequest) (orchestrator.PollAnswered, error) {
+	r.request = l
+	r.poller.cancel()
+	return orchestrator.PollAnswered{}, errors.New("timeout")
+}
+
+// A leader is late in all that it does. Guards against workers that count as unreachable, and whose leases are not
+// renewed, because the leader was slow to read their answers.
+func TestPollAllowsForLagOfLeader(t *testing.T) {
+	is := is.New(t)
+	ld, _ := newTestLeadership(nil)
+	ld.apply(orchestrator.Inherited{})
+	ld.orch.Apply(orchestrator.WorkerListed{Worker: orchestrator.WorkerEntry{ID: "w0"}}, time.Now())
+	ld.recordLag(1200 * time.Millisecond)
+	p := &poller{ld: ld, target: Target{ID: "w0"}}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	recorder := &pollRecorder{poller: p}
+	ld.c.deps.Workers = recorder
+	p.run()
+	is.Equal(recorder.request.Lag, 1200*time.Millisecond)
+}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -78,6 +78,7 @@
 	pendingJobs map[string]int // result of orch.Pending at pendingAt; replaced, never changed
 	pendingAt   time.Time
 
+	lag               atomic.Int64 // how late the last Tick was applied, ns
 	lastConfirmedSent atomic.Int64 // timekeeper time at which the last confirmed write was sent, in Unix ns
 
 	writeMu      sync.Mutex // held during a write of the leader; guards headRevision
@@ -202,6 +203,7 @@
 
 // recordLag records how late a Tick was applied, and logs it if the leader is behind.
 func (ld *leadership) recordLag(lag time.Duration) {
+	ld.lag.Store(int64(lag))
 	ld.c.metrics.leaderLag.Set(lag.Seconds())
 	if lag < minLoggedLag || time.Since(ld.lagLoggedAt) < lagLogInterval {
 		return
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -121,6 +121,7 @@
 	LeaseEnd  time.Duration // new end of the run leases on the worker's clock; 0: unchanged
 	AckedUpto int           // ended runs up to this number are stored and need not be reported again
 	Wait      time.Duration // how long the worker may hold the poll until a run ends
+	Lag       time.Duration // how late this host is in general: its answers may be read that much later
 }
 
 // RefusedError reports that a worker refused a command or a poll.
