--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -79,9 +79,8 @@
 	}
 	starts := 0
 	var workers []*worker
-	var ranked *ranking
 	waiting := s.waitingTasks()
-	alike := o.alike(s, waiting)
+	c := o.newChooser(s, waiting)
 	for i, t := range waiting {
 		if reason := o.blockedByUnreached(p, t); reason != "" {
 			o.noteWait(s, reason)
@@ -94,19 +93,7 @@
 				return starts
 			}
 		}
-		var w *worker
-		var score float64
-		best := -1
-		if alike {
-			if ranked == nil {
-				ranked = o.rank(waiting[i:], workers)
-			}
-			if best = o.best(ranked, t); best >= 0 {
-				w, score = ranked.fitting[best].worker, ranked.fitting[best].score
-			}
-		} else {
-			w, score = o.choose(t, workers)
-		}
+		w, score := c.choose(waiting[i:], workers)
 		if w == nil {
 			if bySizeOnly {
 				p.unplaced[s.unplacedKey()] = s.Size
@@ -118,9 +105,7 @@
 		}
 		o.launch(t, w, t.nextRun, score)
 		starts++
-		if alike && i+1 < len(waiting) {
-			o.started(ranked, best, waiting[i+1])
-		}
+		c.started(waiting[i+1:])
 	}
 	return starts
 }
