coordinator: the leader reads new inputs from a position that stays 3 s behind

Cause: a watch of the store may miss a change that is made while the store drops its history (found earlier with the configuration). The leader's watch of jobs and cancels went on from the revision that it reported, so that a cancel whose notice was lost, too, was never carried out.

Change: watchPosition, which the configuration's watch uses too in place of its own fields: each watch begins where the one 3 s before ended. Inputs that are known have no effect when they come again.

Tests: TestCancelMissedByWatchIsFound (red without the overlap), TestWatchPositionStaysBehind.

--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -13,9 +13,6 @@
 	// an answer after it has a dead connection.
 	configurationWatchTimeout = 1000 * time.Millisecond
 	configurationRetryDelay   = 150 * time.Millisecond
-	// configurationWatchOverlap is how far back at least a watch looks. A watch may miss a change
-	// that is made while the store is about to drop its history, which takes a second.
-	configurationWatchOverlap = 3 * time.Second
 	// minConfigurationReadInterval is the shortest time between two reads that nothing but time
 	// has caused. They find a change that watches have missed for longer than the overlap.
 	minConfigurationReadInterval = 5 * time.Second
@@ -43,10 +40,8 @@
 
 // configurationSync is the state of syncConfiguration.
 type configurationSync struct {
-	known        bool      // the configuration has been read since the last failed call
-	resume       uint64    // the next watch reports changes after this revision of the store
-	checkpoint   uint64    // revision of the store that becomes resume once it is old enough
-	checkpointAt time.Time // when the checkpoint was current
+	known        bool // the configuration has been read since the last failed call
+	position     watchPosition
 	readAt       time.Time
 	readBytes    int
 	triedVersion uint64 // newest version of another host for which the configuration was read
@@ -58,16 +53,6 @@
 	return max(minConfigurationReadInterval, time.Duration(s.readBytes)*time.Second/configurationReadRate)
 }
 
-// recordQuietWatch moves resume forward after a watch that reported no change up to revision.
-// resume stays behind by the overlap.
-func (s *configurationSync) recordQuietWatch(revision uint64) {
-	if time.Since(s.checkpointAt) < configurationWatchOverlap {
-		return
-	}
-	s.resume = max(s.resume, s.checkpoint)
-	s.checkpoint, s.checkpointAt = revision, time.Now()
-}
-
 // syncConfiguration keeps the newest configuration in effect. It watches for changes and reads
 // the configuration only if a change may have been missed: a large configuration takes seconds of
 // a slow link, which callers' requests share.
@@ -93,7 +78,8 @@
 	if err != nil {
 		return err
 	}
-	s.known, s.resume, s.checkpoint, s.checkpointAt = true, revision, revision, begin
+	s.known = true
+	s.position.restart(revision, begin)
 	s.readAt, s.readBytes, s.triedVersion = time.Now(), 0, wanted
 	for _, e := range entries {
 		if e.Key == c.deps.Keys.Configuration {
@@ -109,7 +95,7 @@
 // change that the store has dropped from its history makes the next call a read.
 func (c *Coordinator) watchConfiguration(ctx context.Context, s *configurationSync) error {
 	begin, asked := time.Now(), timekeeper.Now()
-	es, err := c.store.Watch(ctx, c.deps.Keys.Configuration, s.resume, configurationWatchTimeout)
+	es, err := c.store.Watch(ctx, c.deps.Keys.Configuration, s.position.start(), configurationWatchTimeout)
 	c.recordConfigurationCall(callWatch, begin, err, &s.failed)
 	if err != nil {
 		return err
@@ -125,10 +111,12 @@
 		s.known = false
 		return nil
 	case newest.Revision > 0:
-		s.resume, s.readBytes = newest.Revision, len(newest.Value)
+		// Versions are whole: what a watch has missed before the newest one does not matter.
+		s.readBytes = len(newest.Value)
+		s.position.restart(newest.Revision, time.Now())
 		c.applyConfiguration(newest, callWatch)
 	default:
-		s.recordQuietWatch(es.StoreRevision)
+		s.position.advance(es.StoreRevision, time.Now())
 	}
 	c.configAskedAt.Store(asked.UnixNano())
 	return nil
--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -147,24 +147,37 @@
 // pollInputs reads new jobs and cancel requests from the store, in case their notices were
 // lost.
 func (ld *leadership) pollInputs(ctx context.Context, revision uint64) {
+	var position watchPosition
+	position.restart(revision, time.Now())
 	for ctx.Err() == nil {
 		sleep(ctx, inputPollInterval)
-		es, err := ld.c.store.Watch(ctx, prefixInput, revision, time.Millisecond)
-		if err != nil {
-			continue
-		}
-		if es.Compacted {
-			list, at, err := ld.list(ctx, prefixInput)
-			if err != nil {
-				continue
-			}
-			es = storer.Events{Events: list, StoreRevision: at}
+		if err := ld.pollInputsOnce(ctx, &position); err != nil {
+			ld.c.log.Debug("InputsNotRead", "Cause", err.Error())
 		}
-		for _, e := range es.Events {
-			ld.applyInput(e)
+	}
+}
+
+// pollInputsOnce applies the inputs that the store reports from a position on. Most of them are known
+// already, and applying these again has no effect.
+func (ld *leadership) pollInputsOnce(ctx context.Context, position *watchPosition) error {
+	begin := time.Now()
+	es, err := ld.c.store.Watch(ctx, prefixInput, position.start(), time.Millisecond)
+	if err != nil {
+		return err
+	}
+	if es.Compacted {
+		list, at, err := ld.list(ctx, prefixInput)
+		if err != nil {
+			return err
 		}
-		revision = max(revision, es.StoreRevision)
+		es = storer.Events{Events: list, StoreRevision: at}
+		position.restart(at, begin)
+	}
+	for _, e := range es.Events {
+		ld.applyInput(e)
 	}
+	position.advance(es.StoreRevision, begin)
+	return nil
 }
 
 func (ld *leadership) applyInput(e storer.Entry) {
--- /dev/null
+++ b/internal/coordinator/input_test.go
@@ -0,0 +1,61 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpitch/internal/orchestrator"
+	"peridotpitch/internal/storer"
+)
+
+// forgetfulStore has a change that the first watch does not report, although it reports the revision after it.
+type forgetfulStore struct {
+	storer.TransactionalStore
+	change  storer.Entry
+	watches *int
+}
+
+func (s forgetfulStore) Watch(_ context.Context, _ string, after uint64, _ time.Duration) (storer.Events, error) {
+	es := storer.Events{StoreRevision: s.change.Revision + 10}
+	if *s.watches++; *s.watches > 1 && after < s.change.Revision {
+		es.Events = append(es.Events, s.change)
+	}
+	return es, nil
+}
+
+// A request to cancel is stored while the store drops its history, and its notice to the leader is lost.
+// Guards against a confirmed cancel that the leader never learns of: the watch that should report it misses it.
+func TestCancelMissedByWatchIsFound(t *testing.T) {
+	is := is.New(t)
+	store := forgetfulStore{change: storer.Entry{Key: prefixCancel + "j1", Revision: 20}, watches: new(int)}
+	ld, _ := newTestLeadership(store)
+	ld.apply(orchestrator.Inherited{})
+	ld.apply(orchestrator.JobAccepted{Job: orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1}}}})
+	var position watchPosition
+	position.restart(15, time.Now())
+	for range 2 {
+		is.NoErr(ld.pollInputsOnce(context.Background(), &position))
+	}
+	state, known := ld.orch.State("j1")
+	is.True(known)
+	is.Equal(state, orchestrator.StateCancelled)
+}
+
+// Guards against a position that stays behind for ever, and against one that does not stay behind at all.
+func TestWatchPositionStaysBehind(t *testing.T) {
+	is := is.New(t)
+	begin := time.Unix(1e9, 0)
+	var p watchPosition
+	p.restart(100, begin)
+	for i := range 20 {
+		now := begin.Add(time.Duration(i+1) * time.Second)
+		p.advance(uint64(101+i), now)
+		is.True(p.start() <= uint64(101+i)-uint64(watchOverlap/time.Second) || p.start() == 100)
+	}
+	is.Equal(p.start(), uint64(117)) // current 3 s before the last watch
+	p.advance(120, begin.Add(30*time.Second))
+	is.Equal(p.start(), uint64(120))
+}
