orchestrator: a cancel that a new leader reads beside a job it knows is carried out

Cause: a job that was announced while a new leader read the store was skipped in what it had read, and with it the request to cancel that stood beside it. If the notice of the cancel was lost, nothing reported it again.

Change: only the job is skipped.

Test, red before the change: TestCancelReadWithKnownJobIsCarriedOut.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -338,10 +338,12 @@
 		o.finished[r.ID] = finishedJob{queue: r.Queue, state: r.State, at: r.FinishedAt}
 	}
 	for _, ij := range e.Jobs {
-		if ij.Record != nil && ij.Record.State.Final() || o.jobs[ij.Job.ID] != nil {
-			continue // finished, or added by a JobAccepted event while the store was read
+		if ij.Record != nil && ij.Record.State.Final() {
+			continue
+		}
+		if o.jobs[ij.Job.ID] == nil { // else added by a JobAccepted event while the store was read
+			o.addJob(ij.Job, ij.Revision, ij.Record)
 		}
-		o.addJob(ij.Job, ij.Revision, ij.Record)
 		if ij.Cancelled {
 			o.cancelJob(ij.Job.ID)
 		}
--- a/internal/orchestrator/restart_test.go
+++ b/internal/orchestrator/restart_test.go
@@ -124,3 +124,21 @@
 	w.run(10 * time.Second) // the leases of the earlier leader have ended
 	is.Equal(w.starts, before+1)
 }
+
+// A job is accepted and cancelled while a new leader reads what earlier ones left: the notice of the job arrives, that
+// of the cancel is lost, and both are in what it has read. Guards against a cancelled job that runs because
+// it was known already.
+func TestCancelReadWithKnownJobIsCarriedOut(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1)
+	w.addWorker("w0", cores(4, 16), "r0")
+	o := orchestrator.New(orchestrator.Settings{Epoch: 100, ElectedAt: w.now, ConfirmedAt: w.now, Lease: w.lease,
+		LeaderLease: 9 * time.Second, MaxLease: 10 * time.Second, Retention: time.Hour})
+	j := simpleJob("j1", 1, cores(1, 1))
+	j.Epoch, j.Submitted = 100, w.now
+	o.Apply(orchestrator.JobAccepted{Job: j, Revision: 101}, w.now)
+	o.Apply(orchestrator.Inherited{Jobs: []orchestrator.InheritedJob{{Job: j, Revision: 101, Cancelled: true}}}, w.now)
+	state, known := o.State("j1")
+	is.True(known)
+	is.Equal(state, orchestrator.StateCancelled)
+}
