--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -107,7 +107,7 @@
 			wait = maxShortPollWait
 		}
 		sent := timekeeper.Now()
-		a, err := ld.c.deps.Workers.Poll(p.ctx, p.target, PollRequest{Fence: ld.term.Revision, LeaseEnd: r.LeaseEnd, AckedUpto: r.AckedUpto, Wait: wait, Lag: time.Duration(ld.lag.Load())})
+		a, err := ld.c.deps.Workers.Poll(p.ctx, p.target, PollRequest{Fence: ld.term.Revision, LeaseEnd: r.LeaseEnd, AckedThrough: r.AckedThrough, Wait: wait, Lag: time.Duration(ld.lag.Load())})
 		if p.ctx.Err() != nil {
 			return
 		}
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -117,11 +117,11 @@
 
 // PollRequest is a poll: a request for a worker's running and ended runs.
 type PollRequest struct {
-	Fence     uint64        // epoch of the leader
-	LeaseEnd  time.Duration // new end of the run leases on the worker's clock; 0: unchanged
-	AckedUpto int           // ended runs up to this number are stored and need not be reported again
-	Wait      time.Duration // how long the worker may hold the poll until a run ends
-	Lag       time.Duration // how late this host is in general: its answers may be read that much later
+	Fence        uint64        // epoch of the leader
+	LeaseEnd     time.Duration // new end of the run leases on the worker's clock; 0: unchanged
+	AckedThrough int           // ended runs up to this number are stored and need not be reported again
+	Wait         time.Duration // how long the worker may hold the poll until a run ends
+	Lag          time.Duration // how late this host is in general: its answers may be read that much later
 }
 
 // RefusedError reports that a worker refused a command or a poll.
--- a/internal/orchestrator/model_test.go
+++ b/internal/orchestrator/model_test.go
@@ -123,7 +123,7 @@
 // could not refuse them.
 func (k *simulatedWorker) restart(w *simulation) {
 	w.pendingCommands = slices.DeleteFunc(w.pendingCommands, func(o pendingCommand) bool { return o.worker == k.entry.ID })
-	k.incarnation, k.startedAt, k.fence, k.leaseEnd, k.endCount, k.ackedUpto, k.endsBeforeExpiry = w.now.UnixMilli(), w.now, 0, 0, 0, 0, 0
+	k.incarnation, k.startedAt, k.fence, k.leaseEnd, k.endCount, k.ackedThrough, k.endsBeforeExpiry = w.now.UnixMilli(), w.now, 0, 0, 0, 0, 0
 	k.ended = nil
 	clear(k.runs)
 	clear(k.lastEndedRun)
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -78,7 +78,7 @@
 	lastEndedRun     map[string]int // highest number of a run that was stopped or has ended, by task
 	ended            []orchestrator.EndedRun
 	endCount         int
-	ackedUpto        int
+	ackedThrough     int
 	endsBeforeExpiry int // the lease has expired after the ends up to this number
 	unreachableFrom  map[*simulatedLeader]bool
 	dead             bool
@@ -496,7 +496,7 @@
 	if r.LeaseEnd > 0 {
 		k.leaseEnd = max(k.leaseEnd, min(r.LeaseEnd, k.clock(w.now)+10*time.Second))
 	}
-	k.acknowledge(w, r.AckedUpto)
+	k.acknowledge(w, r.AckedThrough)
 	a := orchestrator.PollAnswered{Worker: k.entry.ID, Incarnation: k.incarnation, Clock: k.clock(w.now), SentAt: w.now, ReceivedAt: w.now}
 	for _, name := range slices.Sorted(maps.Keys(k.runs)) {
 		run := k.runs[name]
@@ -510,7 +510,7 @@
 		a.Running = append(a.Running, orchestrator.RunningRun{Task: name, Run: run.number, Percent: percent, Figure: k.tailLatencyMs[name]})
 	}
 	for _, e := range k.ended {
-		if e.Number > k.ackedUpto {
+		if e.Number > k.ackedThrough {
 			a.Ended = append(a.Ended, e)
 		}
 	}
@@ -521,7 +521,7 @@
 // lease do not count, because the leader may have expired their runs.
 func (k *simulatedWorker) acknowledge(w *simulation, upto int) {
 	for _, e := range k.ended {
-		if e.Number > max(k.ackedUpto, k.endsBeforeExpiry) && e.Number <= upto {
+		if e.Number > max(k.ackedThrough, k.endsBeforeExpiry) && e.Number <= upto {
 			switch e.How {
 			case orchestrator.EndDone:
 				w.done[e.Task] = true
@@ -531,7 +531,7 @@
 			}
 		}
 	}
-	k.ackedUpto = max(k.ackedUpto, upto)
+	k.ackedThrough = max(k.ackedThrough, upto)
 }
 
 // write writes a leader's changes to the store, which accepts only those of the current
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -69,7 +69,7 @@
 
 	lastAppliedEnd int // number of the last reported end of a run that has been applied (see appliedEnd)
 	unackedEnds    []appliedEnd
-	ackedUpto      int // ends up to this number may be acknowledged, because their records are in the store
+	ackedThrough   int // ends up to this number may be acknowledged, because their records are in the store
 
 	failureStreak    int // failed runs in a row
 	lastFailedJob    string
@@ -203,9 +203,9 @@
 
 // PollRequest holds the parameters of the next poll of a worker.
 type PollRequest struct {
-	LeaseEnd  time.Duration // on the worker's clock; 0: leases are not extended
-	AckedUpto int           // ends up to this number are in the store
-	ShortWait bool          // the worker's tail latencies or runs are needed soon, so it waits for changes only briefly
+	LeaseEnd     time.Duration // on the worker's clock; 0: leases are not extended
+	AckedThrough int           // ends up to this number are in the store
+	ShortWait    bool          // the worker's tail latencies or runs are needed soon, so it waits for changes only briefly
 }
 
 // NextPoll returns the parameters of the next poll of a worker, and false if the worker must
@@ -216,7 +216,7 @@
 		return PollRequest{}, false
 	}
 	o.now = now
-	r := PollRequest{AckedUpto: w.ackedUpto, ShortWait: w.load.latencyCritical > 0 && w.load.bestEffort > 0 || len(w.runs) == 0 && !w.runsKnown}
+	r := PollRequest{AckedThrough: w.ackedThrough, ShortWait: w.load.latencyCritical > 0 && w.load.bestEffort > 0 || len(w.runs) == 0 && !w.runsKnown}
 	// A poll without an answer may still have reached the worker. If each such poll extended
 	// the leases of an unreachable worker, its runs would never expire.
 	if len(w.runs) > 0 && !w.unreachable {
@@ -345,7 +345,7 @@
 		r.lostAt = o.now
 	}
 	o.emit(WriteSoon{}) // the lost runs expire after the next confirmation
-	w.lastAppliedEnd, w.ackedUpto, w.unackedEnds = 0, 0, nil
+	w.lastAppliedEnd, w.ackedThrough, w.unackedEnds = 0, 0, nil
 	w.failureStreak, w.quarantinedUntil, w.probing, w.probe, w.slowdown = 0, time.Time{}, false, nil, 1
 	// The clock of the new incarnation starts at 0. A lease end on the old clock can therefore be a
 	// lease of up to MaxLease.
@@ -496,7 +496,7 @@
 		if e.job != nil && e.job.writtenVersion < e.version {
 			break
 		}
-		w.ackedUpto = e.number
+		w.ackedThrough = e.number
 		n++
 	}
 	w.unackedEnds = slices.Delete(w.unackedEnds, 0, n)
