orchestrator: the pause between passes follows the steps that a pass goes through

Cause: the pause grew with all ready steps, also those whose tasks all run, and those that a pass puts off.

Change: the pause counts the steps that the last pass went through before it reached its limit of starts.

--- a/internal/orchestrator/load_test.go
+++ b/internal/orchestrator/load_test.go
@@ -622,3 +622,36 @@
 	is.True(passes > 0)
 	is.True(scored <= 3*passes*workers) // and not 100*passes*workers
 }
+
+// A large fleet comes back: 600 jobs have running tasks, and 6,000 tasks wait for workers that return all at once. Guards
+// against a rate of starts that falls with the number of jobs that run: passes would wait for steps that they do
+// not go through.
+func TestReturnOfWorkersStartsTasksAtFullRate(t *testing.T) {
+	is := is.New(t)
+	const jobs, tasks, workers = 600, 10, 400
+	w := newSimulation(t, 1)
+	w.runTime = func(string, *simulatedWorker) time.Duration { return 100 * time.Second }
+	add := func(prefix string, n, size int) {
+		for i := range n {
+			w.addWorker(fmt.Sprintf("%s%03d", prefix, i), cores(float64(size), 256), "r0")
+		}
+	}
+	add("a", jobs/4, 4)
+	w.elect(false)
+	w.run(2 * time.Second)
+	submit := func(prefix string, tasks int) {
+		for i := range jobs {
+			j := simpleJob(fmt.Sprintf("%s%03d", prefix, i), tasks, cores(1, 1))
+			j.Steps[0].Estimate = 100 * time.Second // its tasks are not slow
+			w.submit(j)
+		}
+	}
+	submit("j", 1)
+	w.run(3 * time.Second)
+	is.Equal(w.starts, jobs)
+	submit("k", tasks)
+	add("b", workers, 16)
+	w.leader().step(orchestrator.WorkersListed{Workers: w.listedWorkers()})
+	w.run(2500 * time.Millisecond) // polls, the roster, and then 6,000 starts in less than 2 s
+	is.Equal(w.starts, jobs+jobs*tasks)
+}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -69,6 +69,7 @@
 	work             passWork               // of the scheduling passes since loadNotedAt
 	tickOffset       int                    // index of the first worker of the last tick
 	lastPassAt       time.Time              // of the last scheduling pass
+	lastPassSteps    int                    // steps that the last scheduling pass went through
 	scoreOffset      int                    // index of the worker at which choose begins if it scores only some of the workers
 	steppedDown      bool                   // a later leader exists
 	leaving          bool                   // this leader hands over
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -34,8 +34,8 @@
 	// passInterval is the pause between two scheduling passes. Without it, each answer of a
 	// worker would cause a pass, and answers arrive more often.
 	passInterval = 15 * time.Millisecond
-	// passIntervalPerStep is added to the pause for each ready step, so that passes take at
-	// most a few hundredths of a core.
+	// passIntervalPerStep is added to the pause for each step that the last pass went through, so that
+	// passes take at most a few hundredths of a core.
 	passIntervalPerStep = 100 * time.Microsecond
 	// maxStartsPerPass bounds the starts of one pass, so that a burst does not delay polls of
 	// workers.
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -30,10 +30,12 @@
 	o.work.passes++
 	starts := 0
 	queue := o.queue()
+	o.lastPassSteps = len(queue)
 	for i, u := range queue {
 		if starts >= maxStartsPerPass {
 			o.passDue = true // the next pass continues
 			o.work.putOffSteps += len(queue) - i
+			o.lastPassSteps = i
 			break
 		}
 		starts += o.scheduleStep(p, u.step)
@@ -59,11 +61,11 @@
 	}
 }
 
-// passPause returns the pause between two passes. It grows with the queue, because a pass
-// goes through all waiting steps. A leader that is behind leaves at least as much time to the events
+// passPause returns the pause between two passes. It grows with the steps that the last pass went through.
+// Steps whose tasks all run, and those that a pass put off, cost nothing. A leader that is behind leaves at least as much time to the events
 // that wait: ends, stops, renewals of leases and confirmations go before starts.
 func (o *Orchestrator) passPause() time.Duration {
-	return max(passInterval+time.Duration(len(o.ready))*passIntervalPerStep, o.lag)
+	return max(passInterval+time.Duration(o.lastPassSteps)*passIntervalPerStep, o.lag)
 }
 
 // urgency holds the values that decide a step's place in the queue.
