--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -61,9 +61,10 @@
 	}
 }
 
-// passPause returns the pause between two passes. It grows with the steps that the last pass went through.
-// Steps whose tasks all run, and those that a pass put off, cost nothing. A leader that is behind leaves at least as much time to the events
-// that wait: ends, stops, renewals of leases and confirmations go before starts.
+// passPause returns the pause between two passes. It grows with the steps that the last pass went
+// through. Steps whose tasks all run, and those that a pass put off, cost nothing. A leader that is
+// behind leaves at least as much time to the events that wait: ends, stops, renewals of leases and
+// confirmations go before starts.
 func (o *Orchestrator) passPause() time.Duration {
 	return max(passInterval+time.Duration(o.lastPassSteps)*passIntervalPerStep, o.lag)
 }
