coordinator: pace the leader's urgent writes

Cause: every final record and every change of the roster woke the writer at once, so jobs that end some milliseconds apart took a write each, and nothing bounded the rate.

Change: urgent writes take from a budget of four, which refills every 90 ms, the pause between the other writes; beyond it they join the next write. A write whose changes did not all fit is still followed at once, now without a detour over the wake-up.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -29,6 +29,9 @@
 	// writeBatchDelay is the pause after a write if unwritten changes remain that no caller
 	// waits for. Changes that are made during the pause share the next write.
 	writeBatchDelay = 90 * time.Millisecond
+	// maxUrgentWrites is the number of writes that callers wait for and that the leader makes
+	// without a pause, after a time with fewer writes.
+	maxUrgentWrites = 4
 	// maxBatchKeys limits the keys of records and jobs in one write. A transaction takes at most
 	// 32 entries, of which two conditions, head, roster and statistics leave this many.
 	maxBatchKeys = 27
--- a/internal/coordinator/write.go
+++ b/internal/coordinator/write.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
 
 	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/storer"
@@ -21,20 +22,39 @@
 	}
 }
 
+// writeResult is the result of a write of the leader.
+type writeResult string
+
+const (
+	writeConfirmed writeResult = "confirmed"
+	writePartial   writeResult = "partial" // confirmed, and further changes are due that did not fit
+	writeFailed    writeResult = "failed"
+)
+
 // runWriter writes the orchestrator's changes to the store, and head at least every
-// headWriteInterval.
+// headWriteInterval. All hosts share the store's limit of writes, so writes that callers wait for
+// are paced as well: the first maxUrgentWrites are made at once, and further ones join the next
+// write after writeBatchDelay. Only a write whose changes did not all fit is followed at once.
 func (ld *leadership) runWriter(ctx context.Context) {
 	t := time.NewTimer(0)
 	defer t.Stop()
+	urgent := rate.NewLimiter(rate.Every(writeBatchDelay), maxUrgentWrites)
 	for ctx.Err() == nil {
 		select {
 		case <-ld.writeWakeup:
+			now := timekeeper.Now()
+			sleep(ctx, urgent.ReserveN(now, 1).DelayFrom(now))
 		case <-t.C:
+			urgent.AllowN(timekeeper.Now(), 1)
 		case <-ctx.Done():
 			return
 		}
+		result := ld.writeBatch(ctx, false)
+		for result == writePartial && ctx.Err() == nil {
+			result = ld.writeBatch(ctx, false)
+		}
 		pause := headWriteInterval
-		if !ld.writeBatch(ctx, false) {
+		if result == writeFailed {
 			pause = writeRetryDelay
 		} else if ld.unwritten() {
 			pause = writeBatchDelay
@@ -43,19 +63,18 @@
 	}
 }
 
-// writeBatch writes the most urgent changes and reports whether the call to the store
-// succeeded. If all is set, the batch includes changes that would otherwise wait for a later
-// one.
-func (ld *leadership) writeBatch(ctx context.Context, all bool) bool {
+// writeBatch writes the most urgent changes. If all is set, the batch includes changes that would
+// otherwise wait for a later one.
+func (ld *leadership) writeBatch(ctx context.Context, all bool) writeResult {
 	ld.writeMu.Lock()
 	defer ld.writeMu.Unlock()
 	ld.mu.Lock()
-	batch, _ := ld.orch.NextBatch(maxBatchKeys, all, timekeeper.Now())
+	batch := ld.orch.NextBatch(maxBatchKeys, all, timekeeper.Now())
 	ld.mu.Unlock()
 	tx, err := ld.transaction(batch)
 	if err != nil {
 		ld.c.log.Error("WriteFailed", "Cause", err.Error())
-		return false
+		return writeFailed
 	}
 	sent := timekeeper.Now()
 	revision, err := ld.c.store.Commit(ctx, tx)
@@ -67,9 +86,9 @@
 		ld.headRevision = revision
 		ld.recordConfirmedWrite(sent, batch)
 		if batch.More {
-			ld.wakeWriter()
+			return writePartial
 		}
-		return true
+		return writeConfirmed
 	case errors.As(err, &conflict):
 		ld.resolveConflict(conflict)
 	case errors.As(err, &unknown):
@@ -77,7 +96,7 @@
 	default:
 		ld.c.log.Debug("WriteRefused", "Cause", err.Error())
 	}
-	return false
+	return writeFailed
 }
 
 func (ld *leadership) recordConfirmedWrite(sent time.Time, batch orchestrator.Batch) {
@@ -196,7 +215,7 @@
 	ld.mu.Unlock()
 	deadline := timekeeper.Now().Add(handOverTimeout)
 	for clean && ld.unwritten() {
-		if ld.writeBatch(ctx, true) {
+		if ld.writeBatch(ctx, true) != writeFailed {
 			continue
 		}
 		clean = timekeeper.Now().Before(deadline) && ctx.Err() == nil
--- a/internal/orchestrator/batch.go
+++ b/internal/orchestrator/batch.go
@@ -36,11 +36,11 @@
 // job and the request to cancel it.
 const finalRecordKeys = 3
 
-// NextBatch returns the most urgent changes, which change at most limit keys of records and jobs,
-// and false if neither a record nor the roster is to be written. all includes changes that are
+// NextBatch returns the most urgent changes, which change at most limit keys of records and jobs.
+// all includes changes that are
 // younger than batchDelay. Final records go first, because callers wait for them, and then the
 // others by the age of their changes.
-func (o *Orchestrator) NextBatch(limit int, all bool, now time.Time) (Batch, bool) {
+func (o *Orchestrator) NextBatch(limit int, all bool, now time.Time) Batch {
 	var b Batch
 	due := make([]*job, 0, len(o.dirty))
 	for _, j := range o.dirty {
@@ -86,7 +86,7 @@
 		o.statisticsAt = now
 		b.Statistics = o.workloadStatistics()
 	}
-	return b, len(b.Entries) > 0 || b.Roster != nil
+	return b
 }
 
 // HasUnwrittenChanges reports whether records or the roster have changes that are not in the
--- a/internal/orchestrator/record_test.go
+++ b/internal/orchestrator/record_test.go
@@ -27,11 +27,11 @@
 	l.step(orchestrator.Tick{})
 	is.True(l.o.HasUnwrittenChanges())
 	for range 2 { // the first write gets no answer
-		b, _ := l.o.NextBatch(9, true, w.now)
+		b := l.o.NextBatch(9, true, w.now)
 		is.Equal(len(b.Entries), 1)
 		is.True(b.Entries[0].Delete)
 	}
-	b, _ := l.o.NextBatch(9, true, w.now)
+	b := l.o.NextBatch(9, true, w.now)
 	l.step(orchestrator.Written{Batch: b})
 	is.True(!l.o.HasUnwrittenChanges())
 	is.Equal(w.state("j1"), orchestrator.State(""))
@@ -53,7 +53,7 @@
 	w := newSimulation(t, 1)
 	l := w.elect(false)
 	l.step(orchestrator.Inherited{Statistics: back})
-	next, _ := l.o.NextBatch(9, true, w.now.Add(time.Minute))
+	next := l.o.NextBatch(9, true, w.now.Add(time.Minute))
 	is.Equal(*next.Statistics, e)
 }
 
@@ -76,7 +76,7 @@
 	var written []string
 	writes := 0
 	for l.o.HasUnwrittenChanges() {
-		b, _ := l.o.NextBatch(keys, true, w.now)
+		b := l.o.NextBatch(keys, true, w.now)
 		for _, e := range b.Entries {
 			written = append(written, e.Record.ID)
 		}
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -544,7 +544,7 @@
 		l.deposed = true
 		return
 	}
-	b, _ := l.o.NextBatch(27, all, l.w.now)
+	b := l.o.NextBatch(27, all, l.w.now)
 	for _, e := range b.Entries {
 		l.w.storedRecords[e.Record.ID] = e.Record
 	}
@@ -574,7 +574,7 @@
 	l.step(orchestrator.HandOver{})
 	clean := l.o.RecordsNameAllRuns()
 	for range 1000 {
-		if _, more := l.o.NextBatch(27, true, l.w.now); !more {
+		if !l.o.HasUnwrittenChanges() {
 			break
 		}
 		l.write(true)
