orchestrator: a successor after a hand-over is no longer slowed down by its own passes

Cause: after a clean hand-over, each pass checked every waiting task against every worker without an answer, to see whether the task's record names it: 5,000 tasks times 1,100 workers. A pass took 100 ms on the leader's 0.8 core. The pause between passes counts from the beginning of a pass and was shorter than that, so each answer of a worker brought another pass: front-tarlac-3 reached 10 workers a second, its regular event was 6 s late, and the runs of the workers it had not reached lapsed. After a crash the first worker ends the check, so only clean hand-overs, as in a rolling restart, were slow.

Change: the check looks up the one to three workers in the task's record. The pause after a pass is at least the time it took (once more than the pass itself), at most 0.5 s, whatever makes a pass slow. A hand-over ends when its leadership has: the same host wrote 25 refused transactions in 1.5 s after it was deposed.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -266,5 +266,6 @@
 		Epoch: epoch, ElectedAt: elected, ConfirmedAt: confirmed,
 		Lease: min(runLeaseDuration, c.settings.MaxLease), LeaderLease: leaderLeaseDuration, MaxLease: c.settings.MaxLease,
 		Retention: c.settings.StatusRetention, RemoteSlowdown: c.settings.FarFactor, Disabled: c.settings.DisabledMechanisms,
+		Clock: timekeeper.Now,
 	}
 }
--- a/internal/coordinator/write.go
+++ b/internal/coordinator/write.go
@@ -214,18 +214,30 @@
 	}
 	ld.mu.Unlock()
 	deadline := timekeeper.Now().Add(handOverTimeout)
-	for clean && ld.unwritten() {
+	for clean && ld.unwritten() && !ld.ended() {
 		if ld.writeBatch(ctx, true) != writeFailed {
 			continue
 		}
 		clean = timekeeper.Now().Before(deadline) && ctx.Err() == nil
 		sleep(ctx, writeRetryDelay)
 	}
-	ld.vacate(ctx, clean, preferred)
+	if !ld.ended() { // else another host leads, and the term is not this leader's to change
+		ld.vacate(ctx, clean, preferred)
+	}
 	ld.cancel()
 	<-ld.done
 }
 
+// ended reports whether the leadership has ended.
+func (ld *leadership) ended() bool {
+	select {
+	case <-ld.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // handOverTimeout bounds the time for the writes of a hand-over.
 const handOverTimeout = 1500 * time.Millisecond
 
--- a/internal/coordinator/write_test.go
+++ b/internal/coordinator/write_test.go
@@ -41,3 +41,28 @@
 	ld.runWriter(ctx)
 	is.True(store.writes.Load() <= maxUrgentWrites+12)
 }
+
+// deposedStore refuses each transaction, because another host has been elected.
+type deposedStore struct{ writtenStore }
+
+func (s deposedStore) Commit(context.Context, storer.Transaction) (uint64, error) {
+	s.writes.Add(1)
+	return 0, &storer.ConflictError{Entries: []storer.Entry{{Key: keyTerm, Revision: 9}}}
+}
+
+// A leader is stopped after another host was elected, which it has not noticed. Guards against a
+// hand-over that goes on writing: on the large deployment's day scale-2 it wrote 25 times in 1.5 s
+// (snapshot fb9437a9).
+func TestHandOverEndsWhenDeposed(t *testing.T) {
+	is := is.New(t)
+	store := deposedStore{writtenStore{writes: new(atomic.Int64)}}
+	ld, _ := newTestLeadership(store)
+	ld.term.Revision = 1
+	ld.apply(orchestrator.Inherited{})
+	ld.loaded = true
+	ld.handleNotice(notice{Epoch: 1, Job: &orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1}}}, Revision: 2})
+	ld.handleNotice(notice{Cancel: "j1"}) // its final record is to be written
+	is.True(ld.unwritten())
+	ld.handOver(context.Background(), "")
+	is.True(store.writes.Load() <= 2)
+}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -20,6 +20,9 @@
 	Retention      time.Duration // how long the records of finished jobs are kept
 	RemoteSlowdown float64       // slowdown of a task away from its data, or of a gang on several racks
 	Disabled       MechanismSet  // mechanisms of the policy that are not in use
+	// Clock returns the present time. It measures how long scheduling passes take; nil: they are not
+	// measured.
+	Clock func() time.Time
 }
 
 const (
@@ -70,6 +73,7 @@
 	tickOffset       int                    // index of the first worker of the last tick
 	lastPassAt       time.Time              // of the last scheduling pass
 	lastPassSteps    int                    // steps that the last scheduling pass went through
+	lastPassTook     time.Duration          // how long the last scheduling pass took
 	scoreOffset      int                    // index of the worker at which choose begins if it scores only some of the workers
 	steppedDown      bool                   // a later leader exists
 	leaving          bool                   // this leader hands over
@@ -226,11 +230,22 @@
 	}
 	if o.passDue && o.inheritedApplied && !o.steppedDown && o.now.Sub(o.lastPassAt) >= o.passPause() {
 		o.passDue, o.lastPassAt = false, o.now
-		o.schedule()
+		o.lastPassTook = o.measure(o.schedule)
 	}
 	return o.actions
 }
 
+// measure calls f and returns how long it took, 0 without a clock.
+func (o *Orchestrator) measure(f func()) time.Duration {
+	if o.settings.Clock == nil {
+		f()
+		return 0
+	}
+	begin := o.settings.Clock()
+	f()
+	return o.settings.Clock().Sub(begin)
+}
+
 // handOver marks the records of all jobs with runs as changed, so that they are written with
 // the workers of the runs.
 func (o *Orchestrator) handOver() {
--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -346,3 +346,47 @@
 	is.True(speed >= 20 && speed < 40)
 	is.Equal(w.runningOn("loud"), []string{"w0"})
 }
+
+// Each pass takes 100 ms, as on a host whose processor has slowed down, and workers answer every
+// 10 ms. Guards against a leader that runs a pass with each answer: the answers wait, leases are not
+// renewed, and other hosts depose it.
+func TestSlowPassesLeaveTimeForAnswers(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1)
+	var passTime time.Duration
+	w.clock = func() time.Time { // read before and after each pass
+		passTime += 100 * time.Millisecond
+		return w.now.Add(passTime)
+	}
+	w.addWorker("w0", cores(8, 32), "r0")
+	w.elect(false)
+	w.run(time.Second)
+	before := w.loadFigure(t, "Passes")
+	w.run(4 * time.Second)
+	passes := w.loadFigure(t, "Passes") - before
+	is.True(passes > 10)
+	is.True(passes <= 4*5+1)
+}
+
+// The process is paused for 10 s in the middle of a pass. Guards against starts that wait for a
+// multiple of the pause.
+func TestPauseDuringPassDelaysNoStarts(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1)
+	var reads, pausedAt int
+	w.clock = func() time.Time {
+		if reads++; reads == pausedAt {
+			return w.now.Add(10 * time.Second)
+		}
+		return w.now
+	}
+	w.addWorker("w0", cores(8, 32), "r0")
+	w.elect(false)
+	w.run(time.Second)
+	pausedAt = reads + 2 - reads%2 // the read after the next pass
+	w.run(100 * time.Millisecond)
+	is.True(reads >= pausedAt)
+	w.submit(simpleJob("j1", 1, cores(1, 1)))
+	w.run(600 * time.Millisecond)
+	is.Equal(w.starts, 1)
+}
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -176,18 +176,35 @@
 	if !j.inherited || t.observed && !t.mayBeExhausted() {
 		return ""
 	}
-	for _, w := range p.unreached {
-		if w.Service != j.Policy.Service && w.Service != "" {
-			continue
+	if o.handedOff { // the records name all workers on which the task may run
+		for _, id := range t.recordedWorkers {
+			if w := o.workers[id]; w != nil && w.unreached() && w.mayServe(j.Policy.Service) {
+				return blockedReason(w)
+			}
 		}
-		if o.handedOff && !slices.Contains(t.recordedWorkers, w.ID) {
-			continue
+		return ""
+	}
+	for _, w := range p.unreached {
+		if w.mayServe(j.Policy.Service) {
+			return blockedReason(w)
 		}
-		return "worker " + w.ID + " has not answered this leader yet and may run the task"
 	}
 	return ""
 }
 
+func blockedReason(w *worker) string {
+	return "worker " + w.ID + " has not answered this leader yet and may run the task"
+}
+
+// mayServe reports whether a worker is of the service, or its service is unknown.
+func (w *worker) mayServe(service string) bool { return w.Service == service || w.Service == "" }
+
+// unreached reports whether a worker that has not answered this leader yet may run tasks of an
+// earlier leader.
+func (w *worker) unreached() bool {
+	return w.mayRunInheritedTasks && !w.runsKnown && !w.provenIdle
+}
+
 // cachedCandidates returns the result of candidates, cached for the pass. It is the same for
 // all steps of a service with the same required label, unless the outside policy decides.
 func (o *Orchestrator) cachedCandidates(p *pass, s *step) ([]*worker, string) {
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -14,7 +14,7 @@
 	candidates map[string][]*worker // by service and label
 	reasons    map[string]string    // by service and label: why there are no candidates
 	unplaced   map[string]Resources // by unplacedKey: size of the last task placed by size only that fits on no worker
-	unreached  []*worker            // workers without an answer that may still run tasks of an earlier leader
+	unreached  []*worker            // see worker.unreached
 }
 
 // schedule starts tasks on workers, the most urgent first.
@@ -23,7 +23,7 @@
 	o.updateReturning()
 	p := &pass{candidates: make(map[string][]*worker), reasons: make(map[string]string), unplaced: make(map[string]Resources)}
 	for _, w := range o.workersByID() {
-		if w.mayRunInheritedTasks && !w.runsKnown && !w.provenIdle {
+		if w.unreached() {
 			p.unreached = append(p.unreached, w)
 		}
 	}
@@ -64,11 +64,15 @@
 // passPause returns the pause between two passes. It grows with the steps that the last pass went
 // through. Steps whose tasks all run, and those that a pass put off, cost nothing. A leader that is
 // behind leaves at least as much time to the events that wait: ends, stops, renewals of leases and
-// confirmations go before starts.
+// confirmations go before starts. After a slow pass, too, the events get at least as much time as the
+// pass took, whatever made it slow.
 func (o *Orchestrator) passPause() time.Duration {
-	return max(passInterval+time.Duration(o.lastPassSteps)*passIntervalPerStep, o.lag)
+	return max(passInterval+time.Duration(o.lastPassSteps)*passIntervalPerStep, o.lag, min(2*o.lastPassTook, maxSlowPassPause))
 }
 
+// maxSlowPassPause limits the pause after a slow pass: the process may have been paused during it.
+const maxSlowPassPause = 500 * time.Millisecond
+
 // urgency holds the values that decide a step's place in the queue.
 type urgency struct {
 	step      *step
--- a/internal/orchestrator/restart_test.go
+++ b/internal/orchestrator/restart_test.go
@@ -1,6 +1,7 @@
 package orchestrator_test
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -142,3 +143,47 @@
 	is.True(known)
 	is.Equal(state, orchestrator.StateCancelled)
 }
+
+// takeoverPassTime returns the shortest real time of a pass right after the change of leaders at a
+// fleet whose tasks all run, and none of whose workers has answered the new leader yet.
+func takeoverPassTime(t *testing.T, workers int, cleanHandOver bool) time.Duration {
+	t.Helper()
+	w := newSimulation(t, 1)
+	w.runTime = func(string, *simulatedWorker) time.Duration { return time.Hour }
+	for i := range workers {
+		w.addWorker(fmt.Sprintf("w%04d", i), cores(8, 32), "r0")
+	}
+	w.elect(false)
+	w.run(time.Second)
+	for i := range 40 {
+		w.submit(latencyCriticalJob(fmt.Sprintf("j%02d", i), "x", workers/10, cores(1, 1)))
+	}
+	w.run(3 * time.Second)
+	clean := false
+	if cleanHandOver {
+		clean = w.leader().handOver()
+	}
+	l := w.elect(clean)
+	shortest := time.Hour
+	for range 5 {
+		w.now = w.now.Add(time.Second)
+		begin := time.Now()
+		l.step(orchestrator.Tick{})
+		shortest = min(shortest, time.Since(begin))
+	}
+	if n := w.starts; n != workers*4 {
+		t.Fatalf("%d starts", n)
+	}
+	return shortest
+}
+
+// Guards against passes of a successor that check every waiting task against every worker that has
+// not answered yet. On the large deployment's day scale-2 they took 100 ms each and left no time for
+// the answers, so that the successor reached 20 workers a second and was deposed (dbrw-sched-large,
+// snapshot fb9437a9).
+func TestPassAfterHandOverIsNoSlowerThanAfterCrash(t *testing.T) {
+	crash, clean := takeoverPassTime(t, 1000, false), takeoverPassTime(t, 1000, true)
+	if clean > 5*crash {
+		t.Errorf("a pass takes %s after a hand-over, and %s after a crash", clean, crash)
+	}
+}
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -38,6 +38,7 @@
 	wallOffset      time.Duration
 	lag             time.Duration             // of the leaders' Ticks
 	disabled        orchestrator.MechanismSet // of leaders that are elected later
+	clock           func() time.Time          // measures passes; nil: not measured
 	lease           time.Duration             // of the runs of leaders that are elected later
 }
 
@@ -165,7 +166,7 @@
 	l := &simulatedLeader{w: w, id: len(w.leaders), epoch: w.epoch, watched: make(map[string]bool), polledAt: make(map[string]time.Time)}
 	l.o = orchestrator.New(orchestrator.Settings{
 		Epoch: w.epoch, ElectedAt: w.now, ConfirmedAt: w.now, Lease: w.lease, LeaderLease: 9 * time.Second,
-		MaxLease: 10 * time.Second, Retention: time.Hour, RemoteSlowdown: 3, Disabled: w.disabled,
+		MaxLease: 10 * time.Second, Retention: time.Hour, RemoteSlowdown: 3, Disabled: w.disabled, Clock: w.clock,
 	})
 	w.leaders = append(w.leaders, l)
 	w.currentLeader = l.id
