status: the fleet's state from any entry host, in text and JSON

Change: the leader keeps what hosts tell in their pings (failure domain, versions, readiness) and summarises its workers by failure domain, with at most 50 that get no new work and why. Each host answers GET /status on its MetricsAddress and asks the leader for it, for at most 0.4 s. 'status METRICS-ADDRESS ...' prints it, -json and -watch too. The metrics of the process (processor time, memory) are registered.

--- a/cmd/peridotpitch/entry.go
+++ b/cmd/peridotpitch/entry.go
@@ -49,7 +49,8 @@
 	defer closeWorkers()
 	c := coordinator.New(s, coordinator.Dependencies{
 		Store: store, Workers: workers, Decoder: platform.Decoder{},
-		Keys: coordinator.StoreKeys{Configuration: platform.ConfigurationKey, Workers: platform.WorkerKeyPrefix},
+		Keys:    coordinator.StoreKeys{Configuration: platform.ConfigurationKey, Workers: platform.WorkerKeyPrefix},
+		Program: version,
 	}, log)
 	shutdown, err := platform.ServeCallers(s.CallerAddress, s.ReadyAddress, c, log)
 	if err != nil {
--- a/internal/commandline/operate.go
+++ b/internal/commandline/operate.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"peridotpitch/internal/administrator"
 	"peridotpitch/internal/configurator"
@@ -290,18 +291,59 @@
 }
 
 var statusCommand = command{
-	name: "status", remote: true, summary: "Show a summary of the system from one entry host.",
-	setup: func(*flag.FlagSet) func(*call) error {
+	name: "status", arguments: "[METRICS-ADDRESS ...]", remote: true, minLocalArguments: 1, maxArguments: maxStatusAddresses,
+	summary: "Show a summary of the system from one entry host, or, with MetricsAddresses of the entry subcommand, of its fleet.",
+	setup: func(fs *flag.FlagSet) func(*call) error {
+		var interval time.Duration
+		durationFlag(fs, &interval, "watch", "repeat after each `interval` until interrupted")
 		return func(c *call) error {
-			s, err := c.client.Status(c.ctx)
-			if err != nil {
-				return err
+			show := c.showStatus
+			if len(c.arguments) > 0 {
+				addresses, err := parseAddresses(c.arguments)
+				if err != nil {
+					return err
+				}
+				show = func() error { return c.showFleet(addresses) }
 			}
-			return c.show(s, func(w io.Writer) { printStatus(w, s) })
+			return c.repeat(interval, show)
 		}
 	},
 }
 
+// maxStatusAddresses limits the hosts that one status subcommand asks.
+const maxStatusAddresses = 16
+
+// repeat calls show once, or after each interval above 0 until the context ends. While it repeats,
+// it prints errors and goes on.
+func (c *call) repeat(interval time.Duration, show func() error) error {
+	if interval == 0 {
+		return show()
+	}
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		if !c.json {
+			_, _ = fmt.Fprintf(c.Stdout, "--- %s\n", time.Now().Format(time.RFC3339))
+		}
+		if err := show(); err != nil {
+			fail(c.Environment, c.json, err)
+		}
+		select {
+		case <-t.C:
+		case <-c.ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (c *call) showStatus() error {
+	s, err := c.client.Status(c.ctx)
+	if err != nil {
+		return err
+	}
+	return c.show(s, func(w io.Writer) { printStatus(w, s) })
+}
+
 func printStatus(w io.Writer, s administrator.Status) {
 	ready := "yes"
 	if !s.Ready {
--- a/internal/commandline/run.go
+++ b/internal/commandline/run.go
@@ -60,9 +60,9 @@
 	name      string // one or two words
 	arguments string // names of the arguments in the usage text
 	summary   string
-	remote    bool // sends a request to an entry host, or reads log files: see minLocalArguments
-	// With at least minLocalArguments arguments, a remote command reads log files instead of
-	// sending a request to an entry host; 0: it always sends a request.
+	remote    bool // sends a request to the AdminAddress of an entry host, unless it has minLocalArguments
+	// With at least minLocalArguments arguments, a remote command reads log files or asks the
+	// named addresses, and needs no AdminAddress; 0: it always needs one.
 	minLocalArguments          int
 	minArguments, maxArguments int // number of arguments
 	// setup declares the flags and returns the function that executes the command.
--- a/internal/commandline/run_test.go
+++ b/internal/commandline/run_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"strconv"
@@ -19,6 +20,7 @@
 
 	"peridotpitch/internal/administrator"
 	"peridotpitch/internal/configurator"
+	"peridotpitch/internal/coordinator"
 	"peridotpitch/internal/loader"
 	"peridotpitch/internal/messenger"
 	"peridotpitch/internal/publisher"
@@ -56,6 +58,13 @@
 			env.Setenv("USER", "ana at the desk")
 			env.Setenv("GORACE", "atexit_sleep_ms=0") // the race detector delays each exit by 1 s
 			env.Values["backend"] = b
+			alone := fleetStatus()
+			alone.Leader, alone.NoLeader = nil, "leader sampaloc-1 did not answer: timeout"
+			for name, s := range map[string]coordinator.FleetStatus{"METRICS_ADDRESS": fleetStatus(), "ALONE_ADDRESS": alone} {
+				h := httptest.NewServer(serveFleetStatus(s))
+				env.Defer(h.Close)
+				env.Setenv(name, h.Listener.Addr().String())
+			}
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -41,6 +41,8 @@
 	Workers WorkerClient
 	Decoder Decoder
 	Keys    StoreKeys
+	// Program is the version of the program, which the status shows.
+	Program string
 }
 
 // Coordinator runs one entry host and, while it is elected, the leader.
@@ -101,14 +103,14 @@
 	defer c.closeClients()
 	c.log.Info("Start", "Host", c.settings.Name, "FailureDomain", c.settings.FailureDomain, "Process", c.processID,
 		"CallerAddress", c.settings.CallerAddress.String(), "MessageAddress", c.settings.MessageAddress.String(),
-		"DisabledMechanisms", c.settings.DisabledMechanisms.String())
+		"Program", c.deps.Program, "DisabledMechanisms", c.settings.DisabledMechanisms.String())
 	group, groupCtx := errgroup.WithContext(context.WithoutCancel(ctx))
 	groupCtx, cancel := context.WithCancel(groupCtx)
 	defer cancel()
 	group.Go(func() error { c.syncConfiguration(groupCtx); return nil })
 	group.Go(func() error { c.monitorLeader(groupCtx); return nil })
 	group.Go(func() error { c.pauses.run(groupCtx, c.logResume); return nil })
-	group.Go(func() error { return c.metrics.serve(groupCtx, c.settings.MetricsAddress) })
+	group.Go(func() error { return c.metrics.serve(groupCtx, c.settings.MetricsAddress, c.handleStatus) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -69,7 +69,10 @@
 	cancel      context.CancelFunc
 	done        chan struct{} // closed when run has returned
 	writeWakeup chan struct{} // makes runWriter write at once
+	electedAt   time.Time     // when this host learned that it had won the election
 	lagLoggedAt time.Time     // of the last LeaderBehind; used by runTicker only
+	processors  processorMeter
+	hosts       hostTable
 
 	mu          sync.Mutex // guards the fields below
 	orch        *orchestrator.Orchestrator
@@ -95,7 +98,7 @@
 	ld := &leadership{
 		c: c, term: t, cancel: cancel, done: make(chan struct{}), writeWakeup: make(chan struct{}, 1),
 		orch:    orchestrator.New(c.orchestratorSettings(t.Revision, sent, timekeeper.Now())),
-		pollers: make(map[string]*poller), headRevision: t.Revision,
+		pollers: make(map[string]*poller), headRevision: t.Revision, electedAt: timekeeper.Now(),
 	}
 	ld.lastConfirmedSent.Store(sent.UnixNano())
 	c.mu.Lock()
@@ -198,6 +201,7 @@
 			ld.apply(orchestrator.Tick{WallOffset: timekeeper.WallOffset(), Lag: lag})
 			lag = time.Since(due)
 			ld.recordLag(lag)
+			ld.processors.sample(timekeeper.Now())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -15,6 +15,7 @@
 	methodPing   = "Ping"
 	methodNotice = "Notice"
 	methodState  = "State"
+	methodStatus = "Status"
 )
 
 // leaderCallTimeout bounds calls to the leader other than pings. It is short because a
@@ -23,11 +24,13 @@
 
 // pingRequest checks whether the leader is alive and describes the sending host to it.
 type pingRequest struct {
-	Host    string
-	Epoch   uint64
-	Version uint64  // of the configuration in effect on the host
-	Share   float64 // processor share of the host
-	Ready   bool
+	Host          string
+	FailureDomain string
+	Program       string // version of the host's program
+	Epoch         uint64
+	Version       uint64  // of the configuration in effect on the host
+	Share         float64 // processor share of the host
+	Ready         bool
 }
 
 // pingAnswer describes the host that was pinged.
@@ -74,6 +77,7 @@
 		methodState: messenger.NewMethod(func(_ context.Context, r stateRequest) (stateAnswer, error) {
 			return c.localState(r.ID), nil
 		}),
+		methodStatus: messenger.NewMethod(c.serveStatus),
 	}
 }
 
@@ -81,6 +85,8 @@
 	c.noteOtherHostsVersion(p.Version)
 	a := pingAnswer{Process: c.processID, StoreSilence: c.timeSinceStoreSuccess(), Version: c.configVersion()}
 	if ld := c.currentLeadership(); ld != nil {
+		ld.hosts.record(HostStatus{Name: p.Host, FailureDomain: p.FailureDomain, Program: p.Program, ConfigurationVersion: p.Version,
+			ProcessorShare: p.Share, Ready: p.Ready}, timekeeper.Now())
 		a.Leading, a.Epoch, a.Pending = true, ld.term.Revision, ld.pending()
 		a.Loaded = a.Pending != nil
 		a.StoreSilence = max(a.StoreSilence, ld.timeSinceConfirmedWrite())
@@ -96,7 +102,8 @@
 	var a pingAnswer
 	sent := timekeeper.Now()
 	err := c.client(t.address()).Invoke(ctx, pingTimeout, methodPing,
-		&pingRequest{Host: c.settings.Name, Epoch: t.Revision, Version: c.configVersion(), Share: c.settings.ProcessorShare, Ready: c.Ready()}, &a)
+		&pingRequest{Host: c.settings.Name, FailureDomain: c.settings.FailureDomain, Program: c.deps.Program, Epoch: t.Revision,
+			Version: c.configVersion(), Share: c.settings.ProcessorShare, Ready: c.Ready()}, &a)
 	if err != nil {
 		return pingAnswer{}, err
 	}
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
@@ -61,7 +62,8 @@
 		configReads:     histogram("configuration_read_seconds", "Time of the store's answers to reads and watches of the configuration, by call and outcome.", prometheus.ExponentialBuckets(0.004, 2, 12), "call", "outcome"),
 	}
 	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures,
-		m.panics, m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads)
+		m.panics, m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads,
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return m
 }
 
@@ -76,9 +78,10 @@
 // metricsShutdownTimeout bounds the shutdown of the metrics server.
 const metricsShutdownTimeout = 200 * time.Millisecond
 
-// serve serves the metrics over HTTP until ctx is done.
-func (m *metrics) serve(ctx context.Context, address netip.AddrPort) error {
+// serve serves the metrics and the fleet's status over HTTP until ctx is done.
+func (m *metrics) serve(ctx context.Context, address netip.AddrPort, status http.HandlerFunc) error {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+StatusPath, status)
 	mux.Handle("/metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
 	s := &http.Server{Addr: address.String(), Handler: mux, ReadHeaderTimeout: time.Second}
 	stopped := context.AfterFunc(ctx, func() {
--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -8,33 +8,60 @@
 // loadNoteInterval is the shortest time between two notes on the load of all workers.
 const loadNoteInterval = time.Second
 
+// Load is the capacity and the use of the usable workers, and what waits. Figures of cores are
+// rounded down.
+type Load struct {
+	Workers      int // usable ones
+	Cores        int
+	Counted      int // cores of tasks that are neither latency-critical nor best-effort
+	Serving      int // cores of latency-critical tasks
+	Filling      int // cores of best-effort tasks at full speed
+	Unused       int
+	Jobs         int // unfinished ones
+	WaitingTasks int
+	WaitingCores int
+	// Scheduling passes, starts, checks whether a task may start on a worker, and ready steps that
+	// a pass left to the next one, in the last interval of at least loadNoteInterval.
+	Passes, Starts, Scored, PutOffSteps int
+}
+
+func (l Load) String() string {
+	return fmt.Sprintf("Workers=%d Cores=%d Counted=%d Serving=%d Filling=%d Unused=%d Jobs=%d WaitingTasks=%d WaitingCores=%d Passes=%d Starts=%d Scored=%d PutOffSteps=%d",
+		l.Workers, l.Cores, l.Counted, l.Serving, l.Filling, l.Unused, l.Jobs, l.WaitingTasks, l.WaitingCores, l.Passes, l.Starts, l.Scored, l.PutOffSteps)
+}
+
 // noteLoad notes the capacity and the use of the usable workers and the size of the queue.
 func (o *Orchestrator) noteLoad() {
-	var cores, counted, latencyCritical, bestEffort, unused, usable int
-	for _, w := range o.workersByID() {
+	o.lastWork, o.work = o.work, passWork{}
+	o.emit(Note{Event: EventLoad, Figures: o.load().String()})
+}
+
+// load returns the present load, with the work of the passes before the last note.
+func (o *Orchestrator) load() Load {
+	l := Load{Jobs: len(o.jobs), Passes: o.lastWork.passes, Starts: o.lastWork.starts, Scored: o.lastWork.scored, PutOffSteps: o.lastWork.putOffSteps}
+	for _, w := range o.workers {
 		if ok, _ := o.usable(w); !ok {
 			continue
 		}
-		usable++
-		cores += w.Capacity.CPU
-		counted += w.used.CPU - w.load.latencyCritical
-		latencyCritical += w.load.latencyCritical
-		bestEffort += w.load.bestEffort
-		unused += max(0, w.unusedCPU())
+		l.Workers++
+		l.Cores += w.Capacity.CPU
+		l.Counted += w.used.CPU - w.load.latencyCritical
+		l.Serving += w.load.latencyCritical
+		l.Filling += w.load.bestEffort
+		l.Unused += max(0, w.unusedCPU())
 	}
-	waiting, cpu := 0, 0
 	for s := range o.ready {
 		for _, t := range s.tasks {
 			if !t.done && len(t.runs) == 0 {
-				waiting++
-				cpu += s.Size.CPU
+				l.WaitingTasks++
+				l.WaitingCores += s.Size.CPU
 			}
 		}
 	}
-	o.emit(Note{Event: EventLoad, Figures: fmt.Sprintf("Workers=%d Cores=%d Counted=%d Serving=%d Filling=%d Unused=%d Jobs=%d WaitingTasks=%d WaitingCores=%d Passes=%d Starts=%d Scored=%d PutOffSteps=%d",
-		usable, cores/1000, counted/1000, latencyCritical/1000, bestEffort/1000, unused/1000, len(o.jobs), waiting, cpu/1000,
-		o.work.passes, o.work.starts, o.work.scored, o.work.putOffSteps)})
-	o.work = passWork{}
+	for _, millicores := range []*int{&l.Cores, &l.Counted, &l.Serving, &l.Filling, &l.Unused, &l.WaitingCores} {
+		*millicores /= 1000
+	}
+	return l
 }
 
 // passWork is the work of the scheduling passes since the last note on the load.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -70,6 +70,7 @@
 	passDue          bool                   // a scheduling pass is due, because a change may let a task start
 	loadNotedAt      time.Time              // when noteLoad last ran
 	work             passWork               // of the scheduling passes since loadNotedAt
+	lastWork         passWork               // of the scheduling passes before loadNotedAt, since the note before
 	tickOffset       int                    // index of the first worker of the last tick
 	lastPassAt       time.Time              // of the last scheduling pass
 	lastPassSteps    int                    // steps that the last scheduling pass went through
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -225,20 +225,24 @@
 	j := s.occurrence.job
 	var ws []*worker
 	reason := "no worker of service " + j.Policy.Service + " is listed"
+	unusable := "" // why the last worker that was checked is not usable
 	for _, w := range o.workersByID() {
 		if w.Service != j.Policy.Service {
 			continue
 		}
 		if s.RequiredLabel != "" && !slices.Contains(w.Labels, s.RequiredLabel) {
-			reason = "no worker with label " + s.RequiredLabel + " is usable"
+			reason, unusable = "no worker with label "+s.RequiredLabel+" is usable", ""
 			continue
 		}
 		if ok, why := o.usable(w); !ok {
-			reason = why
+			unusable = why
 			continue
 		}
 		ws = append(ws, w)
 	}
+	if unusable != "" {
+		reason = "no worker is usable; the last one checked " + unusable
+	}
 	if j.Policy.Advised && len(ws) > 0 {
 		return o.advisedWorkers(s, ws)
 	}
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -246,28 +246,28 @@
 	return leaseEnd.Truncate(time.Millisecond), true
 }
 
-// usable reports whether a worker may get new work. If not, it also returns a reason, which is
-// the reason for the waiting of a step that finds no usable worker.
+// usable reports whether a worker may get new work. If not, it also returns
+// the reason as a predicate, for example "is draining".
 func (o *Orchestrator) usable(w *worker) (bool, string) {
 	switch {
 	case !w.listed && o.now.Sub(w.unlistedAt) > unlistedGrace:
-		return false, "no worker is usable; the last one checked is not listed"
+		return false, "is not listed"
 	case w.Draining:
-		return false, "no worker is usable; the last one checked is draining"
+		return false, "is draining"
 	case !w.runsKnown || !w.hasClock:
-		return false, "no worker is usable; the last one checked has not answered this leader yet"
+		return false, "has not answered this leader yet"
 	case w.unreachable || w.unansweredAt.After(w.answeredPollSentAt):
-		return false, "no worker is usable; the last one checked does not answer"
+		return false, "does not answer"
 	case !w.rostered:
-		return false, "no worker is usable; the last one checked has no roster entry in the store yet"
+		return false, "has no roster entry in the store yet"
 	case w.unknownRuns > 0:
-		return false, "no worker is usable; the last one checked still runs tasks of jobs that have ended"
+		return false, "still runs tasks of jobs that have ended"
 	case o.mayOutlastLeadership(w):
-		return false, "no worker is usable; the last one checked has restarted, and its leases may outlast this leadership"
+		return false, "has restarted, and its leases may outlast this leadership"
 	case o.now.Before(w.quarantinedUntil):
-		return false, "no worker is usable; the last one checked is quarantined after failed runs"
+		return false, "is quarantined after failed runs"
 	case w.probe != nil:
-		return false, "no worker is usable; the last one checked runs one task at a time after failed runs"
+		return false, "runs one task at a time after failed runs"
 	}
 	return true, ""
 }
