coordinator: a stopped leader prefers a successor that has already been restarted

Change: hosts tell the uptime of their process with their pings. A leader that is being stopped names the ready, equally strong host with the shortest uptime below its own as preferred in the term; other hosts leave it a start of 0.5 s, as for the hand-over to a stronger host. A host that this leader has seen restart twice is left out, since it may be failing.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -54,6 +54,7 @@
 	metrics   *metrics
 	processID string // identifies this process in the store and to other hosts
 	jitter    func(time.Duration) time.Duration
+	startedAt time.Time // timekeeper time at which the process started
 
 	config            atomic.Pointer[Configuration]
 	otherHostsVersion atomic.Uint64 // newest version of the configuration that another host has told
@@ -82,7 +83,7 @@
 func New(s Settings, p Dependencies, log *slog.Logger) *Coordinator {
 	processID := fmt.Sprintf("%s/%x", s.Name, rand.Uint64())
 	c := &Coordinator{
-		settings: s, deps: p, log: log, metrics: newMetrics(), processID: processID,
+		settings: s, deps: p, log: log, metrics: newMetrics(), processID: processID, startedAt: timekeeper.Now(),
 		jitter:  func(d time.Duration) time.Duration { return rand.N(d + 1) },
 		clients: make(map[netip.AddrPort]*messenger.Client),
 	}
@@ -135,7 +136,7 @@
 	c.leaving.Store(true)
 	deadline := time.Now().Add(min(shutdownGracePeriod, c.settings.DrainTimeout/2))
 	if ld := c.currentLeadership(); ld != nil {
-		ld.handOver(ctx, "")
+		ld.handOver(ctx, ld.hosts.preferredSuccessor(c.hostStatus(), timekeeper.Now()))
 	}
 	sleep(ctx, time.Until(deadline))
 }
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -31,6 +31,7 @@
 	Version       uint64  // of the configuration in effect on the host
 	Share         float64 // processor share of the host
 	Ready         bool
+	Uptime        time.Duration // of the host's process
 }
 
 // pingAnswer describes the host that was pinged.
@@ -86,7 +87,7 @@
 	a := pingAnswer{Process: c.processID, StoreSilence: c.timeSinceStoreSuccess(), Version: c.configVersion()}
 	if ld := c.currentLeadership(); ld != nil {
 		ld.hosts.record(HostStatus{Name: p.Host, FailureDomain: p.FailureDomain, Program: p.Program, ConfigurationVersion: p.Version,
-			ProcessorShare: p.Share, Ready: p.Ready}, timekeeper.Now())
+			ProcessorShare: p.Share, Ready: p.Ready, Uptime: p.Uptime}, timekeeper.Now())
 		a.Leading, a.Epoch, a.Pending = true, ld.term.Revision, ld.pending()
 		a.Loaded = a.Pending != nil
 		a.StoreSilence = max(a.StoreSilence, ld.timeSinceConfirmedWrite())
@@ -103,7 +104,8 @@
 	sent := timekeeper.Now()
 	err := c.client(t.address()).Invoke(ctx, pingTimeout, methodPing,
 		&pingRequest{Host: c.settings.Name, FailureDomain: c.settings.FailureDomain, Program: c.deps.Program, Epoch: t.Revision,
-			Version: c.configVersion(), Share: c.settings.ProcessorShare, Ready: c.Ready()}, &a)
+			Version: c.configVersion(), Share: c.settings.ProcessorShare, Ready: c.Ready(),
+			Uptime: timekeeper.Now().Sub(c.startedAt)}, &a)
 	if err != nil {
 		return pingAnswer{}, err
 	}
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -44,6 +44,7 @@
 	ConfigurationVersion uint64 // of the configuration in effect; 0: none
 	ProcessorShare       float64
 	Ready                bool
+	Uptime               time.Duration // of its process, as of its last ping
 	HeardAgo             time.Duration // since its last ping to the leader; 0 for the leader and the host that answers
 	Silent               bool          // it has not pinged the leader for maxHostSilence
 }
@@ -69,8 +70,9 @@
 }
 
 type heardHost struct {
-	status HostStatus
-	at     time.Time // of its last ping
+	status   HostStatus
+	at       time.Time // of its last ping
+	restarts int       // starts of its process that this leader has seen
 }
 
 func (t *hostTable) record(h HostStatus, now time.Time) {
@@ -82,7 +84,36 @@
 	if t.hosts == nil {
 		t.hosts = make(map[string]heardHost)
 	}
-	t.hosts[h.Name] = heardHost{status: h, at: now}
+	last, known := t.hosts[h.Name]
+	restarts := last.restarts
+	if known && h.Uptime < last.status.Uptime {
+		restarts++
+	}
+	t.hosts[h.Name] = heardHost{status: h, at: now, restarts: restarts}
+}
+
+// maxPreferredRestarts is the number of restarts up to which a host may be preferred as successor.
+// A host with more of them may be restarting for a fault of its own.
+const maxPreferredRestarts = 1
+
+// preferredSuccessor returns the host that should lead after this host, which is being stopped, or
+// an empty string for any. During a rolling restart, hosts that have already been restarted will not
+// be stopped next; the one that was restarted last is the surest of them. own is this host.
+func (t *hostTable) preferredSuccessor(own HostStatus, now time.Time) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	preferred := HostStatus{Uptime: own.Uptime}
+	for _, h := range t.hosts {
+		s := h.status
+		if !s.Ready || now.Sub(h.at) >= maxHostSilence || h.restarts > maxPreferredRestarts || s.ProcessorShare < minProcessorShareRatio*own.ProcessorShare {
+			continue
+		}
+		s.Uptime += now.Sub(h.at)
+		if s.Uptime < preferred.Uptime {
+			preferred = s
+		}
+	}
+	return preferred.Name
 }
 
 // list returns the hosts, sorted by name, and forgets those that have been silent for
@@ -136,7 +167,7 @@
 func (c *Coordinator) hostStatus() HostStatus {
 	return HostStatus{
 		Name: c.settings.Name, FailureDomain: c.settings.FailureDomain, Program: c.deps.Program, ConfigurationVersion: c.configVersion(),
-		ProcessorShare: c.settings.ProcessorShare, Ready: c.Ready(),
+		ProcessorShare: c.settings.ProcessorShare, Ready: c.Ready(), Uptime: timekeeper.Now().Sub(c.startedAt),
 	}
 }
 
--- a/internal/coordinator/write.go
+++ b/internal/coordinator/write.go
@@ -262,5 +262,5 @@
 		ld.c.log.Warn("HandOverFailed", "Epoch", ld.term.Revision, "Cause", err.Error())
 		return
 	}
-	ld.c.log.Info("HandedOver", "Epoch", ld.term.Revision, "Clean", clean, "Revision", revision)
+	ld.c.log.Info("HandedOver", "Epoch", ld.term.Revision, "Clean", clean, "Preferred", preferred, "Revision", revision)
 }
