coordinator: a leader ends as soon as its host learns of a later term

Change: a later term that the host reads for any reason ends the leadership. A ping that names a later term makes the host read the term. A deposed leader applies no event, sends no queued order, does not answer for jobs or counts, says in pings that it does not lead, and logs StepDown once.

TestLaterTermEndsLeadership, for both ways to learn; fails without the end in updateTerm and without the check before an order is sent.

--- a/internal/coordinator/containment_test.go
+++ b/internal/coordinator/containment_test.go
@@ -63,7 +63,7 @@
 	c.recordStoreResult(nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	ld := &leadership{
-		c: c, cancel: cancel, done: make(chan struct{}), writeWakeup: make(chan struct{}, 1), pollers: make(map[string]*poller),
+		c: c, term: term{Revision: 1}, cancel: cancel, done: make(chan struct{}), writeWakeup: make(chan struct{}, 1), pollers: make(map[string]*poller),
 		orch: orchestrator.New(c.orchestratorSettings(1, timekeeper.Now(), timekeeper.Now())),
 	}
 	ld.lastConfirmedSent.Store(timekeeper.Now().UnixNano())
@@ -124,7 +124,7 @@
 	is := is.New(t)
 	ld, log := newTestLeadership(nil)
 	ld.apply(orchestrator.Inherited{})
-	ld.handleNotice(notice{Job: &orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1, After: []int{5}}}}})
+	ld.handleNotice(notice{Epoch: 1, Job: &orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1, After: []int{5}}}}})
 	is.True(!ld.failed)
 	is.True(strings.Contains(log.String(), "msg=JobUnreadable"))
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -66,6 +66,7 @@
 	lastStoreSuccess atomic.Int64 // timekeeper time of the last served call, Unix ns
 	storeUnavailable atomic.Bool
 	probingStore     atomic.Bool
+	checkingTerm     atomic.Bool
 	// campaignPausedUntil is the timekeeper time until which this host does not campaign, Unix ns.
 	campaignPausedUntil atomic.Int64
 	leaderPending       atomic.Pointer[pendingCounts] // from the leader's last answer to a ping; nil: none yet
--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -199,7 +199,7 @@
 }
 
 // updateTerm stores a term that was read if it is newer than the known one, and returns the
-// newer of the two.
+// newer of the two. If this host leads by an older term, its leadership ends.
 func (c *Coordinator) updateTerm(e storer.Entry) term {
 	var t term
 	if e.Revision > 0 {
@@ -215,6 +215,9 @@
 		return c.term
 	}
 	c.term, c.termKnown = t, true
+	if ld := c.leadership; ld != nil && ld.term.Revision < t.Revision {
+		ld.depose(errOtherHostElected.Error(), t.Revision)
+	}
 	c.log.Info("TermRead", "Leader", t.Host, "Epoch", t.Revision, "HandedOff", t.HandedOff)
 	return t
 }
--- a/internal/coordinator/election_test.go
+++ b/internal/coordinator/election_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"log/slog"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"peridotpitch/internal/messenger"
 	"peridotpitch/internal/orchestrator"
+	"peridotpitch/internal/storer"
 	"peridotpitch/internal/timekeeper"
 )
 
@@ -53,3 +56,67 @@
 	is.Equal(ld.pending()["q"], 1)
 	is.True(maxPendingAge+pendingCacheTime < 2*time.Second)
 }
+
+// laterTermStore has a term of another host, elected at revision 9.
+type laterTermStore struct {
+	storer.TransactionalStore
+	t *testing.T
+}
+
+func (s laterTermStore) Get(_ context.Context, key string) (storer.Entry, error) {
+	value, err := msgpack.Marshal(&term{Host: "b", Process: "b/1", Address: "127.0.0.1:1"})
+	if err != nil {
+		s.t.Error(err)
+	}
+	return storer.Entry{Key: key, Value: value, Revision: 9}, nil
+}
+
+// countingWorkers counts commands.
+type countingWorkers struct {
+	WorkerClient
+	starts int
+}
+
+func (c *countingWorkers) Start(context.Context, Target, uint64, orchestrator.StartRun) orchestrator.StartOutcome {
+	c.starts++
+	return orchestrator.StartUnanswered
+}
+
+// Another host was elected while a leader was late: its own writes, which would tell it, wait behind
+// other work (6 s on the large deployment's day scale-2, snapshot fb9437a9). Guards against a deposed
+// leader that goes on deciding and sending orders although its host has learned of the later term, or
+// a ping could have told it.
+func TestLaterTermEndsLeadership(t *testing.T) {
+	for name, learn := range map[string]func(c *Coordinator){
+		"read for a request": func(c *Coordinator) { _, _ = c.readTerm(context.Background()) },
+		"told by a ping": func(c *Coordinator) {
+			_, _ = c.servePing(context.Background(), pingRequest{Host: "c", Epoch: 9})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ld, log := newTestLeadership(laterTermStore{t: t})
+			workers := &countingWorkers{}
+			ld.c.deps.Workers = workers
+			ld.term.Revision, ld.c.term, ld.c.termKnown = 1, term{Host: "a", Revision: 1}, true
+			ld.apply(orchestrator.Inherited{})
+			ld.loaded = true
+			p := &poller{ld: ld, target: Target{ID: "w0"}, ctx: context.Background()}
+			learn(ld.c)
+			<-ld.done
+			for ld.c.checkingTerm.Load() {
+				time.Sleep(time.Millisecond)
+			}
+			p.send(orchestrator.StartRun{Worker: "w0"}) // decided before
+			is.Equal(workers.starts, 0)
+			_, ok := ld.nextPoll("w0")
+			is.True(!ok)
+			is.Equal(ld.pending(), nil)
+			ld.depose("again", 9)
+			is.Equal(strings.Count(log.String(), "msg=StepDown"), 1)
+			a, err := ld.c.servePing(context.Background(), pingRequest{})
+			is.NoErr(err)
+			is.True(!a.Leading)
+		})
+	}
+}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -84,6 +84,7 @@
 	pendingJobs map[string]int // result of orch.Pending at pendingAt; replaced, never changed
 	pendingAt   time.Time
 
+	deposed           atomic.Bool  // another host has been elected: nothing is sent any more
 	lag               atomic.Int64 // how late the last Tick was applied, ns
 	lastConfirmedSent atomic.Int64 // timekeeper time at which the last confirmed write was sent, in Unix ns
 
@@ -141,7 +142,7 @@
 func (ld *leadership) apply(e orchestrator.Event) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if ld.failed {
+	if ld.failed || ld.deposed.Load() {
 		return
 	}
 	defer ld.recoverPanic(e)
@@ -150,6 +151,16 @@
 	}
 }
 
+// depose ends the leadership because another host has been elected. found is the revision of the newer
+// term, 0 if it is unknown.
+func (ld *leadership) depose(reason string, found uint64) {
+	if ld.deposed.Swap(true) {
+		return
+	}
+	ld.c.log.Warn("StepDown", "Epoch", ld.term.Revision, "Reason", reason, "Found", found)
+	ld.cancel()
+}
+
 // recoverPanic ends the leadership after a panic of the orchestrator, whose state may be
 // inconsistent then. The host goes on serving callers, and another one leads. ld.mu must be held.
 func (ld *leadership) recoverPanic(e orchestrator.Event) {
@@ -184,8 +195,7 @@
 	case orchestrator.WriteSoon:
 		ld.wakeWriter()
 	case orchestrator.StepDown:
-		ld.c.log.Warn("StepDown", "Epoch", ld.term.Revision, "Reason", a.Reason)
-		ld.cancel()
+		ld.depose(a.Reason, 0)
 	case orchestrator.Note:
 		ld.c.logDecision(a)
 	}
@@ -241,7 +251,7 @@
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	s, known := ld.orch.State(id)
-	return s, known, ld.loaded && !ld.handingOver && !ld.failed
+	return s, known, ld.loaded && !ld.handingOver && !ld.failed && !ld.deposed.Load()
 }
 
 // pending returns the number of pending jobs by queue. It returns nil before all jobs are
@@ -250,7 +260,7 @@
 func (ld *leadership) pending() map[string]int {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if !ld.loaded || ld.handingOver || ld.failed || ld.timeSinceConfirmedWrite() > maxPendingAge {
+	if !ld.loaded || ld.handingOver || ld.failed || ld.deposed.Load() || ld.timeSinceConfirmedWrite() > maxPendingAge {
 		return nil
 	}
 	if now := timekeeper.Now(); ld.pendingJobs == nil || now.Sub(ld.pendingAt) >= pendingCacheTime {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -85,7 +85,10 @@
 func (c *Coordinator) servePing(_ context.Context, p pingRequest) (pingAnswer, error) {
 	c.noteOtherHostsVersion(p.Version)
 	a := pingAnswer{Process: c.processID, StoreSilence: c.timeSinceStoreSuccess(), Version: c.configVersion()}
-	if ld := c.currentLeadership(); ld != nil {
+	if ld := c.currentLeadership(); ld != nil && !ld.deposed.Load() {
+		if p.Epoch > ld.term.Revision {
+			c.checkTerm()
+		}
 		ld.hosts.record(HostStatus{Name: p.Host, FailureDomain: p.FailureDomain, Program: p.Program, ConfigurationVersion: p.Version,
 			ProcessorShare: p.Share, Ready: p.Ready, Uptime: p.Uptime}, timekeeper.Now())
 		a.Leading, a.Epoch, a.Pending = true, ld.term.Revision, ld.pending()
@@ -98,6 +101,20 @@
 	return a, nil
 }
 
+// checkTerm reads the term in the background, because another host knows a later one. At most one such
+// read is made at a time.
+func (c *Coordinator) checkTerm() {
+	if !c.checkingTerm.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer c.checkingTerm.Store(false)
+		if _, err := c.readTerm(context.Background()); err != nil {
+			c.log.Debug("TermNotRead", "Cause", err.Error())
+		}
+	}()
+}
+
 // pingLeader pings the leader of term t. It returns an error if there was no answer.
 func (c *Coordinator) pingLeader(ctx context.Context, t term) (pingAnswer, error) {
 	var a pingAnswer
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -129,7 +129,7 @@
 func (ld *leadership) nextPoll(id string) (orchestrator.PollRequest, bool) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if ld.failed {
+	if ld.failed || ld.deposed.Load() {
 		return orchestrator.PollRequest{}, false
 	}
 	return ld.orch.NextPoll(id, timekeeper.Now())
@@ -171,8 +171,12 @@
 	}
 }
 
+// send sends a command, unless another host has been elected since the command was decided.
 func (p *poller) send(a orchestrator.Action) {
 	ld, begin := p.ld, time.Now()
+	if ld.deposed.Load() {
+		return
+	}
 	fence := ld.term.Revision
 	switch a := a.(type) {
 	case orchestrator.StartRun:
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -184,7 +184,7 @@
 	if ld.failed {
 		return s
 	}
-	s.Loaded = ld.loaded && !ld.handingOver
+	s.Loaded = ld.loaded && !ld.handingOver && !ld.deposed.Load()
 	s.Workers = ld.orch.Status(now)
 	return s
 }
--- a/internal/coordinator/write.go
+++ b/internal/coordinator/write.go
@@ -157,8 +157,7 @@
 // write with an unknown outcome was executed, and its revision of head is adopted.
 func (ld *leadership) resolveConflict(conflict *storer.ConflictError) {
 	if r := conflict.Revision(keyTerm); r != ld.term.Revision {
-		ld.c.log.Warn("StepDown", "Epoch", ld.term.Revision, "Reason", errOtherHostElected.Error(), "Found", r)
-		ld.cancel()
+		ld.depose(errOtherHostElected.Error(), r)
 		return
 	}
 	ld.headRevision = conflict.Revision(keyHead)
@@ -175,8 +174,7 @@
 	}
 	for _, e := range entries {
 		if e.Key == keyTerm && e.Revision != ld.term.Revision {
-			ld.c.log.Warn("StepDown", "Epoch", ld.term.Revision, "Reason", errOtherHostElected.Error(), "Found", e.Revision)
-			ld.cancel()
+			ld.depose(errOtherHostElected.Error(), e.Revision)
 			return
 		}
 	}
@@ -230,6 +228,9 @@
 
 // ended reports whether the leadership has ended.
 func (ld *leadership) ended() bool {
+	if ld.deposed.Load() {
+		return true
+	}
 	select {
 	case <-ld.done:
 		return true
--- a/internal/coordinator/write_test.go
+++ b/internal/coordinator/write_test.go
@@ -57,7 +57,6 @@
 	is := is.New(t)
 	store := deposedStore{writtenStore{writes: new(atomic.Int64)}}
 	ld, _ := newTestLeadership(store)
-	ld.term.Revision = 1
 	ld.apply(orchestrator.Inherited{})
 	ld.loaded = true
 	ld.handleNotice(notice{Epoch: 1, Job: &orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1}}}, Revision: 2})
