coordinator: a weak leader hands over before its first start

At 39.3 s front-sampaloc-5 won the election, a host with 0.11 of a core. It needed 1.8 s to read the state, was 1.7 s late, and was deposed at 43.7 s by another such host, which led until 49.0 s. Stops of the job that was cancelled at 40.9 s were decided at 42.2 s and executed 6 s later. The strong host front-sampaloc-2 pinged both all the time. A leader hands over to it only when it has reached all workers, so that its records name all runs; with a domain just healed, and this slow, that took 3 to 5 s.

Change: a leader that has emitted no start yet hands over at once to a stronger host that is ready, even before it has read the state: its successor learns from store and workers what it would have learned. The hand-over counts as clean if the one before it was, and writes nothing else. A host does so at most once in 10 s, in case the strong host can't win an election.

Ruled out: a cancel that a leader missed. Both leaders knew of it when they loaded.

TestWeakLeaderYieldsBeforeFirstStart: red without the early hand-over.

--- a/internal/coordinator/election_test.go
+++ b/internal/coordinator/election_test.go
@@ -120,3 +120,67 @@
 		})
 	}
 }
+
+// vacatedStore keeps the term that a leader leaves.
+type vacatedStore struct {
+	storer.TransactionalStore
+	terms chan term
+}
+
+func (s vacatedStore) Commit(_ context.Context, t storer.Transaction) (uint64, error) {
+	for _, e := range t.Puts {
+		if e.Key != keyTerm {
+			continue
+		}
+		var left term
+		if err := msgpack.Unmarshal(e.Value, &left); err != nil {
+			return 0, err
+		}
+		s.terms <- left
+	}
+	return 2, nil
+}
+
+// A weak host has won an election, for example because the store served it first after an outage, and a
+// strong host pings it. Guards against a weak leader that stays until all workers have answered: on
+// dbrw-sched-grown's day scale-2, two hosts with 0.11 of a core led for 9 s, sent stops 6 s late, and a
+// cancelled job ran on (UNASKED).
+func TestWeakLeaderYieldsBeforeFirstStart(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		handedOff bool // by the leader before
+		prepare   func(ld *leadership)
+		yields    bool
+	}{
+		{"not loaded yet", false, func(*leadership) {}, true},
+		{"after a clean hand-over", true, func(*leadership) {}, true},
+		{"workers not reached", false, func(ld *leadership) {
+			ld.apply(orchestrator.Inherited{Roster: orchestrator.Roster{Workers: []orchestrator.RosterEntry{{ID: "w0"}}}})
+			ld.loaded = true
+		}, true},
+		{"after a start", false, func(ld *leadership) {
+			ld.execute(orchestrator.StartRun{Worker: "w0"})
+		}, false},
+		{"just after an early hand-over", false, func(ld *leadership) {
+			ld.c.yieldedEarlyAt.Store(timekeeper.Now().Add(-earlyYieldInterval / 2).UnixNano())
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			store := vacatedStore{terms: make(chan term, 1)}
+			ld, _ := newTestLeadership(store)
+			ld.c.settings.ProcessorShare, ld.inheritedHandedOff = 0.11, c.handedOff
+			c.prepare(ld)
+			_, err := ld.c.servePing(context.Background(), pingRequest{Host: "strong", Share: 0.8, Ready: true, Epoch: 1})
+			is.NoErr(err)
+			is.Equal(ld.yielding, c.yields)
+			if !c.yields {
+				return
+			}
+			<-ld.done
+			left := <-store.terms
+			is.Equal(left.Preferred, "strong")
+			is.Equal(left.HandedOff, c.handedOff)
+		})
+	}
+}
--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -40,7 +40,7 @@
 	// are not loaded would be acknowledged, and their current runs stopped.
 	ld.apply(inherited)
 	ld.mu.Lock()
-	ld.loaded = true
+	ld.loaded, ld.inheritedHandedOff = true, inherited.HandedOff
 	ld.mu.Unlock()
 	ld.c.log.Info("Leading", "Epoch", ld.term.Revision, "Jobs", len(inherited.Jobs), "Finished", len(inherited.Finished),
 		"Workers", len(inherited.Roster.Workers), "Took", timekeeper.Now().Sub(begin).Round(time.Millisecond).String())
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -74,15 +74,17 @@
 	processors  processorMeter
 	hosts       hostTable
 
-	mu          sync.Mutex // guards the fields below
-	orch        *orchestrator.Orchestrator
-	loaded      bool // the state of earlier leaders has been read
-	handingOver bool // handOver has begun: no more commands are sent
-	failed      bool // the orchestrator has panicked: its state must not be used
-	yielding    bool // yieldTo has begun a hand-over
-	pollers     map[string]*poller
-	pendingJobs map[string]int // result of orch.Pending at pendingAt; replaced, never changed
-	pendingAt   time.Time
+	mu                 sync.Mutex // guards the fields below
+	orch               *orchestrator.Orchestrator
+	loaded             bool // the state of earlier leaders has been read
+	handingOver        bool // handOver has begun: no more commands are sent
+	failed             bool // the orchestrator has panicked: its state must not be used
+	yielding           bool // yieldTo has begun a hand-over
+	startsSent         bool // a start of a task has been emitted
+	inheritedHandedOff bool // the earlier leader handed over cleanly
+	pollers            map[string]*poller
+	pendingJobs        map[string]int // result of orch.Pending at pendingAt; replaced, never changed
+	pendingAt          time.Time
 
 	deposed           atomic.Bool  // another host has been elected: nothing is sent any more
 	lag               atomic.Int64 // how late the last Tick was applied, ns
@@ -99,7 +101,7 @@
 	ld := &leadership{
 		c: c, term: t, cancel: cancel, done: make(chan struct{}), writeWakeup: make(chan struct{}, 1),
 		orch:    orchestrator.New(c.orchestratorSettings(t.Revision, sent, timekeeper.Now())),
-		pollers: make(map[string]*poller), headRevision: t.Revision, electedAt: timekeeper.Now(),
+		pollers: make(map[string]*poller), headRevision: t.Revision, electedAt: timekeeper.Now(), inheritedHandedOff: handedOff,
 	}
 	ld.lastConfirmedSent.Store(sent.UnixNano())
 	c.mu.Lock()
@@ -181,6 +183,7 @@
 	switch a := a.(type) {
 	case orchestrator.StartRun:
 		ld.c.metrics.taskStarts.Inc()
+		ld.startsSent = true
 		ld.enqueueCommand(a.Worker, a)
 	case orchestrator.StopRun:
 		ld.enqueueCommand(a.Worker, a)
--- a/internal/coordinator/write.go
+++ b/internal/coordinator/write.go
@@ -186,16 +186,26 @@
 	}
 }
 
-// yieldTo starts a hand-over to a host with a larger processor share, at most once in a
-// term.
+// earlyYieldInterval is the shortest time between two early hand-overs of a host (see yieldTo), in case
+// the stronger host can't win an election.
+const earlyYieldInterval = 10 * time.Second
+
+// yieldTo starts a hand-over to a host with a larger processor share, at most once in a term. If this
+// leader has started nothing yet, its successor knows as much as it does, so that the hand-over need not
+// wait for the answers of all workers.
 func (ld *leadership) yieldTo(host string) {
+	now := timekeeper.Now().UnixNano()
 	ld.mu.Lock()
-	start := ld.loaded && !ld.yielding && ld.orch.RecordsNameAllRuns()
+	early := !ld.startsSent && now-ld.c.yieldedEarlyAt.Load() >= int64(earlyYieldInterval)
+	start := !ld.yielding && (early || ld.loaded && ld.orch.RecordsNameAllRuns())
 	ld.yielding = ld.yielding || start
 	ld.mu.Unlock()
 	if !start {
 		return
 	}
+	if early {
+		ld.c.yieldedEarlyAt.Store(now)
+	}
 	ld.c.log.Info("StepAside", "Epoch", ld.term.Revision, "For", host, "Reason", "the host has a larger processor share")
 	go ld.handOver(context.Background(), host)
 }
@@ -205,14 +215,17 @@
 func (ld *leadership) handOver(ctx context.Context, preferred string) {
 	ld.apply(orchestrator.HandOver{})
 	ld.mu.Lock()
-	clean := ld.loaded && ld.orch.RecordsNameAllRuns()
+	// Without a start of this leader, the records still name all runs if they did when it was elected.
+	// What it has not written, its successor learns from the workers.
+	asInherited := ld.inheritedHandedOff && !ld.startsSent
+	clean := asInherited || ld.loaded && ld.orch.RecordsNameAllRuns()
 	ld.handingOver = true
 	for _, p := range ld.pollers {
 		p.cancel()
 	}
 	ld.mu.Unlock()
 	deadline := timekeeper.Now().Add(handOverTimeout)
-	for clean && ld.unwritten() && !ld.ended() {
+	for clean && !asInherited && ld.unwritten() && !ld.ended() {
 		if ld.writeBatch(ctx, true) != writeFailed {
 			continue
 		}
