coordinator: weak hosts read head less often while the leader is silent

After a failed ping each host lists the term and head every 150 ms until one of them campaigns. With 300 hosts that is 2,000 reads a second, the platform's limit for all hosts, at the very time at which the successor reads the state; 147 hosts make 980.

Change: hosts that leave the campaign to stronger ones read every 500 ms; they delay their own campaign by as much anyway. 147 hosts of the large deployment (15 strong) make 364 reads a second, 300 make 670. TestReadsOfHeadStayBelowStoreLimit.

--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -39,6 +39,10 @@
 	pingTimeout = 500 * time.Millisecond
 	// headPollInterval is the interval at which a host reads head after a failed ping.
 	headPollInterval = 150 * time.Millisecond
+	// yieldingHeadPollInterval replaces headPollInterval on hosts that leave the next campaign to
+	// stronger ones. All hosts read head at the same time, and the platform allows 2,000 reads a
+	// second for all of them: at headPollInterval, 300 hosts would take all of these.
+	yieldingHeadPollInterval = 500 * time.Millisecond
 	// If the leader's host refuses connections, a host campaigns after head has stayed
 	// unchanged for refusedElectionTimeout. It is longer than headWriteInterval, to allow for
 	// a slow answer of the store.
@@ -154,10 +158,14 @@
 // checkHead reads head, and campaigns if head has not changed for electionTimeout. It returns
 // the pause before the next check.
 func (c *Coordinator) checkHead(ctx context.Context, t term, o *headObservation, electionTimeout time.Duration) time.Duration {
+	pause := headPollInterval
+	if c.yieldsCampaign(t) {
+		pause = yieldingHeadPollInterval
+	}
 	entries, _, err := c.store.List(ctx, prefixLeader)
 	if err != nil {
 		*o = headObservation{} // head may have changed while the store did not answer
-		return headPollInterval
+		return pause
 	}
 	now := timekeeper.Now()
 	for _, e := range entries {
@@ -181,7 +189,7 @@
 		c.campaign(ctx, t, "the leader neither answers nor writes")
 		*o = headObservation{}
 	}
-	return headPollInterval
+	return pause
 }
 
 func (c *Coordinator) currentTerm() (term, bool) {
--- a/internal/coordinator/election_test.go
+++ b/internal/coordinator/election_test.go
@@ -41,6 +41,33 @@
 	}
 }
 
+// headStore has an unchanged head and counts reads of it.
+type headStore struct {
+	storer.TransactionalStore
+	reads *int
+}
+
+func (s headStore) List(context.Context, string) ([]storer.Entry, uint64, error) {
+	*s.reads++
+	return []storer.Entry{{Key: keyTerm, Revision: 1}, {Key: keyHead, Revision: 2}}, 2, nil
+}
+
+// The leader of a large deployment does not answer: 15 strong and 285 weak hosts read head until one of
+// them campaigns. Guards against reads that exceed the platform's limit of 2,000 a second for all hosts,
+// which would delay the election.
+func TestReadsOfHeadStayBelowStoreLimit(t *testing.T) {
+	is := is.New(t)
+	perSecond := func(share float64) float64 {
+		reads := 0
+		h := New(Settings{Name: "b", ProcessorShare: share}, Dependencies{Store: headStore{reads: &reads}}, slog.New(slog.DiscardHandler))
+		pause := h.checkHead(context.Background(), term{Share: 0.8, Revision: 1}, &headObservation{}, time.Minute)
+		is.Equal(reads, 1)
+		return float64(time.Second) / float64(pause)
+	}
+	is.True(15*perSecond(0.8)+285*perSecond(0.11) < 1000) // half is left to submissions and watches
+	is.True(perSecond(0.8) >= 6)                          // strong hosts notice an unchanged head early
+}
+
 // Guards against a count of all jobs for each ping, and against a count that is kept for longer than the
 // platform allows.
 func TestPendingCountIsKeptBriefly(t *testing.T) {
