--- a/internal/coordinator/election_test.go
+++ b/internal/coordinator/election_test.go
@@ -170,7 +170,7 @@
 
 // A weak host has won an election, for example because the store served it first after an outage, and a
 // strong host pings it. Guards against a weak leader that stays until all workers have answered: on
-// dbrw-sched-grown's day scale-2, two hosts with 0.11 of a core led for 9 s, sent stops 6 s late, and a
+// a deployment of 350 workers, two hosts with 0.11 of a core led for 9 s, sent stops 6 s late, and a
 // cancelled job ran on (UNASKED).
 func TestWeakLeaderYieldsBeforeFirstStart(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/orchestrator/restart_test.go
+++ b/internal/orchestrator/restart_test.go
@@ -179,8 +179,7 @@
 
 // Guards against passes of a successor that check every waiting task against every worker that has
 // not answered yet. On the large deployment's day scale-2 they took 100 ms each and left no time for
-// the answers, so that the successor reached 20 workers a second and was deposed (dbrw-sched-large,
-// snapshot fb9437a9).
+// the answers, so that the successor reached 10 workers a second and was deposed (snapshot fb9437a9).
 func TestPassAfterHandOverIsNoSlowerThanAfterCrash(t *testing.T) {
 	crash, clean := takeoverPassTime(t, 1000, false), takeoverPassTime(t, 1000, true)
 	if clean > 5*crash {
