orchestrator: log why a run is lost, and starts and stops that are sent again

RunLost said "lapsed" for runs whose worker had ended and for runs whose lease had ended, so that logs could not tell a crash from a cut, and a start that was sent again left no line.

RunLost has the cause, the run's age and how many runs the task has lost; Resend names the worker's process.

--- a/internal/orchestrator/event_names.go
+++ b/internal/orchestrator/event_names.go
@@ -11,6 +11,7 @@
 	EventEnd               = "End"
 	EventAdopt             = "Adopt"
 	EventRunLost           = "RunLost"
+	EventResend            = "Resend"
 	EventWait              = "Wait"
 	EventThrottle          = "Pace"
 	EventAdvice            = "Advice"
@@ -25,6 +26,6 @@
 func Events() []string {
 	return []string{
 		EventJobAdded, EventJobFinished, EventStart, EventStartRefused, EventStop, EventCopy, EventEnd, EventAdopt,
-		EventRunLost, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined,
+		EventRunLost, EventResend, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined,
 	}
 }
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -129,14 +129,25 @@
 	}
 }
 
+// lossCause is why a run counts as lost.
+type lossCause string
+
+const (
+	lossLease     lossCause = "lapsed"       // its lease has ended, and its worker has not answered since
+	lossWorkerEnd lossCause = "worker ended" // the process of its worker has ended
+	lossUnlisted  lossCause = "not listed"   // its worker lists it neither as running nor as ended
+)
+
 // expireRun removes a run whose lease or worker has ended without a report. Later reports of
 // the run are ignored.
-func (o *Orchestrator) expireRun(r *run) {
-	if r.task.expiredRuns == nil {
-		r.task.expiredRuns = make(map[int]bool)
-	}
-	r.task.expiredRuns[r.number] = true
-	o.emit(Note{Event: EventRunLost, Job: r.task.job().ID, Task: r.task.name, Run: r.number, Worker: r.worker.ID, Outcome: "lapsed"})
+func (o *Orchestrator) expireRun(r *run, cause lossCause) {
+	t := r.task
+	if t.expiredRuns == nil {
+		t.expiredRuns = make(map[int]bool)
+	}
+	t.expiredRuns[r.number] = true
+	o.emit(Note{Event: EventRunLost, Job: t.job().ID, Task: t.name, Run: r.number, Worker: r.worker.ID, Outcome: string(cause), Age: o.now.Sub(r.startedAt),
+		Figures: fmt.Sprintf("Begun=%t Percent=%d Lost=%d", r.begun, r.progressPercent, len(t.expiredRuns))})
 	o.removeRun(r)
 }
 
@@ -236,12 +247,19 @@
 	if r.inFlight || !r.lostAt.IsZero() || w.unreachable || !w.runsKnown || o.now.Sub(r.sentAt) < resendInterval {
 		return
 	}
+	command := ""
 	switch {
 	case r.phase == phaseStarting:
+		command = "start"
 		o.sendStart(r)
 	case r.phase == phaseStopping && r.ackedAt.IsZero():
+		command = "stop"
 		o.sendStop(r)
 	}
+	if command != "" && r.inFlight {
+		o.emit(Note{Event: EventResend, Job: r.task.job().ID, Task: r.task.name, Run: r.number, Worker: w.ID, Outcome: command, Age: o.now.Sub(r.startedAt),
+			Figures: fmt.Sprintf("Incarnation=%d", w.incarnation)})
+	}
 }
 
 // stop begins to stop a run. The run is removed once its worker lists its end.
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -324,7 +324,7 @@
 	}
 	for _, r := range w.missing(e) {
 		o.emit(Note{Event: EventRunLost, Job: r.task.job().ID, Task: r.task.name, Run: r.number, Worker: w.ID,
-			Outcome: "not listed", Reason: "the worker lists it neither as running nor as ended"})
+			Outcome: string(lossUnlisted), Age: o.now.Sub(r.startedAt)})
 		o.removeRun(r)
 	}
 	if w.load.latencyCritical > 0 {
@@ -425,9 +425,9 @@
 }
 
 // workerEnded expires all runs of a worker whose process or leases have ended.
-func (o *Orchestrator) workerEnded(w *worker) {
+func (o *Orchestrator) workerEnded(w *worker, cause lossCause) {
 	for i := len(w.runs) - 1; i >= 0; i-- { // expireRun removes the run
-		o.expireRun(w.runs[i])
+		o.expireRun(w.runs[i], cause)
 	}
 	o.markIdle(w)
 	w.runsKnown, w.mayRunInheritedTasks = true, false
@@ -441,11 +441,11 @@
 func (o *Orchestrator) expireLostRuns(w *worker) {
 	if !w.replacedAt.IsZero() && o.confirmedAt.After(w.replacedAt) {
 		w.replacedAt = time.Time{}
-		o.workerEnded(w)
+		o.workerEnded(w, lossWorkerEnd)
 	}
 	for i := len(w.runs) - 1; i >= 0; i-- { // expireRun removes the run
 		if r := w.runs[i]; !r.lostAt.IsZero() && o.confirmedAt.After(r.lostAt) {
-			o.expireRun(r)
+			o.expireRun(r, lossWorkerEnd)
 		}
 	}
 }
@@ -461,7 +461,7 @@
 			o.emit(Note{Event: EventWorkerLost, Worker: w.ID, Outcome: "leases ended", Age: o.timeSinceAnswer(w),
 				Figures: fmt.Sprintf("Runs=%d", len(w.runs))})
 		}
-		o.workerEnded(w)
+		o.workerEnded(w, lossLease)
 	}
 	if unreachable && w.provenIdle && !w.listed && o.now.Sub(w.unlistedAt) > unlistedGrace {
 		delete(o.workers, w.ID)
