orchestrator: failing tests of tasks that crash their workers

The simulation's workers crash under chosen tasks, before or after they have answered the start, and return under the same ID or under another one at their address, before or after their leases have ended. It checks the platform's rule: after three crashes a task is started fewer than three times more.

--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -40,6 +40,7 @@
 	disabled        orchestrator.MechanismSet // of leaders that are elected later
 	clock           func() time.Time          // measures passes; nil: not measured
 	lease           time.Duration             // of the runs of leaders that are elected later
+	crash           crashModel
 }
 
 // faults holds the probability of each fault of a command.
@@ -83,10 +84,11 @@
 	endsBeforeExpiry int // the lease has expired after the ends up to this number
 	unreachableFrom  map[*simulatedLeader]bool
 	dead             bool
-	replaced         bool // another worker answers at its address
-	failsTasks       bool // each run ends as failed
-	hangsTasks       bool // runs make no progress
-	ignoredStops     int  // number of stops that it answers without executing them
+	replaced         bool      // another worker answers at its address
+	failsTasks       bool      // each run ends as failed
+	hangsTasks       bool      // runs make no progress
+	ignoredStops     int       // number of stops that it answers without executing them
+	crashAt          time.Time // when it crashes under a task; zero: never
 	tailLatencyMs    map[string]int
 }
 
@@ -101,6 +103,7 @@
 	storeUnreachable bool
 	deposed          bool
 	frozen           bool
+	disturbedAt      time.Time // when it was last frozen, thawed or cut off
 	pendingAnswers   []orchestrator.Event
 }
 
@@ -153,7 +156,7 @@
 func (w *simulation) listedWorkers() []orchestrator.WorkerEntry {
 	var es []orchestrator.WorkerEntry
 	for _, n := range slices.Sorted(maps.Keys(w.workers)) {
-		if !w.workers[n].dead {
+		if k := w.workers[n]; !k.dead && !k.replaced {
 			es = append(es, w.workers[n].entry)
 		}
 	}
@@ -278,6 +281,9 @@
 	if !k.replaced {
 		outcome = k.execute(w, c)
 	}
+	if k.dead { // it has crashed before it could answer
+		outcome = orchestrator.StartUnanswered
+	}
 	if answered {
 		w.answerCommand(c, outcome)
 	}
@@ -310,7 +316,7 @@
 	k.fence = c.leader.epoch
 	switch a := c.action.(type) {
 	case orchestrator.StartRun:
-		return k.startRun(w, a)
+		return k.startRun(w, c.leader, a)
 	case orchestrator.StopRun:
 		if k.ignoredStops > 0 {
 			k.ignoredStops--
@@ -329,7 +335,7 @@
 }
 
 // startRun executes a start.
-func (k *simulatedWorker) startRun(w *simulation, a orchestrator.StartRun) orchestrator.StartOutcome {
+func (k *simulatedWorker) startRun(w *simulation, l *simulatedLeader, a orchestrator.StartRun) orchestrator.StartOutcome {
 	if r := k.runs[a.Task]; r != nil && r.number == a.Run {
 		return orchestrator.StartAccepted
 	}
@@ -344,9 +350,16 @@
 	}
 	k.leaseEnd = max(k.leaseEnd, min(a.LeaseEnd, k.clock(w.now)+10*time.Second))
 	w.checkStart(k, a)
+	w.checkCrashes(l, a.Task)
 	w.starts++
 	r := &simulatedRun{task: a.Task, number: a.Run, startedAt: w.now, endsAt: w.now.Add(w.runTime(a.Task, k)), saved: a.Saved, speed: 100}
 	k.runs[a.Task] = r
+	if c := &w.crash; c.crashes != nil && c.crashes(a.Task) {
+		k.crashAt = w.now.Add(c.delay)
+		if c.unanswered {
+			w.crashWorker(k)
+		}
+	}
 	return orchestrator.StartAccepted
 }
 
@@ -594,6 +607,7 @@
 }
 
 func (w *simulation) tick(time.Duration) {
+	w.returnWorkers()
 	commands := w.pendingCommands
 	w.pendingCommands = nil
 	for _, c := range commands {
