orchestrator: acknowledge no ends to a worker that may have restarted

A poll carries the number of the last end that is in the store. A worker that had restarted under its ID since got the number of its old process, and forgets its own ends up to it: the leader finds the runs neither running nor ended and starts their tasks again, also those that have succeeded.

A worker that did not answer the last poll now gets 0, which costs one more listing of its ends. Found by the simulation of crashing tasks, in which a short job stayed unfinished for 90 s; TestEndsOfRestartedWorkerAreNotAcknowledgedInAdvance fails without the change. Whether the platform's workers forget ends in advance is not known.

--- a/internal/orchestrator/restart_test.go
+++ b/internal/orchestrator/restart_test.go
@@ -186,3 +186,25 @@
 		t.Errorf("a pass takes %s after a hand-over, and %s after a crash", clean, crash)
 	}
 }
+
+// A worker restarts under its ID, and its ends are numbered from 1 again. Guards against a poll that acknowledges
+// ends of the old process to the new one: the new ends up to that number are never listed, and tasks that have
+// succeeded run again.
+func TestEndsOfRestartedWorkerAreNotAcknowledgedInAdvance(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 1, cores(8, 32))
+	w.submit(simpleJob("before", 6, cores(1, 1)))
+	w.run(3 * time.Second)
+	is.Equal(w.state("before"), orchestrator.StateSucceeded)
+	k := w.workers["w0"]
+	k.dead = true
+	w.run(2 * time.Second)
+	k.dead = false
+	k.restart(w)
+	w.run(200 * time.Millisecond)
+	starts := w.starts
+	w.submit(simpleJob("after", 2, cores(1, 1)))
+	w.run(3 * time.Second)
+	is.Equal(w.state("after"), orchestrator.StateSucceeded)
+	is.Equal(w.starts, starts+2)
+}
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -230,6 +230,9 @@
 	if len(w.runs) > 0 && !w.unreachable {
 		r.LeaseEnd, _ = o.grantLease(w)
 	}
+	if w.unreachable {
+		r.AckedThrough = 0 // the worker may have restarted, and its ends are numbered from 1 again
+	}
 	return r, true
 }
 
