orchestrator: rely on no outdated capacity of workers without a guard

A worker's capacity may shrink while it runs, and its discovery entry says so.

Changes of capacity have a log line.

--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -212,6 +212,7 @@
 			}
 			listed, revision = timekeeper.Now(), max(revision, at)
 		}
+		sent := timekeeper.Now()
 		es, err := ld.c.store.Watch(ctx, ld.c.deps.Keys.Workers, revision, workerWatchTimeout)
 		if err != nil {
 			sleep(ctx, workerWatchRetryDelay)
@@ -220,6 +221,9 @@
 		for _, e := range es.Events {
 			ld.applyWorkerEvent(e)
 		}
+		if !es.Compacted {
+			ld.apply(orchestrator.WorkersWatched{SentAt: sent})
+		}
 		revision = max(revision, es.StoreRevision)
 		if es.Compacted {
 			listed = time.Time{}
@@ -228,11 +232,11 @@
 }
 
 func (ld *leadership) listWorkers(ctx context.Context) (uint64, error) {
+	listed := orchestrator.WorkersListed{SentAt: timekeeper.Now()}
 	es, revision, err := ld.list(ctx, ld.c.deps.Keys.Workers)
 	if err != nil {
 		return 0, err
 	}
-	var listed orchestrator.WorkersListed
 	for _, e := range es {
 		w, err := ld.c.deps.Decoder.Worker(e.Key, e.Value)
 		if err != nil {
--- a/internal/orchestrator/event.go
+++ b/internal/orchestrator/event.go
@@ -49,7 +49,13 @@
 }
 
 // WorkersListed reports the complete list of workers.
-type WorkersListed struct{ Workers []WorkerEntry }
+type WorkersListed struct {
+	Workers []WorkerEntry
+	SentAt  time.Time // when the list was requested
+}
+
+// WorkersWatched reports that all changes of workers' entries before SentAt have been reported.
+type WorkersWatched struct{ SentAt time.Time }
 
 // WorkerListed reports a new or changed entry of a worker.
 type WorkerListed struct{ Worker WorkerEntry }
@@ -185,6 +191,7 @@
 func (CancelRequested) event()  {}
 func (WorkersListed) event()    {}
 func (WorkerListed) event()     {}
+func (WorkersWatched) event()   {}
 func (WorkerUnlisted) event()   {}
 func (PollAnswered) event()     {}
 func (PollFailed) event()       {}
--- a/internal/orchestrator/model_test.go
+++ b/internal/orchestrator/model_test.go
@@ -17,7 +17,7 @@
 // TestInvariantsUnderFaults guards against two runs of a task at the same time, starts after
 // an acknowledged success, starts beyond the allowed attempts and starts beyond a worker's
 // capacity, while leaders are replaced, disconnected and frozen, commands are dropped or
-// executed late, and workers restart or crash under tasks. simulation.checkStart checks each start, and
+// executed late, and workers restart, change their capacity or crash under tasks. simulation.checkStart checks each start, and
 // checkCrashes and checkGivenUp that a task which crashes its workers is given up, and no task is that has
 // been on fewer than two workers that ended. After the last fault every job must reach a final state.
 func TestInvariantsUnderFaults(t *testing.T) { rapid.Check(t, checkInvariants) }
@@ -74,7 +74,7 @@
 	w.elect(false)
 	jobs := 0
 	for range rapid.IntRange(5, 25).Draw(rt, "steps") {
-		switch rapid.SampledFrom([]string{"job", "job", "long-running job", "crashing job", "elect", "hand over", "partition", "disconnect", "heal", "restart", "kill", "freeze", "toggle store", "cancel"}).Draw(rt, "event") {
+		switch rapid.SampledFrom([]string{"job", "job", "long-running job", "crashing job", "elect", "hand over", "partition", "disconnect", "heal", "restart", "kill", "freeze", "toggle store", "cancel", "resize"}).Draw(rt, "event") {
 		case "job":
 			jobs++
 			w.submit(modelJob(rt, jobs))
@@ -110,6 +110,9 @@
 		case "restart":
 			k := w.workers[rapid.SampledFrom([]string{"w0", "w1", "w2", "w3", "w4"}).Draw(rt, "worker")]
 			k.restart(w)
+		case "resize":
+			k := w.workers[rapid.SampledFrom([]string{"w0", "w1", "w2", "w3", "w4"}).Draw(rt, "worker")]
+			w.resize(k, cores(float64(rapid.IntRange(0, 8).Draw(rt, "capacity")), 32))
 		case "freeze":
 			l := rapid.SampledFrom(w.leaders).Draw(rt, "leader")
 			l.frozen, l.disturbedAt = !l.frozen, w.now
@@ -182,6 +185,9 @@
 	for _, l := range w.leaders {
 		l.frozen = false
 	}
+	for _, k := range w.workers {
+		w.resize(k, cores(8, 32))
+	}
 	if w.leader().deposed {
 		w.elect(false)
 	}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -59,6 +59,7 @@
 
 	inheritedApplied bool            // Inherited has been applied
 	handedOff        bool            // the earlier leader handed over cleanly
+	capacitiesAt     time.Time       // the workers' entries are known as of this time
 	confirmedAt      time.Time       // when it was last certain that no other leader had been elected
 	statisticsAt     time.Time       // when NextBatch last returned the workload statistics
 	rosterVersion    uint64          // version of the roster after its last change
@@ -207,6 +208,9 @@
 		o.cancelJob(e.ID)
 	case WorkersListed:
 		o.listWorkers(e.Workers)
+		o.confirmCapacities(e.SentAt)
+	case WorkersWatched:
+		o.confirmCapacities(e.SentAt)
 	case WorkerListed:
 		o.listWorker(e.Worker)
 	case WorkerUnlisted:
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -319,7 +319,8 @@
 	obstacleReturningTask    obstacle = "ReturningTask"   // a long-running task that had a run before waits
 	obstacleRack             obstacle = "Rack"            // the task waits for the rack of its data
 	obstacleBestEffortLimits obstacle = "BestEffortLimits"
-	obstacleSuspect          obstacle = "Suspect" // the task or a run there may crash the worker
+	obstacleCapacityAge      obstacle = "CapacityAge" // the worker does not guard its capacity, and that may have shrunk
+	obstacleSuspect          obstacle = "Suspect"     // the task or a run there may crash the worker
 )
 
 // fits reports whether a task may start on a worker now.
@@ -340,6 +341,8 @@
 		return obstacleReservation
 	case !w.free().covers(s.countedSize()):
 		return obstacleCapacity
+	case !s.occurrence.job.Policy.Guarded && o.now.Sub(o.capacitiesAt) > maxCapacityAge:
+		return obstacleCapacityAge
 	case w.atLimit(s):
 		return obstacleLimit
 	case o.mustBeApart(t, w):
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -85,10 +85,13 @@
 	endsBeforeExpiry int // the lease has expired after the ends up to this number
 	unreachableFrom  map[*simulatedLeader]bool
 	dead             bool
-	replaced         bool      // another worker answers at its address
-	failsTasks       bool      // each run ends as failed
-	hangsTasks       bool      // runs make no progress
-	ignoredStops     int       // number of stops that it answers without executing them
+	replaced         bool // another worker answers at its address
+	failsTasks       bool // each run ends as failed
+	hangsTasks       bool // runs make no progress
+	ignoredStops     int  // number of stops that it answers without executing them
+	guarded          bool // it refuses starts beyond its capacity
+	shrunkFrom       orchestrator.Resources
+	shrunkAt         time.Time
 	crashAt          time.Time // when it crashes under a task; zero: never
 	tailLatencyMs    map[string]int
 }
@@ -104,6 +107,7 @@
 	storeUnreachable bool
 	deposed          bool
 	frozen           bool
+	missedChanges    bool      // entries of workers have changed while it did not reach the store
 	disturbedAt      time.Time // when it was last frozen, thawed or cut off
 	pendingAnswers   []orchestrator.Event
 }
@@ -187,7 +191,7 @@
 		inherited.Jobs = append(inherited.Jobs, j)
 	}
 	l.step(inherited)
-	l.step(orchestrator.WorkersListed{Workers: w.listedWorkers()})
+	l.step(orchestrator.WorkersListed{Workers: w.listedWorkers(), SentAt: w.now})
 	return l
 }
 
@@ -347,7 +351,7 @@
 	if a.LeaseEnd <= k.clock(w.now) {
 		return orchestrator.StartExpired
 	}
-	if w.refuses != nil && w.refuses(a.Task) {
+	if k.guarded && !k.hasRoom(w, a.Task, k.entry.Capacity) || w.refuses != nil && w.refuses(a.Task) {
 		return orchestrator.StartNoCapacity
 	}
 	k.leaseEnd = max(k.leaseEnd, min(a.LeaseEnd, k.clock(w.now)+10*time.Second))
@@ -384,15 +388,40 @@
 	if !s.LongRunning && w.failed[a.Task] >= j.Policy.Attempts {
 		w.t.Fatalf("%s: run %d of %s starts after %d failures", w.elapsed(), a.Run, a.Task, w.failed[a.Task])
 	}
-	used := orchestrator.Resources{}
+	capacity := k.entry.Capacity
+	if w.now.Sub(k.shrunkAt) < shrinkGrace {
+		capacity = k.shrunkFrom
+	}
+	if !k.hasRoom(w, a.Task, capacity) {
+		w.t.Fatalf("%s: %s does not fit on %s: %v%s", w.elapsed(), a.Task, k.entry.ID, slices.Sorted(maps.Keys(k.runs)), w.workerHistory(k.entry.ID))
+	}
+}
+
+// shrinkGrace is how long after a worker's capacity has shrunk the platform allows starts up to the former one.
+const shrinkGrace = 4500 * time.Millisecond
+
+// hasRoom reports whether a task fits on the worker beside its runs, including those that are being stopped.
+func (k *simulatedWorker) hasRoom(w *simulation, task string, capacity orchestrator.Resources) bool {
+	used := w.sizeOf(task)
 	for _, r := range k.runs {
 		size := w.sizeOf(r.task)
 		used.CPU += size.CPU
 		used.Memory += size.Memory
 	}
-	size := w.sizeOf(a.Task)
-	if used.CPU+size.CPU > k.entry.Capacity.CPU || used.Memory+size.Memory > k.entry.Capacity.Memory {
-		w.t.Fatalf("%s: %s does not fit on %s beside %+v: %v%s", w.elapsed(), a.Task, k.entry.ID, used, slices.Sorted(maps.Keys(k.runs)), w.workerHistory(k.entry.ID))
+	return used.CPU <= capacity.CPU && used.Memory <= capacity.Memory
+}
+
+// resize changes a worker's capacity. Leaders that reach the store hear of it.
+func (w *simulation) resize(k *simulatedWorker, capacity orchestrator.Resources) {
+	if capacity.CPU < k.entry.Capacity.CPU || capacity.Memory < k.entry.Capacity.Memory {
+		k.shrunkFrom, k.shrunkAt = k.entry.Capacity, w.now
+	}
+	k.entry.Capacity = capacity
+	for _, l := range w.leaders {
+		l.missedChanges = l.missedChanges || l.storeUnreachable
+		if !l.storeUnreachable {
+			l.step(orchestrator.WorkerListed{Worker: k.entry})
+		}
 	}
 }
 
@@ -585,6 +614,17 @@
 	}
 }
 
+// watchWorkers reports the entries of workers that the leader has missed, and that there are no others.
+func (l *simulatedLeader) watchWorkers() {
+	if l.missedChanges {
+		l.missedChanges = false
+		for _, e := range l.w.listedWorkers() {
+			l.step(orchestrator.WorkerListed{Worker: e})
+		}
+	}
+	l.step(orchestrator.WorkersWatched{SentAt: l.w.now})
+}
+
 // handOver ends a leadership cleanly and reports whether its records name the workers of all
 // runs.
 func (l *simulatedLeader) handOver() bool {
@@ -643,6 +683,7 @@
 		}
 		if ms%1000 == 0 && !l.storeUnreachable {
 			l.catchUp()
+			l.watchWorkers()
 		}
 		for i, n := range slices.Sorted(maps.Keys(l.watched)) {
 			if (ms/10)%10 == int64(i%10) {
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -154,9 +154,10 @@
 
 func (o *Orchestrator) listWorker(e WorkerEntry) {
 	w := o.worker(e.ID)
-	if !w.listed || w.Draining != e.Draining {
+	if !w.listed || w.Draining != e.Draining || w.Capacity != e.Capacity {
 		o.emit(Note{Event: EventWorkerListed, Worker: e.ID, Outcome: listOutcome(e),
-			Figures: fmt.Sprintf("Service=%s FailureDomain=%s Rack=%s Cores=%.1f", e.Service, e.FailureDomain, e.Rack, float64(e.Capacity.CPU)/1000)})
+			Figures: fmt.Sprintf("Service=%s FailureDomain=%s Rack=%s Cores=%.1f GB=%.1f GPUs=%d Used=%.1f", e.Service, e.FailureDomain, e.Rack,
+				float64(e.Capacity.CPU)/1000, float64(e.Capacity.Memory)/1000, e.Capacity.GPU, float64(w.used.CPU)/1000)})
 	}
 	if e.Draining && !w.Draining {
 		w.drainRemainingAt = o.now
@@ -174,6 +175,20 @@
 	o.passDue = true
 }
 
+// maxCapacityAge is the age of the workers' entries up to which a start may rely on the capacity of a worker that
+// does not guard it. The platform allows starts by the former capacity for 4.5 s after it has shrunk.
+const maxCapacityAge = 3 * time.Second
+
+// confirmCapacities notes that the workers' entries are known as of a time.
+func (o *Orchestrator) confirmCapacities(t time.Time) {
+	if t.After(o.capacitiesAt) {
+		if o.now.Sub(o.capacitiesAt) > maxCapacityAge {
+			o.passDue = true
+		}
+		o.capacitiesAt = t
+	}
+}
+
 func listOutcome(e WorkerEntry) string {
 	if e.Draining {
 		return "draining"
