orchestrator: note once that another worker answers at an address

The state is kept until the worker answers or its address changes. TestReplacedWorkerIsNotedOnce failed before with one line for each poll.

--- a/internal/orchestrator/restart_test.go
+++ b/internal/orchestrator/restart_test.go
@@ -208,3 +208,18 @@
 	is.Equal(w.state("after"), orchestrator.StateSucceeded)
 	is.Equal(w.starts, starts+2)
 }
+
+// Another worker answers at a worker's address until its entry is removed. Guards against a log line and an urgent write to
+// the store for each poll of it.
+func TestReplacedWorkerIsNotedOnce(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 2, cores(8, 32))
+	w.submit(simpleJob("j1", 8, cores(1, 1)))
+	w.run(200 * time.Millisecond)
+	k := w.workers["w0"]
+	k.replaced = true
+	clear(k.runs)
+	w.run(5 * time.Second)
+	is.Equal(w.state("j1"), orchestrator.StateSucceeded)
+	is.Equal(len(w.notesOf(orchestrator.EventWorkerLost)), 1)
+}
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -55,6 +55,7 @@
 	answeredAt         time.Time // when the answer to that poll arrived
 	unreachable        bool      // the last poll failed
 	silentSince        time.Time // when it last stopped answering
+	replaced           bool      // another worker answers at its address
 	replacedAt         time.Time // when it was found that another worker answers at its address; zero: none
 	unansweredAt       time.Time // when a start or stop last got no answer
 
@@ -167,6 +168,7 @@
 	}
 	moved := w.Address != e.Address
 	w.WorkerEntry, w.listed = e, true
+	w.replaced = w.replaced && !moved
 	if !w.pollingRequested || moved {
 		w.pollingRequested = true
 		o.emit(StartPolling{Worker: e})
@@ -326,7 +328,7 @@
 		o.passDue = true
 	}
 	w.incarnation, w.clock, w.clockAt, w.hasClock = e.Incarnation, e.Clock, e.ReceivedAt, true
-	w.answeredPollSentAt, w.answeredAt, w.unreachable, w.replacedAt = e.SentAt, e.ReceivedAt, false, time.Time{}
+	w.answeredPollSentAt, w.answeredAt, w.unreachable, w.replaced, w.replacedAt = e.SentAt, e.ReceivedAt, false, false, time.Time{}
 	if e.DrainRemaining > 0 {
 		w.drainRemaining, w.drainRemainingAt = e.DrainRemaining, o.now
 	}
@@ -448,12 +450,12 @@
 	switch {
 	case e.Fenced:
 		o.stepDown("worker " + w.ID + " has accepted a later leader")
-	case e.Replaced && w.replacedAt.IsZero():
+	case e.Replaced && !w.replaced:
 		if !w.unreachable {
 			o.noteSilence(w)
 		}
 		o.emit(Note{Event: EventWorkerLost, Worker: w.ID, Outcome: "replaced", Reason: "another worker answers at its address"})
-		w.unreachable, w.replacedAt = true, o.now
+		w.unreachable, w.replaced, w.replacedAt = true, true, o.now
 		o.workerCrashed(w, nil)
 		w.recordedRuns = false
 		o.emit(WriteSoon{})
