orchestrator: bound the tasks of a job and of its due occurrences

A job could have 640,000 tasks, and all due occurrences of a schedule began at once, up to 100,000: more memory than a host has, on each leader in turn, and a record larger than the store accepts, so that the leader's writes fail.

A job has at most 10,000 tasks now, and further occurrences begin when earlier ones have finished.

TestDueOccurrencesAreBounded and TestTasksOfAllStepsAreBounded failed before (80,000 tasks of 40 occurrences began at once).

--- a/internal/orchestrator/capacity_test.go
+++ b/internal/orchestrator/capacity_test.go
@@ -1,6 +1,7 @@
 package orchestrator_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -64,3 +65,49 @@
 		})
 	}
 }
+
+// A schedule has more due occurrences than a leader's memory can hold. Guards against a job that ends each leader in turn by
+// its use of memory, and against occurrences that never begin.
+func TestDueOccurrencesAreBounded(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 4, cores(8, 32))
+	w.runTime = func(string, *simulatedWorker) time.Duration { return 20 * time.Millisecond }
+	j := simpleJob("j1", 2000, cores(1, 1))
+	j.Occurrences, j.First = 40, w.now.Add(-time.Hour)
+	w.submit(j)
+	w.run(time.Second)
+	is.True(w.leader().o.Status(w.now).Load.WaitingTasks <= 10000)
+	is.True(w.leader().o.Status(w.now).Load.WaitingTasks > 0)
+	is.Equal(w.state("j1"), orchestrator.StateRunning)
+	w.elect(false)
+	w.run(10 * time.Second)
+	is.True(w.leader().o.Status(w.now).Load.WaitingTasks <= 10000)
+
+	few := simpleJob("j2", 3, cores(1, 1))
+	few.Occurrences, few.First = 40, w.now
+	w.submit(few)
+	w.cancel("j1")
+	w.run(15 * time.Second)
+	is.Equal(w.state("j2"), orchestrator.StateSucceeded)
+}
+
+// Guards against one job whose tasks need more memory than a leader has, or whose record is larger than a value may be in
+// the store, so that no leader can write anything any more.
+func TestTasksOfAllStepsAreBounded(t *testing.T) {
+	is := is.New(t)
+	j := simpleJob("j1", 6000, cores(1, 1))
+	is.NoErr(j.Validate())
+	j.Steps = append(j.Steps, j.Steps[0])
+	var invalid *orchestrator.InvalidJobError
+	is.True(errors.As(j.Validate(), &invalid))
+
+	const maxValue = 1 << 20 // bytes, of the platform's store
+	r := orchestrator.Record{ID: "0123456789abcdef", State: orchestrator.StateRunning}
+	for i := range 10000 {
+		r.Tasks = append(r.Tasks, orchestrator.TaskRecord{Occurrence: 100000, Step: 63, Index: i, NextRun: 500, Failed: []int{401, 450},
+			Saved: "00000bb87a21d94b", Workers: []string{"i-d4b15e583e"}, LastRunEnd: 1 << 41})
+	}
+	b, err := orchestrator.EncodeRecord(r)
+	is.NoErr(err)
+	is.True(len(b) < maxValue)
+}
--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -89,10 +89,11 @@
 	Epoch       uint64 // of the leader under which the job was accepted
 }
 
-// Limits of a job. They bound the memory that one job can use.
+// Limits of a job. They bound the memory that one job can use on a leader, and keep its record below the 1 MB that a value
+// may have in the store.
 const (
 	maxSteps       = 64
-	maxTasks       = 10000  // of one step
+	maxTasks       = 10000  // of all steps, and of all occurrences that have begun, if these are more than one
 	maxOccurrences = 100000 // a year at one every five minutes
 )
 
@@ -124,9 +125,21 @@
 			return &InvalidJobError{i, reason}
 		}
 	}
+	if n := j.tasks(); n > maxTasks {
+		return &InvalidJobError{-1, fmt.Sprintf("%d tasks in all steps, up to %d are allowed", n, maxTasks)}
+	}
 	return nil
 }
 
+// tasks returns the number of tasks of one occurrence.
+func (j *Job) tasks() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 // problem returns why a step is invalid, empty if it is valid. index is the step's index.
 func (s *Step) problem(index int) string {
 	switch {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -411,7 +411,7 @@
 	return s
 }
 
-// beginOccurrences creates the occurrences that are due.
+// beginOccurrences creates the occurrences that are due, as far as the job has at most maxTasks tasks then.
 func (o *Orchestrator) beginOccurrences(j *job) {
 	if j.cancelled || j.state.Final() {
 		return
@@ -420,6 +420,9 @@
 		if j.Occurrences > 0 && o.now.Add(o.wallOffset).Before(j.due(j.nextOccurrence)) {
 			return
 		}
+		if len(j.occurrences) > 0 && (len(j.occurrences)+1)*j.tasks() > maxTasks {
+			return // further ones begin when these have finished
+		}
 		number := j.nextOccurrence
 		j.nextOccurrence++
 		if j.occurrence(number) == nil && !slices.Contains(j.finishedOccurrences, number) {
