orchestrator: let suspected tasks preempt others

A quick task that had been beside a crash and found no worker was left out before tasks of lower priority were stopped for it, in a full cluster until one of them ended.

--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -97,7 +97,9 @@
 		w, score := c.choose(waiting[i:], workers)
 		if w == nil && t.suspected() && !t.step.LongRunning {
 			// Only this task may have to be kept apart.
-			o.noteWait(s, "no worker has room")
+			if !o.preempt(t, workers) {
+				o.noteWait(s, "no worker has room")
+			}
 			continue
 		}
 		if w == nil {
