--- a/internal/orchestrator/crash.go
+++ b/internal/orchestrator/crash.go
@@ -112,24 +112,18 @@
 	}
 }
 
-// silence is the time at which a worker stopped answering.
-type silence struct {
-	worker string
-	at     time.Time
-}
-
 // noteSilence notes that a worker has stopped answering.
 func (o *Orchestrator) noteSilence(w *worker) {
 	w.silentSince = o.now
-	o.silences = append(o.silences, silence{w.ID, o.now})
+	o.silences = append(o.silences, o.now)
 }
 
 // haveCommonCause reports whether so many workers fell silent together with this one that a task can't be the
 // cause.
 func (o *Orchestrator) haveCommonCause(w *worker) bool {
 	n := 0
-	for _, s := range o.silences {
-		if s.at.Sub(w.silentSince).Abs() <= commonCauseTime {
+	for _, at := range o.silences {
+		if at.Sub(w.silentSince).Abs() <= commonCauseTime {
 			n++
 		}
 	}
@@ -138,7 +132,7 @@
 
 // forgetLapsed removes suspects for whose crash no evidence has come, and old silences.
 func (o *Orchestrator) forgetLapsed() {
-	o.silences = slices.DeleteFunc(o.silences, func(s silence) bool { return o.now.Sub(s.at) > crashEvidenceTime })
+	o.silences = slices.DeleteFunc(o.silences, func(at time.Time) bool { return o.now.Sub(at) > crashEvidenceTime })
 	for a, l := range o.lapsed {
 		if o.now.Sub(l.endedAt) > crashEvidenceTime {
 			delete(o.lapsed, a)
@@ -185,7 +179,7 @@
 	}
 	for _, s := range l.suspects {
 		if t := o.findTask(s.task); t != nil {
-			t.heldUntil = time.Time{}
+			t.mayHaveCrashed, t.heldUntil = false, time.Time{}
 		}
 	}
 }
@@ -282,8 +276,8 @@
 // suspected reports whether the task may crash the worker that starts it next.
 func (t *task) suspected() bool { return len(t.crashes) > 0 || t.mayHaveCrashed }
 
-// suspectOf reports whether a run of another job than j on the worker is of a suspected task under which at least
-// min workers have crashed.
+// suspectOf reports whether a run of another job than j on the worker is of a suspected task under which atLeast or
+// more workers have crashed.
 func (w *worker) suspectOf(j *job, atLeast int) bool {
 	return slices.ContainsFunc(w.suspects, func(r *run) bool { return r.task.job() != j && len(r.task.crashes) >= atLeast })
 }
@@ -318,12 +312,13 @@
 // recordSuspects has the records of the runs on a worker written that may have caused its silence, so that a
 // later leader can count its crash.
 func (o *Orchestrator) recordSuspects(w *worker) {
-	for _, s := range o.suspects(w) {
+	since := w.answeredAt.Add(-crashWindow)
+	for _, r := range w.runs {
 		if len(o.dirty) >= maxUnwrittenRecords {
 			return
 		}
-		if t := o.findTask(s.task); t != nil {
-			o.markDirty(t.job())
+		if !r.startedAt.Before(since) {
+			o.markDirty(r.task.job())
 		}
 	}
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -66,7 +66,7 @@
 	rosterWritten    uint64          // roster version that is in the store
 	dirty            map[string]*job // jobs with unwritten changes, by ID
 	lapsed           map[netip.AddrPort]lapsedWorker
-	silences         []silence              // of workers, in the last crashEvidenceTime
+	silences         []time.Time            // when workers stopped answering, in the last crashEvidenceTime
 	expired          []string               // finished jobs whose records are to be deleted
 	capacityScarce   bool                   // only the reserve for short jobs is left
 	returning        map[string][]Resources // by service: sizes of the returning tasks that have precedence
