orchestrator: keep crashes out of the arrays of records

Records of tasks and entries of the roster are encoded as arrays, and a program that knows another number of fields can't read them: during an upgrade of the hosts one after the other, jobs with a record would have been left out, and leaders would have waited for all leases. The crashes and the processes of workers now stand beside them, under names that other versions skip.

TestRecordsOfOtherVersionAreRead failed before ("number of fields in array-encoded struct has changed").

--- a/internal/orchestrator/batch.go
+++ b/internal/orchestrator/batch.go
@@ -73,10 +73,13 @@
 		b.Entries = append(b.Entries, BatchEntry{Record: Record{ID: id}, Delete: true})
 	}
 	if o.rosterWritten < o.rosterVersion {
-		b.Roster, b.rosterVersion = &Roster{}, o.rosterVersion
+		b.Roster, b.rosterVersion = &Roster{Incarnations: make(map[string]int64)}, o.rosterVersion
 		for _, id := range slices.Sorted(maps.Keys(o.workers)) {
 			w := o.workers[id]
-			b.Roster.Workers = append(b.Roster.Workers, RosterEntry{ID: id, Service: w.Service, Address: w.Address.String(), Idle: w.provenIdle, Incarnation: cmp.Or(w.incarnation, w.recordedIncarnation)})
+			b.Roster.Workers = append(b.Roster.Workers, RosterEntry{ID: id, Service: w.Service, Address: w.Address.String(), Idle: w.provenIdle})
+			if i := cmp.Or(w.incarnation, w.recordedIncarnation); i != 0 {
+				b.Roster.Incarnations[id] = i
+			}
 			if !w.provenIdle {
 				b.enrolled = append(b.enrolled, id)
 			}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -346,7 +346,7 @@
 		w.rostered = true
 		if !w.provenIdle {
 			w.mayRunInheritedTasks = true
-			w.recordedRuns, w.recordedIncarnation = true, r.Incarnation
+			w.recordedRuns, w.recordedIncarnation = true, e.Roster.Incarnations[r.ID]
 			w.leasesEnd = o.settings.ElectedAt.Add(maxLeaseTime(o.settings.LeaderLease))
 		}
 		if !w.pollingRequested && w.Address.IsValid() {
--- a/internal/orchestrator/record.go
+++ b/internal/orchestrator/record.go
@@ -16,6 +16,7 @@
 	Finished   []int        // occurrences whose tasks have all succeeded
 	Done       []DoneSet    // succeeded tasks of the other occurrences
 	Tasks      []TaskRecord // tasks of the other occurrences that have not succeeded and may have had a run
+	Crashes    []TaskCrashes
 }
 
 // DoneSet is the set of tasks of a step that have succeeded.
@@ -37,6 +38,15 @@
 	Saved      string   // reference to the last checkpoint
 	Workers    []string // workers that may run the task
 	LastRunEnd int64    // of a long-running task without a run: when its last run ended, in Unix ms; 0: it runs or never ran
+}
+
+// TaskCrashes holds the crashes of workers under a task. They are not part of TaskRecord, because programs that know a
+// different number of fields can't read an array.
+type TaskCrashes struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by the encoder
+	Occurrence int
+	Step       int
+	Index      int
 	Crashes    []Crash
 }
 
@@ -62,6 +72,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			r.Done, r.Tasks = s.appendRecords(r.Done, r.Tasks)
+			r.Crashes = s.appendCrashes(r.Crashes)
 		}
 	}
 	return r
@@ -81,7 +92,7 @@
 		if t.nextRun == 1 && len(t.failed) == 0 && t.saved == "" {
 			continue
 		}
-		tr := TaskRecord{Occurrence: s.occurrence.number, Step: s.index, Index: i, NextRun: t.nextRun, Failed: t.failed, Saved: t.saved, Crashes: t.crashes}
+		tr := TaskRecord{Occurrence: s.occurrence.number, Step: s.index, Index: i, NextRun: t.nextRun, Failed: t.failed, Saved: t.saved}
 		if s.LongRunning && len(t.runs) == 0 && !t.lastRunEnd.IsZero() {
 			tr.LastRunEnd = t.lastRunEnd.UnixMilli()
 		}
@@ -99,6 +110,16 @@
 	return done, tasks
 }
 
+// appendCrashes appends the crashes under the step's tasks.
+func (s *step) appendCrashes(crashes []TaskCrashes) []TaskCrashes {
+	for i, t := range s.tasks {
+		if len(t.crashes) > 0 && !t.done {
+			crashes = append(crashes, TaskCrashes{Occurrence: s.occurrence.number, Step: s.index, Index: i, Crashes: t.crashes})
+		}
+	}
+	return crashes
+}
+
 // restore applies a record of an earlier leader.
 func (o *Orchestrator) restore(j *job, r *Record, now time.Time) {
 	j.state, j.finishedAt = r.State, r.FinishedAt
@@ -127,7 +148,7 @@
 		t := s.tasks[tr.Index]
 		t.nextRun += tr.NextRun - 1 // before, nextRun is 1 or 1 + runNumberMargin
 		t.failed, t.saved = tr.Failed, tr.Saved
-		t.recordedWorkers, t.crashes = tr.Workers, tr.Crashes
+		t.recordedWorkers = tr.Workers
 		if len(tr.Workers) > 0 {
 			t.recordedRun = tr.NextRun - 1
 		}
@@ -138,6 +159,11 @@
 			t.lastRunEnd = now // unless the recorded run is found on its worker
 		}
 	}
+	for _, c := range r.Crashes {
+		if s := j.stepAt(o, c.Occurrence, c.Step, now); s != nil && c.Index >= 0 && c.Index < len(s.tasks) {
+			s.tasks[c.Index].crashes = c.Crashes
+		}
+	}
 }
 
 // maxInheritedWait bounds how long ago a time in a record of an earlier leader may be. The clocks of
@@ -176,12 +202,13 @@
 	Service  string
 	Address  string
 	Idle     bool // no run of any leader can be on the worker
-	// Incarnation identifies the worker's process; 0: not known.
-	Incarnation int64
 }
 
 // Roster lists the workers that a new leader must poll, or whose leases it must wait for.
-type Roster struct{ Workers []RosterEntry }
+type Roster struct {
+	Workers      []RosterEntry
+	Incarnations map[string]int64 // by worker ID: identifies the worker's process, if it is known
+}
 
 // EncodeRoster returns a roster's value in the store.
 func EncodeRoster(r Roster) ([]byte, error) { return msgpack.Marshal(&r) }
--- a/internal/orchestrator/record_test.go
+++ b/internal/orchestrator/record_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"peridotpitch/internal/orchestrator"
 )
@@ -87,3 +88,47 @@
 	is.Equal(len(written), jobs)
 	is.True(slices.IsSorted(written))
 }
+
+// Hosts are upgraded one after the other. Guards against records of crashes that another version of the program can't
+// read, so that the job is left out.
+func TestRecordsOfOtherVersionAreRead(t *testing.T) {
+	is := is.New(t)
+	type formerTask struct {
+		_msgpack                         struct{} `msgpack:",as_array"` //nolint:unused // read by the encoder
+		Occurrence, Step, Index, NextRun int
+		Failed                           []int
+		Saved                            string
+		Workers                          []string
+		LastRunEnd                       int64
+	}
+	former := struct {
+		ID    string
+		State orchestrator.State
+		Tasks []formerTask
+	}{"j1", orchestrator.StateRunning, []formerTask{{Index: 2, NextRun: 7, Failed: []int{3}, Workers: []string{"w1"}}}}
+	b, err := msgpack.Marshal(&former)
+	is.NoErr(err)
+	r, err := orchestrator.DecodeRecord(b)
+	is.NoErr(err)
+	is.Equal(r.Tasks, []orchestrator.TaskRecord{{Index: 2, NextRun: 7, Failed: []int{3}, Workers: []string{"w1"}}})
+
+	r.Crashes = []orchestrator.TaskCrashes{{Index: 2, Crashes: []orchestrator.Crash{{Run: 6, Certain: true}}}}
+	b, err = orchestrator.EncodeRecord(r)
+	is.NoErr(err)
+	is.NoErr(msgpack.Unmarshal(b, &former))
+	is.Equal(former.Tasks[0].NextRun, 7)
+	r, err = orchestrator.DecodeRecord(b)
+	is.NoErr(err)
+	is.Equal(r.Crashes, []orchestrator.TaskCrashes{{Index: 2, Crashes: []orchestrator.Crash{{Run: 6, Certain: true}}}})
+
+	formerRoster := struct{ Workers []orchestrator.RosterEntry }{[]orchestrator.RosterEntry{{ID: "w1", Service: "s"}}}
+	b, err = msgpack.Marshal(&formerRoster)
+	is.NoErr(err)
+	roster, err := orchestrator.DecodeRoster(b)
+	is.NoErr(err)
+	is.Equal(roster.Workers, formerRoster.Workers)
+	roster.Incarnations = map[string]int64{"w1": 5}
+	b, err = orchestrator.EncodeRoster(roster)
+	is.NoErr(err)
+	is.NoErr(msgpack.Unmarshal(b, &formerRoster))
+}
