orchestrator, evacuator: keep work out of evacuated failure domains

Cause: operators request the evacuation of a failure domain in the store, and nothing read the request.

Change: the event EvacuationsListed; workers of an evacuated failure domain get no new work, starts without an answer are not sent again, and long-running tasks move out within MaxMissing and only into capacity that no task waits for. The coordinator does not send the event yet.

Result: TestNothingStartsInEvacuatedDomain fails in six of seven cases without the check in usable, and in one case without withdrawStarts; TestUnansweredStartIsNotSentAgainToEvacuatedDomain fails without withdrawStarts; the load of the mechanism evacuation-moves fails without it.

--- /dev/null
+++ b/internal/orchestrator/evacuation_test.go
@@ -0,0 +1,185 @@
+package orchestrator_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpitch/internal/orchestrator"
+)
+
+// newEvacuationCluster returns a simulation with failure domains a, b and c of n workers of 8 cores each.
+func newEvacuationCluster(t *testing.T, disabled orchestrator.MechanismSet, n int) *simulation {
+	t.Helper()
+	w := newSimulation(t, 1)
+	w.disabled = disabled
+	for _, d := range "abc" {
+		for i := range n {
+			w.addWorker(fmt.Sprintf("%c%02d", d, i), cores(8, 64), "r"+string(d)).entry.FailureDomain = string(d)
+		}
+	}
+	w.elect(false)
+	w.run(time.Second)
+	return w
+}
+
+// submitSteadily submits a job of four tasks each 100 ms, which use a third of the cluster, for a time.
+func (w *simulation) submitSteadily(prefix string, d time.Duration) (jobs int) {
+	for end := w.now.Add(d); w.now.Before(end); jobs++ {
+		w.submit(simpleJob(fmt.Sprintf("%s%03d", prefix, jobs), 4, cores(1, 1)))
+		w.run(100 * time.Millisecond)
+	}
+	return jobs
+}
+
+// A failure domain is evacuated under load, with commands that are lost or executed late, while the leader is replaced, frozen or without the
+// store. checkedStart guards against starts there; the jobs must end elsewhere.
+func TestNothingStartsInEvacuatedDomain(t *testing.T) {
+	for name, disturb := range map[string]func(*simulation){
+		"undisturbed":           func(*simulation) {},
+		"another leader":        func(w *simulation) { w.elect(false) },
+		"hand-over":             func(w *simulation) { w.elect(w.leader().handOver()) },
+		"second failure domain": func(w *simulation) { w.evacuate("a") },
+		"leader without store":  func(w *simulation) { l := w.leader(); l.storeUnreachable, l.disturbedAt = true, w.now; w.elect(false) },
+		"frozen leader":         func(w *simulation) { l := w.leader(); l.frozen, l.disturbedAt = true, w.now; w.elect(false) },
+		"failure domain cut off": func(w *simulation) {
+			w.inDomain("b", func(k *simulatedWorker) { k.unreachableFrom[w.leader()] = true })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newEvacuationCluster(t, 0, 8)
+			w.faults = faults{dropped: 0.1, appliedLate: 0.1}
+			before := w.submitSteadily("x", time.Second)
+			w.evacuate("b")
+			w.run(100 * time.Millisecond)
+			disturb(w)
+			after := w.submitSteadily("y", 6*time.Second)
+			w.faults = faults{}
+			w.heal()
+			w.run(25 * time.Second)
+			for prefix, n := range map[string]int{"x": before, "y": after} {
+				for i := range n {
+					is.Equal(w.state(fmt.Sprintf("%s%03d", prefix, i)), orchestrator.StateSucceeded)
+				}
+			}
+			is.Equal(w.runsIn("b"), 0)
+		})
+	}
+}
+
+// The last start before an evacuation gets no answer. Guards against sending it again after the evacuation, and against a second run
+// elsewhere while the first may still begin.
+func TestUnansweredStartIsNotSentAgainToEvacuatedDomain(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationCluster(t, 0, 1)
+	w.faults = faults{dropped: 1}
+	w.submit(simpleJob("j", 3, cores(6, 1))) // one task for each worker
+	w.run(50 * time.Millisecond)
+	is.Equal(len(w.notesOf(orchestrator.EventStart)), 3)
+	w.evacuate("b")
+	w.faults = faults{}
+	w.run(8 * time.Second)
+	is.Equal(w.state("j"), orchestrator.StateSucceeded)
+	for _, n := range w.notesOf(orchestrator.EventResend) {
+		if n.Worker[0] == 'b' && n.Outcome == "start" {
+			t.Errorf("start of %s was sent again to %s", n.Task, n.Worker)
+		}
+	}
+}
+
+// Batch tasks run in a failure domain when it is evacuated. Guards against work that is stopped although it ends by itself.
+func TestEvacuationStopsNoBatchTasks(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationCluster(t, 0, 4)
+	w.runTime = func(string, *simulatedWorker) time.Duration { return 4 * time.Second }
+	j := simpleJob("j", 60, cores(1, 1))
+	j.Steps[0].Estimate = 4 * time.Second
+	w.submit(j)
+	w.run(time.Second)
+	is.True(w.runsIn("b") > 10)
+	w.evacuate("b")
+	w.run(4 * time.Second)
+	is.Equal(len(w.notesOf(orchestrator.EventStop)), 0)
+	is.Equal(w.state("j"), orchestrator.StateSucceeded)
+}
+
+// Twelve long-running tasks, of which two may be away, use a third of three failure domains, and one of these is evacuated. Reports whether
+// it is empty after 20 s. Guards against more tasks away than allowed.
+func longRunningTasksLeaveEvacuatedDomain(t *testing.T, disabled orchestrator.MechanismSet) bool {
+	w := newEvacuationCluster(t, disabled, 4)
+	j := latencyCriticalJob("s", "web", 12, cores(2.5, 4))
+	j.Steps[0].MaxMissing = 2
+	w.submit(j)
+	w.run(2 * time.Second)
+	w.evacuate("a")
+	for range 200 {
+		w.run(100 * time.Millisecond)
+		if n := len(w.runningOn("s")); n < 10 {
+			t.Errorf("%d of 12 tasks run", n)
+		}
+	}
+	return w.runsIn("a") == 0
+}
+
+// Long-running tasks use most of three failure domains when one of them is evacuated. Guards against tasks that are stopped and find no
+// room elsewhere, or take what waiting jobs need.
+func TestLongRunningTasksStayWithoutRoomElsewhere(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationCluster(t, 0, 4)
+	w.submit(latencyCriticalJob("s", "web", 20, cores(4, 4)))
+	w.run(2 * time.Second)
+	there := w.runsIn("b")
+	is.True(there >= 5)
+	w.evacuate("b")
+	w.run(10 * time.Second)
+	is.Equal(w.runsIn("b"), there)
+	is.Equal(len(w.notesOf(orchestrator.EventStop)), 0)
+	for _, d := range w.leader().o.Status(w.now).FailureDomains {
+		is.Equal(d.EvacuatedFor > 0, d.Name == "b")
+	}
+}
+
+// Jobs wait for capacity when an evacuation is taken back after half a second. Guards against work that does not return, and against moves
+// of what runs elsewhere.
+func TestWorkReturnsWhenEvacuationIsTakenBack(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationCluster(t, 0, 2)
+	w.runTime = func(string, *simulatedWorker) time.Duration { return 10 * time.Second }
+	w.evacuate("b")
+	j := simpleJob("j", 40, cores(1, 1)) // 32 tasks find room in a and c
+	j.Steps[0].Estimate = 10 * time.Second
+	w.submit(j)
+	w.run(500 * time.Millisecond)
+	is.Equal(w.runsIn("b"), 0)
+	w.takeBack("b")
+	w.run(200 * time.Millisecond)
+	is.Equal(w.runsIn("b"), 8)
+	is.Equal(len(w.notesOf(orchestrator.EventStop)), 0)
+}
+
+// All failure domains are evacuated, and one without workers. Guards against starts, stops and silence.
+func TestAllFailureDomainsEvacuated(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationCluster(t, 0, 2)
+	w.submit(latencyCriticalJob("s", "web", 3, cores(2, 4)))
+	w.run(time.Second)
+	for _, d := range []string{"a", "b", "c", "nowhere"} {
+		w.evacuate(d)
+	}
+	w.submit(simpleJob("j", 4, cores(1, 1)))
+	w.run(3 * time.Second)
+	is.Equal(w.state("j"), orchestrator.StateQueued)
+	is.Equal(len(w.runningOn("s")), 3)
+	var reasons []string
+	for _, n := range w.notesOf(orchestrator.EventEvacuation) {
+		reasons = append(reasons, n.Reason)
+	}
+	is.Equal(strings.Join(reasons, ";"), ";;all failure domains are evacuated: nothing starts;no worker is in this failure domain")
+	w.takeBack("c")
+	w.run(2 * time.Second)
+	is.Equal(w.state("j"), orchestrator.StateSucceeded)
+}
--- a/internal/orchestrator/event.go
+++ b/internal/orchestrator/event.go
@@ -63,6 +63,9 @@
 // WorkerUnlisted reports that a worker's entry has been removed.
 type WorkerUnlisted struct{ ID string }
 
+// EvacuationsListed reports the complete list of the failure domains that operators evacuate.
+type EvacuationsListed struct{ FailureDomains []string }
+
 // RunningRun is a run that a worker lists as running.
 type RunningRun struct {
 	Task    string
@@ -186,20 +189,21 @@
 	Lag time.Duration
 }
 
-func (Inherited) event()        {}
-func (JobAccepted) event()      {}
-func (CancelRequested) event()  {}
-func (WorkersListed) event()    {}
-func (WorkerListed) event()     {}
-func (WorkersWatched) event()   {}
-func (WorkerUnlisted) event()   {}
-func (PollAnswered) event()     {}
-func (PollFailed) event()       {}
-func (StartAnswered) event()    {}
-func (StopAnswered) event()     {}
-func (ThrottleAnswered) event() {}
-func (Confirmed) event()        {}
-func (Written) event()          {}
-func (AdviceAnswered) event()   {}
-func (HandOver) event()         {}
-func (Tick) event()             {}
+func (Inherited) event()         {}
+func (JobAccepted) event()       {}
+func (CancelRequested) event()   {}
+func (WorkersListed) event()     {}
+func (WorkerListed) event()      {}
+func (WorkersWatched) event()    {}
+func (WorkerUnlisted) event()    {}
+func (EvacuationsListed) event() {}
+func (PollAnswered) event()      {}
+func (PollFailed) event()        {}
+func (StartAnswered) event()     {}
+func (StopAnswered) event()      {}
+func (ThrottleAnswered) event()  {}
+func (Confirmed) event()         {}
+func (Written) event()           {}
+func (AdviceAnswered) event()    {}
+func (HandOver) event()          {}
+func (Tick) event()              {}
--- a/internal/orchestrator/event_names.go
+++ b/internal/orchestrator/event_names.go
@@ -21,12 +21,13 @@
 	EventWorkerReached     = "WorkerReached"
 	EventWorkerLost        = "WorkerLost"
 	EventWorkerQuarantined = "WorkerAvoided"
+	EventEvacuation        = "Evacuation"
 )
 
 // Events returns all values of Note.Event.
 func Events() []string {
 	return []string{
 		EventJobAdded, EventJobFinished, EventStart, EventStartRefused, EventStop, EventCopy, EventEnd, EventAdopt,
-		EventRunLost, EventResend, EventCrash, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined,
+		EventRunLost, EventResend, EventCrash, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined, EventEvacuation,
 	}
 }
--- a/internal/orchestrator/mechanism.go
+++ b/internal/orchestrator/mechanism.go
@@ -31,6 +31,9 @@
 	MechanismQuarantine Mechanism = "quarantine"
 	// MechanismCrashIsolation keeps tasks that may crash workers apart from each other and from new ones.
 	MechanismCrashIsolation Mechanism = "crash-isolation"
+	// MechanismEvacuationMoves moves long-running tasks out of evacuated failure domains into
+	// capacity that no task waits for.
+	MechanismEvacuationMoves Mechanism = "evacuation-moves"
 	// MechanismStragglers moves or copies runs that hang or are slower than expected.
 	MechanismStragglers Mechanism = "straggler-moves"
 )
@@ -39,6 +42,7 @@
 var Mechanisms = []Mechanism{
 	MechanismStepLoad, MechanismImageSeparation, MechanismThrottledMoves, MechanismForecastOrder,
 	MechanismShortJobReserve, MechanismPreemption, MechanismReservations, MechanismQuarantine, MechanismStragglers, MechanismCrashIsolation,
+	MechanismEvacuationMoves,
 }
 
 // MechanismSet is a set of mechanisms. The zero value is empty.
--- a/internal/orchestrator/mechanism_test.go
+++ b/internal/orchestrator/mechanism_test.go
@@ -46,6 +46,7 @@
 	orchestrator.MechanismQuarantine:      failingWorkerGetsFewTasks,
 	orchestrator.MechanismStragglers:      hungTaskEndsElsewhere,
 	orchestrator.MechanismCrashIsolation:  tasksBesideCrashingOnesEnd,
+	orchestrator.MechanismEvacuationMoves: longRunningTasksLeaveEvacuatedDomain,
 }
 
 // Guards against a mechanism that no longer answers its load, and against one that the load
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"peridotpitch/internal/evacuator"
 )
 
 // Settings are the fixed parameters of an Orchestrator.
@@ -54,6 +56,7 @@
 	sortedWorkers []*worker              // all workers, sorted by ID; nil: to be sorted again
 	queueStats    map[string]*queueStats // by queue
 	interference  interferenceModel
+	evacuations   evacuator.Evacuator
 	loadsBuffer   []imageLoad    // reused by bestEffortLoads
 	rankingBuffer []rankedWorker // reused by rank
 
@@ -74,6 +77,7 @@
 	passDue          bool                   // a scheduling pass is due, because a change may let a task start
 	loadNotedAt      time.Time              // when noteLoad last ran
 	work             passWork               // of the scheduling passes since loadNotedAt
+	movedOutAt       time.Time              // when moveOutOfEvacuated last looked for moves
 	lastWork         passWork               // of the scheduling passes before loadNotedAt, since the note before
 	tickOffset       int                    // index of the first worker of the last tick
 	lastPassAt       time.Time              // of the last scheduling pass
@@ -215,6 +219,8 @@
 		o.listWorker(e.Worker)
 	case WorkerUnlisted:
 		o.unlistWorker(e.ID)
+	case EvacuationsListed:
+		o.listEvacuations(e.FailureDomains)
 	case PollAnswered:
 		o.pollAnswered(e)
 	case PollFailed:
@@ -309,6 +315,7 @@
 		o.beginOccurrences(j)
 	}
 	o.expireFinishedJobs()
+	o.moveOutOfEvacuated()
 	o.passDue = true
 	if o.now.Sub(o.loadNotedAt) >= loadNoteInterval {
 		o.loadNotedAt = o.now
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -403,7 +403,7 @@
 // service.
 func (o *Orchestrator) rackExists(s *step) bool {
 	for _, w := range o.workersByID() {
-		if w.Rack == s.RackAffinity && w.Service == s.occurrence.job.Policy.Service && w.listed && !w.unreachable {
+		if w.Rack == s.RackAffinity && w.Service == s.occurrence.job.Policy.Service && w.listed && !w.unreachable && !o.evacuations.Evacuates(w.FailureDomain) {
 			return true
 		}
 	}
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -41,6 +41,7 @@
 	clock           func() time.Time          // measures passes; nil: not measured
 	lease           time.Duration             // of the runs of leaders that are elected later
 	crash           crashModel
+	evacuations     evacuationModel
 }
 
 // faults holds the probability of each fault of a command.
@@ -190,6 +191,7 @@
 		}
 		inherited.Jobs = append(inherited.Jobs, j)
 	}
+	l.step(orchestrator.EvacuationsListed{FailureDomains: w.evacuations.domains()})
 	l.step(inherited)
 	l.step(orchestrator.WorkersListed{Workers: w.listedWorkers(), SentAt: w.now})
 	return l
@@ -322,7 +324,7 @@
 	k.fence = c.leader.epoch
 	switch a := c.action.(type) {
 	case orchestrator.StartRun:
-		return k.startRun(w, c.leader, a)
+		return k.checkedStart(w, c, a)
 	case orchestrator.StopRun:
 		if k.ignoredStops > 0 {
 			k.ignoredStops--
@@ -623,6 +625,7 @@
 		}
 	}
 	l.step(orchestrator.WorkersWatched{SentAt: l.w.now})
+	l.step(orchestrator.EvacuationsListed{FailureDomains: l.w.evacuations.domains()})
 }
 
 // handOver ends a leadership cleanly and reports whether its records name the workers of all
--- a/internal/orchestrator/status.go
+++ b/internal/orchestrator/status.go
@@ -28,6 +28,8 @@
 	Usable      int
 	Unreachable int // their last poll failed, or they have not answered this leader yet
 	Runs        int // present runs on all workers
+	// EvacuatedFor is how long this leader has known that operators evacuate the failure domain; 0: they do not.
+	EvacuatedFor time.Duration
 }
 
 // WorkerStatus describes a worker that gets no new work.
@@ -48,7 +50,7 @@
 	for _, w := range o.workersByID() {
 		d := byName[w.FailureDomain]
 		if d == nil {
-			d = &FailureDomainStatus{Name: w.FailureDomain}
+			d = &FailureDomainStatus{Name: w.FailureDomain, EvacuatedFor: o.evacuations.EvacuatedFor(w.FailureDomain, now)}
 			byName[w.FailureDomain] = d
 		}
 		d.Workers++
--- a/internal/orchestrator/throttle.go
+++ b/internal/orchestrator/throttle.go
@@ -160,7 +160,7 @@
 	}
 	workers, _ := o.candidates(s)
 	for _, w := range workers {
-		if w != r.worker && o.fits(t, w) && w.unusedCPU() >= s.Size.CPU && (o.headroomWith(s, w) > moveMinHeadroom || o.harmless(s, w)) {
+		if w != r.worker && !o.evacuations.Settles(w.FailureDomain, o.now) && o.fits(t, w) && w.unusedCPU() >= s.Size.CPU && (o.headroomWith(s, w) > moveMinHeadroom || o.harmless(s, w)) {
 			t.moves++
 			o.stop(r, "slowed for the sake of a task with a latency target")
 			return
@@ -214,7 +214,7 @@
 		return
 	}
 	workers, _ := o.candidates(s)
-	workers = slices.DeleteFunc(workers, func(k *worker) bool { return k == w })
+	workers = slices.DeleteFunc(workers, func(k *worker) bool { return k == w || o.evacuations.Settles(k.FailureDomain, o.now) })
 	target, score := o.choose(t, workers)
 	if target == nil {
 		return
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -268,6 +268,8 @@
 		return false, "is not listed"
 	case w.Draining:
 		return false, "is draining"
+	case o.evacuations.Evacuates(w.FailureDomain):
+		return false, "is in an evacuated failure domain"
 	case !w.runsKnown || !w.hasClock:
 		return false, "has not answered this leader yet"
 	case w.unreachable || w.unansweredAt.After(w.answeredPollSentAt):
@@ -519,8 +521,9 @@
 		o.requestRosterEntry(w)
 	}
 	if w.Draining {
-		o.evacuate(w)
+		o.stopBeforeDrainEnds(w)
 	}
+	o.withdrawStarts(w)
 	for _, r := range w.runs {
 		o.resendCommands(r)
 	}
@@ -572,8 +575,8 @@
 	o.emit(n)
 }
 
-// evacuate stops the runs that would not end before their draining worker stops serving.
-func (o *Orchestrator) evacuate(w *worker) {
+// stopBeforeDrainEnds stops the runs that would not end before their draining worker stops serving.
+func (o *Orchestrator) stopBeforeDrainEnds(w *worker) {
 	left := w.drainRemaining
 	if left == 0 {
 		left = defaultDrainTime
