--- a/cmd/peridotpitch/entry.go
+++ b/cmd/peridotpitch/entry.go
@@ -47,10 +47,12 @@
 	defer closeStore()
 	workers, closeWorkers := platform.NewWorkerClient(s.AdviceAddress, commandTimeout, adviceTimeout)
 	defer closeWorkers()
+	keys := coordinator.StoreKeys{Configuration: platform.ConfigurationKey, Workers: platform.WorkerKeyPrefix}
+	if s.EvacuationDeadline > 0 {
+		keys.Evacuations = platform.EvacuationKeyPrefix
+	}
 	c := coordinator.New(s, coordinator.Dependencies{
-		Store: store, Workers: workers, Decoder: platform.Decoder{},
-		Keys:    coordinator.StoreKeys{Configuration: platform.ConfigurationKey, Workers: platform.WorkerKeyPrefix},
-		Program: version,
+		Store: store, Workers: workers, Decoder: platform.Decoder{}, Keys: keys, Program: version,
 	}, log)
 	shutdown, err := platform.ServeCallers(s.CallerAddress, s.ReadyAddress, c, log)
 	if err != nil {
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -25,6 +25,10 @@
 	StatusRetention time.Duration
 	FarFactor       float64
 
+	// EvacuationDeadline is the time after an operator's request within which the last task starts in an
+	// evacuated failure domain; 0: the requests are not read.
+	EvacuationDeadline time.Duration
+
 	Memory         int64 // bytes
 	ProcessorShare float64
 	DrainTimeout   time.Duration
@@ -150,10 +154,19 @@
 type Decoder interface {
 	Configuration(value []byte) (Configuration, error)
 	Worker(key string, value []byte) (orchestrator.WorkerEntry, error)
+	// Evacuation returns an error if the key names no failure domain.
+	Evacuation(key string, value []byte) (Evacuation, error)
+}
+
+// Evacuation is an operator's request that nothing new starts in a failure domain.
+type Evacuation struct {
+	FailureDomain string
+	Fault         string // why the value was not understood; the evacuation holds nevertheless
 }
 
 // StoreKeys are the store keys that other programs write.
 type StoreKeys struct {
 	Configuration string
 	Workers       string // prefix
+	Evacuations   string // prefix; empty: none are read
 }
