coordinator: tell the orchestrator which failure domains are evacuated

Senders of commands check a start right before they send it, so that starts in the queue of a worker are dropped as not sent; StartRun names the failure domain for that, because pollers of inherited workers do not know it.

--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -25,7 +25,10 @@
 		}
 		var err error
 		if inherited, inputRevision, err = ld.readInherited(ctx); err == nil {
-			break
+			// The evacuations are known before the first start, and read last, so that they are recent.
+			if err = ld.readEvacuations(ctx); err == nil {
+				break
+			}
 		}
 		ld.c.log.Warn("LoadFailed", "Epoch", ld.term.Revision, "Cause", err.Error())
 		if next, readErr := ld.c.readTerm(ctx); readErr == nil && next.Revision != ld.term.Revision {
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -86,6 +86,9 @@
 	pendingJobs        map[string]int // result of orch.Pending at pendingAt; replaced, never changed
 	pendingAt          time.Time
 
+	evacuations evacuationList           // used by load, and then by watchEvacuations only
+	evacuated   atomic.Pointer[[]string] // evacuated failure domains, sorted; nil: not read
+
 	deposed           atomic.Bool  // another host has been elected: nothing is sent any more
 	lag               atomic.Int64 // how late the last Tick was applied, ns
 	lastConfirmedSent atomic.Int64 // timekeeper time at which the last confirmed write was sent, in Unix ns
@@ -116,6 +119,7 @@
 		c.leadership = nil
 		c.mu.Unlock()
 		c.metrics.leading.Set(0)
+		c.metrics.evacuated.Set(0)
 	}()
 }
 
@@ -129,6 +133,7 @@
 	group.Go(func() error { ld.runWriter(inner); return nil })
 	group.Go(func() error { ld.pollInputs(inner, inputRevision); return nil })
 	group.Go(func() error { ld.watchWorkers(inner); return nil })
+	group.Go(func() error { ld.watchEvacuations(inner); return nil })
 	group.Go(func() error { ld.runTicker(inner); return nil })
 	if err := group.Wait(); err != nil {
 		ld.c.log.Error("LeadershipEnded", "Epoch", ld.term.Revision, "Cause", err.Error())
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -31,6 +31,7 @@
 	configVersion   prometheus.Gauge
 	configBytes     prometheus.Gauge
 	configReads     *prometheus.HistogramVec
+	evacuated       prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -60,9 +61,10 @@
 		configVersion:   gauge("configuration_version", "Version of the configuration in force."),
 		configBytes:     gauge("configuration_bytes", "Size of the configuration in force, before it is encoded for the transfer."),
 		configReads:     histogram("configuration_read_seconds", "Time of the store's answers to reads and watches of the configuration, by call and outcome.", prometheus.ExponentialBuckets(0.004, 2, 12), "call", "outcome"),
+		evacuated:       gauge("evacuated_failure_domains", "Failure domains that operators evacuate, as this host knows while it leads."),
 	}
 	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures,
-		m.panics, m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads,
+		m.panics, m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads, m.evacuated,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return m
 }
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -171,7 +171,8 @@
 	}
 }
 
-// send sends a command, unless another host has been elected since the command was decided.
+// send sends a command, unless another host has been elected since the command was decided, or the command is a
+// start in a failure domain whose evacuation has become known since.
 func (p *poller) send(a orchestrator.Action) {
 	ld, begin := p.ld, time.Now()
 	if ld.deposed.Load() {
@@ -180,6 +181,10 @@
 	fence := ld.term.Revision
 	switch a := a.(type) {
 	case orchestrator.StartRun:
+		if ld.evacuates(a.FailureDomain) {
+			ld.reportNotSent(a)
+			return
+		}
 		o := ld.c.deps.Workers.Start(p.ctx, p.target, fence, a)
 		ld.c.metrics.observeCommand("start", begin)
 		ld.apply(orchestrator.StartAnswered{Worker: a.Worker, Task: a.Task, Run: a.Run, Outcome: o})
--- a/internal/orchestrator/action.go
+++ b/internal/orchestrator/action.go
@@ -8,13 +8,14 @@
 
 // StartRun starts a run. The answer comes back as StartAnswered.
 type StartRun struct {
-	Worker   string
-	Task     string
-	Run      int
-	Spec     string
-	LeaseEnd time.Duration // on the worker's clock
-	Saved    string        // checkpoint to start from; empty: none
-	Ticket   string        // of the outside policy; empty: none
+	Worker        string
+	FailureDomain string // of the worker
+	Task          string
+	Run           int
+	Spec          string
+	LeaseEnd      time.Duration // on the worker's clock
+	Saved         string        // checkpoint to start from; empty: none
+	Ticket        string        // of the outside policy; empty: none
 }
 
 // StopRun stops a run. The answer comes back as StopAnswered.
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -174,7 +174,7 @@
 		return // resendCommands sends it once the leadership has been confirmed
 	}
 	r.inFlight, r.sentAt = true, o.now
-	o.emit(StartRun{Worker: r.worker.ID, Task: r.task.name, Run: r.number, Spec: r.task.job().Spec, LeaseEnd: d, Saved: r.saved, Ticket: r.ticket})
+	o.emit(StartRun{Worker: r.worker.ID, FailureDomain: r.worker.FailureDomain, Task: r.task.name, Run: r.number, Spec: r.task.job().Spec, LeaseEnd: d, Saved: r.saved, Ticket: r.ticket})
 }
 
 func (o *Orchestrator) startAnswered(e StartAnswered) {
