--- a/internal/commandline/fleet.go
+++ b/internal/commandline/fleet.go
@@ -15,6 +15,7 @@
 
 	"peridotpitch/internal/administrator"
 	"peridotpitch/internal/coordinator"
+	"peridotpitch/internal/orchestrator"
 )
 
 // fleetTimeout limits the request to one entry host. The host answers within half a second, also
@@ -107,10 +108,7 @@
 		load.Jobs, load.WaitingTasks, load.WaitingCores, load.Starts, load.Passes, load.PutOffSteps))
 	_, _ = fmt.Fprintln(w)
 	printHostsToCheck(w, *l)
-	row(w, "FAILURE DOMAIN", "WORKERS", "USABLE", "OUT OF REACH", "RUNS")
-	for _, d := range l.Workers.FailureDomains {
-		row(w, d.Name, d.Workers, d.Usable, d.Unreachable, d.Runs)
-	}
+	printFailureDomains(w, l.Workers.FailureDomains)
 	if len(l.Workers.Unusable) == 0 {
 		return
 	}
@@ -128,6 +126,26 @@
 	}
 }
 
+// printFailureDomains prints a row for each failure domain, with a column for evacuations if there are any.
+func printFailureDomains(w io.Writer, domains []orchestrator.FailureDomainStatus) {
+	header := []any{"FAILURE DOMAIN", "WORKERS", "USABLE", "OUT OF REACH", "RUNS"}
+	evacuated := slices.ContainsFunc(domains, func(d orchestrator.FailureDomainStatus) bool { return d.EvacuatedFor > 0 })
+	if evacuated {
+		header = append(header, "EVACUATED")
+	}
+	row(w, header...)
+	for _, d := range domains {
+		cells := []any{d.Name, d.Workers, d.Usable, d.Unreachable, d.Runs}
+		switch {
+		case d.EvacuatedFor > 0:
+			cells = append(cells, "for "+formatAge(d.EvacuatedFor))
+		case evacuated:
+			cells = append(cells, "no")
+		}
+		row(w, cells...)
+	}
+}
+
 // printHostsToCheck prints the hosts that are silent or not ready, or whose program or
 // configuration is not that of the leader.
 func printHostsToCheck(w io.Writer, l coordinator.LeaderStatus) {
--- a/internal/commandline/fleet_test.go
+++ b/internal/commandline/fleet_test.go
@@ -27,6 +27,7 @@
 			FailureDomains: []orchestrator.FailureDomainStatus{
 				{Name: "Malolos", Workers: 550, Usable: 550, Runs: 12000},
 				{Name: "Sampaloc", Workers: 550, Usable: 548, Unreachable: 1, Runs: 11900},
+				{Name: "Tarlac", Workers: 5, Runs: 7, EvacuatedFor: 3 * time.Minute},
 			},
 			Unusable: []orchestrator.WorkerStatus{
 				{ID: "w-17", FailureDomain: "Sampaloc", Address: netip.MustParseAddrPort("10.1.1.17:9000"), Reason: "is draining", AnsweredAgo: 80 * time.Millisecond, Runs: 4},
