coordinator: test when evacuations become known

The tests run the leader's watch in virtual time against a store that misses changes, drops its history or refuses calls, and load against a store with a request and a waiting job.

--- a/internal/coordinator/configuration_test.go
+++ b/internal/coordinator/configuration_test.go
@@ -86,6 +86,7 @@
 	history  []storer.Entry
 	changed  chan struct{} // closed and replaced at each change
 	deaf     bool          // watches report no change
+	refusing bool          // calls are refused
 	dropped  uint64        // watches from before this revision get no events
 	received int           // bytes of all answers
 	reads    int
@@ -96,12 +97,17 @@
 }
 
 func (s *configurationStore) put(version uint64, size int) {
+	value := make([]byte, max(size, 8))
+	binary.BigEndian.PutUint64(value, version)
+	s.change(storer.Entry{Key: configurationKey, Value: value})
+}
+
+func (s *configurationStore) change(e storer.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	value := make([]byte, max(size, 8))
-	binary.BigEndian.PutUint64(value, version)
-	s.history = append(s.history, storer.Entry{Key: configurationKey, Value: value, Revision: s.revision})
+	e.Revision = s.revision
+	s.history = append(s.history, e)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -119,6 +125,23 @@
 	s.deaf = deaf
 }
 
+// refuse sets whether calls are refused.
+func (s *configurationStore) refuse(refusing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = refusing
+}
+
+// answer returns the error of a call.
+func (s *configurationStore) answer() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing {
+		return &storer.UnavailableError{Reason: "status 503"}
+	}
+	return nil
+}
+
 // compact drops the history.
 func (s *configurationStore) compact() {
 	s.mu.Lock()
@@ -142,9 +165,12 @@
 	s.mu.Lock()
 	s.reads++
 	entries, revision := s.history[max(0, len(s.history)-1):], s.revision
+	if len(entries) > 0 && entries[0].Deleted {
+		entries = nil
+	}
 	s.mu.Unlock()
 	s.transfer(entries)
-	return entries, revision, nil
+	return entries, revision, s.answer()
 }
 
 func (s *configurationStore) Watch(_ context.Context, _ string, after uint64, wait time.Duration) (storer.Events, error) {
@@ -162,7 +188,7 @@
 		s.mu.Unlock()
 		if len(es.Events) > 0 || es.Compacted || !waiting {
 			s.transfer(es.Events)
-			return es, nil
+			return es, s.answer()
 		}
 		select {
 		case <-changed:
--- /dev/null
+++ b/internal/coordinator/evacuations_test.go
@@ -0,0 +1,159 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpitch/internal/orchestrator"
+	"peridotpitch/internal/storer"
+	"peridotpitch/internal/timekeeper"
+)
+
+const (
+	// maxEvacuationDelay is the project's target for a change without disturbance, from the store's answer.
+	maxEvacuationDelay = time.Second
+	// maxEvacuationDeadline is the platform's bound, evacuateMs.
+	maxEvacuationDeadline = 5 * time.Second
+
+	evacuationPrefix = "evacuate/"
+)
+
+// evacuationDecoder decodes the keys of evacuations. The value is the fault.
+type evacuationDecoder struct{ Decoder }
+
+func (evacuationDecoder) Evacuation(key string, value []byte) (Evacuation, error) {
+	name := strings.TrimPrefix(key, evacuationPrefix)
+	if name == "" {
+		return Evacuation{}, errors.New("no failure domain")
+	}
+	return Evacuation{FailureDomain: name, Fault: string(value)}, nil
+}
+
+func newEvacuationLeadership(store storer.TransactionalStore) (*leadership, func() string) {
+	ld, log := newTestLeadership(store)
+	ld.c.deps.Decoder, ld.c.deps.Keys.Evacuations = evacuationDecoder{}, evacuationPrefix
+	ld.orch.Apply(orchestrator.Inherited{}, timekeeper.Now())
+	ld.orch.Apply(orchestrator.WorkerListed{Worker: orchestrator.WorkerEntry{ID: "w0", FailureDomain: "north"}}, timekeeper.Now())
+	return ld, func() string {
+		ld.mu.Lock()
+		defer ld.mu.Unlock()
+		return log.String()
+	}
+}
+
+// timeUntilEvacuated returns the time until the orchestrator knows whether north is evacuated, at most a minute.
+func timeUntilEvacuated(ld *leadership, evacuated bool) time.Duration {
+	begin := time.Now()
+	for time.Since(begin) < time.Minute {
+		ld.mu.Lock()
+		s := ld.orch.Status(timekeeper.Now())
+		ld.mu.Unlock()
+		if (s.FailureDomains[0].EvacuatedFor > 0) == evacuated && ld.evacuates("north") == evacuated {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+// An evacuation is written and taken back while the store is undisturbed, while watches hear nothing, around a dropped
+// history, and while the store refuses the leader. Guards against a leader that learns of it late, or never, and
+// against one that reads again and again.
+func TestEvacuationIsKnownInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		disturb func(s *configurationStore)
+		limit   time.Duration
+	}{
+		"undisturbed":          {func(*configurationStore) {}, maxEvacuationDelay},
+		"missed by watches":    {func(s *configurationStore) { s.setDeaf(true) }, maxEvacuationDeadline / 2},
+		"history dropped":      {func(s *configurationStore) { s.setDeaf(true); time.AfterFunc(10*time.Millisecond, s.compact) }, maxEvacuationDelay + 100*time.Millisecond},
+		"store refuses for 3s": {func(s *configurationStore) { s.refuse(true); time.AfterFunc(3*time.Second, func() { s.refuse(false) }) }, maxEvacuationDeadline},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newConfigurationStore(slowLinkRate)
+				ld, _ := newEvacuationLeadership(store)
+				ctx, cancel := context.WithCancel(context.Background())
+				var running sync.WaitGroup
+				running.Go(func() { ld.watchEvacuations(ctx) })
+				for i := range 20 { // changes at all offsets to the reads
+					time.Sleep(4*time.Second + time.Duration(i)*130*time.Millisecond)
+					c.disturb(store)
+					evacuated := i%2 == 0
+					store.change(storer.Entry{Key: evacuationPrefix + "north", Deleted: !evacuated})
+					if d := timeUntilEvacuated(ld, evacuated); d > c.limit {
+						t.Errorf("change %d is known after %s, want at most %s", i, d, c.limit)
+					}
+					store.setDeaf(false)
+				}
+				store.mu.Lock()
+				before := store.reads
+				store.mu.Unlock()
+				time.Sleep(time.Minute)
+				cancel()
+				running.Wait()
+				is.True(store.reads-before <= 1+int(time.Minute/evacuationReadInterval))
+			})
+		})
+	}
+}
+
+// refusingStore refuses the first lists of the evacuations.
+type refusingStore struct {
+	entryStore
+	refusals *int
+}
+
+func (s refusingStore) List(ctx context.Context, prefix string) ([]storer.Entry, uint64, error) {
+	if *s.refusals > 0 && prefix == evacuationPrefix {
+		*s.refusals--
+		return nil, 0, &storer.UnavailableError{Reason: "status 503"}
+	}
+	return s.entryStore.List(ctx, prefix)
+}
+
+// A leader is elected after the request, with a waiting job, and its first reads fail. Guards against a leader that
+// knows the job, and could start it, before it knows the evacuation; and against silence about entries that are not
+// understood, and more than one line about each.
+func TestEvacuationIsKnownBeforeInheritedJobs(t *testing.T) {
+	is := is.New(t)
+	refusals := 2
+	ld, log := newEvacuationLeadership(refusingStore{entryStore{entries: map[string][]byte{
+		prefixJob + "j1": encodedJob(t, "j1"), evacuationPrefix + "north": nil, evacuationPrefix + "south": []byte("not understood"), evacuationPrefix: nil,
+	}}, &refusals})
+	ld.term.Revision = 0 // as the store answers
+	ld.orch = orchestrator.New(ld.c.orchestratorSettings(1, timekeeper.Now(), timekeeper.Now()))
+	_, err := ld.load(context.Background(), true)
+	is.NoErr(err)
+	is.NoErr(ld.readEvacuations(context.Background()))
+	lines := log()
+	is.True(strings.Contains(lines, "FailureDomain=north"))
+	is.True(strings.Index(lines, "FailureDomain=north") < strings.Index(lines, "msg=JobAdded"))
+	is.Equal(strings.Count(lines, "msg=LoadFailed"), 2)
+	is.Equal(strings.Count(lines, "msg=EvacuationUnclear"), 2)
+	is.True(strings.Contains(lines, `Key=evacuate/south Revision=7 Outcome="the evacuation holds" Cause="not understood"`))
+	is.True(ld.evacuates("north") && ld.evacuates("south") && !ld.evacuates(""))
+}
+
+// Starts wait for a worker when the evacuation of its failure domain becomes known. Guards against starts that are sent
+// there afterwards.
+func TestQueuedStartIsNotSentToEvacuatedDomain(t *testing.T) {
+	is := is.New(t)
+	ld, _ := newEvacuationLeadership(entryStore{entries: map[string][]byte{evacuationPrefix + "north": nil}})
+	workers := &countingWorkers{}
+	ld.c.deps.Workers = workers
+	is.NoErr(ld.readEvacuations(context.Background()))
+	p := &poller{ld: ld, target: Target{ID: "w0"}, ctx: context.Background()}
+	p.send(orchestrator.StartRun{Worker: "w0", FailureDomain: "north"})
+	is.Equal(workers.starts, 0)
+	p.send(orchestrator.StartRun{Worker: "w0", FailureDomain: "south"})
+	is.Equal(workers.starts, 1)
+}
