coordinator: forward submissions to the leader, spread the retries of refused callers

A host that the store does not serve refused every submission, although the leader could store it, and each refusal asked for a retry after 1 s. With Forwarding, such a host sends the submission to the leader with the new method Submit, if the leader's last answer to a ping is fresh and says that it can store jobs. 503 still means that nobody has stored the job; a missing answer of the leader is an unknown outcome.

With StoreWriteRate, Retry-After comes from the package readmitter at a quarter of that rate. Without them, answers and messages are the same as before.

The tests cover a leader that stores, refuses, is deposed, hands over, panics, answers late or is gone, and a store that fails during the submission.

--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"peridotpitch/internal/orchestrator"
+	"peridotpitch/internal/readmitter"
 	"peridotpitch/internal/storer"
 	"peridotpitch/internal/timekeeper"
 )
@@ -27,13 +29,23 @@
 // Submit implements JobService. Any host can store a job; the leader then starts its tasks.
 func (c *Coordinator) Submit(ctx context.Context, j orchestrator.Job) Answer {
 	begin := time.Now()
-	a := c.submit(ctx, j)
+	a, host := c.submitOrForward(ctx, j)
 	c.metrics.observeRequest("submit", j.Policy.Queue, string(a.Outcome), time.Since(begin))
-	c.log.Info("Submit", "Job", j.ID, "Queue", j.Policy.Queue, "Outcome", string(a.Outcome), "Reason", a.Reason,
-		"Took", time.Since(begin).Round(time.Millisecond).String(), "Version", c.configVersion())
+	fields := []any{"Job", j.ID, "Queue", j.Policy.Queue, "Outcome", string(a.Outcome), "Reason", a.Reason,
+		"Took", time.Since(begin).Round(time.Millisecond).String(), "Version", c.configVersion()}
+	if host != "" {
+		fields = append(fields, "Forwarded", host)
+	}
+	if a.RetryAfter > 0 && c.settings.ReturnRate() > 0 {
+		c.returns.add(timekeeper.Now(), a.RetryAfter)
+		c.metrics.retryAfter.WithLabelValues(j.Policy.Queue).Observe(a.RetryAfter.Seconds())
+		fields = append(fields, "RetryAfter", a.RetryAfter.String())
+	}
+	c.log.Info("Submit", fields...)
 	return a
 }
 
+// submit stores a job through this host's own connection to the store.
 func (c *Coordinator) submit(ctx context.Context, j orchestrator.Job) Answer {
 	if err := j.Validate(); err != nil {
 		return Answer{Outcome: OutcomeInvalid, Reason: err.Error()}
@@ -41,15 +53,15 @@
 	if silence := c.timeSinceStoreSuccess(); c.storeUnavailable.Load() && silence >= minOutageSilence {
 		// Waiting for the store would use up the caller's time. The watch of the configuration
 		// and the pings of the leader notice when the store is back.
-		return Answer{Outcome: OutcomeUnavailable, RetryAfter: defaultRetryAfter,
-			Reason: "the store has served no call for " + silence.Round(time.Millisecond).String()}
+		return Answer{Outcome: OutcomeUnavailable,
+			RetryAfter: c.retryAfter(readmitter.Refusal{Cause: readmitter.CauseOutage, ID: j.ID, Priority: j.Policy.Priority}),
+			Reason:     "the store has served no call for " + silence.Round(time.Millisecond).String()}
 	}
-	j.Submitted = time.Now().Round(0)
 	t, known := c.currentTerm()
 	if !known {
 		var err error
 		if t, err = c.readTerm(ctx); err != nil {
-			return unavailableAnswer(err)
+			return c.unavailableAnswer(err, j.ID, j.Policy.Priority)
 		}
 	}
 	for range maxTransactionAttempts {
@@ -68,27 +80,31 @@
 		}
 		var conflict *storer.ConflictError
 		if !errors.As(err, &conflict) {
-			return c.resolveSubmission(ctx, j.ID, err)
+			return c.resolveSubmission(ctx, j, err)
 		}
 		if conflict.Revision(prefixJob+j.ID) > 0 || conflict.Revision(prefixRecord+j.ID) > 0 {
 			return Answer{Outcome: OutcomeDone, Reason: "it was accepted before"}
 		}
 		if t, err = c.readTerm(ctx); err != nil {
-			return unavailableAnswer(err)
+			return c.unavailableAnswer(err, j.ID, j.Policy.Priority)
 		}
 	}
-	return Answer{Outcome: OutcomeUnavailable, Reason: "the leader changed during every try", RetryAfter: defaultRetryAfter}
+	return Answer{Outcome: OutcomeUnavailable, Reason: "the leader changed during every try",
+		RetryAfter: c.retryAfter(readmitter.Refusal{Cause: readmitter.CauseLeaderChange, ID: j.ID, Priority: j.Policy.Priority})}
 }
 
 // resolveSubmission answers a submission whose transaction failed. If the outcome of the
 // transaction is unknown and the job is in the store, it was accepted. If the job is not in
 // the store, the transaction may still be executed later, so the outcome is undecided.
-func (c *Coordinator) resolveSubmission(ctx context.Context, id string, cause error) Answer {
+func (c *Coordinator) resolveSubmission(ctx context.Context, j orchestrator.Job, cause error) Answer {
 	var unknown *storer.UnknownOutcomeError
 	if !errors.As(cause, &unknown) {
-		return unavailableAnswer(cause)
+		return c.unavailableAnswer(cause, j.ID, j.Policy.Priority)
 	}
-	for _, key := range []string{prefixJob + id, prefixRecord + id} {
+	for _, key := range []string{prefixJob + j.ID, prefixRecord + j.ID} {
+		if _, ok := c.forwardingLeader(); ok {
+			break // the leader finds the job or stores it, without a second wait for a silent store
+		}
 		e, err := c.store.Get(ctx, key)
 		if err != nil {
 			break // the next read would only keep the caller waiting
@@ -100,14 +116,66 @@
 	return Answer{Outcome: OutcomeUndecided, Reason: "the store did not answer: " + cause.Error()}
 }
 
-// unavailableAnswer answers a request that changed nothing in the store.
-func unavailableAnswer(cause error) Answer {
-	a := Answer{Outcome: OutcomeUnavailable, Reason: cause.Error(), RetryAfter: defaultRetryAfter}
+// unavailableAnswer answers a request about the job with the given ID that changed nothing in the store.
+func (c *Coordinator) unavailableAnswer(err error, id string, priority int) Answer {
+	r := readmitter.Refusal{ID: id, Priority: priority}
 	var limited *storer.RateLimitedError
-	if errors.As(cause, &limited) {
-		a.RetryAfter = max(defaultRetryAfter, limited.RetryAfter)
+	var unavailable *storer.UnavailableError
+	var unknown *storer.UnknownOutcomeError
+	switch {
+	case errors.As(err, &limited):
+		r.Cause, r.Limited = readmitter.CauseRateLimit, limited.RetryAfter
+	case errors.As(err, &unavailable), errors.As(err, &unknown):
+		r.Cause = readmitter.CauseOutage
 	}
-	return a
+	return Answer{Outcome: OutcomeUnavailable, Reason: err.Error(), RetryAfter: c.retryAfter(r)}
+}
+
+// requestPriority is the priority of requests that submit nothing, for which the store's rate of reads suffices.
+const requestPriority = 0
+
+// retryAfter returns the time after which a refused caller should retry. It completes r with what this host knows
+// about the store and the other callers.
+func (c *Coordinator) retryAfter(r readmitter.Refusal) time.Duration {
+	if r.ReturnRate = c.settings.ReturnRate(); r.ReturnRate <= 0 {
+		return max(defaultRetryAfter, r.Limited)
+	}
+	if n := c.config.Load(); n != nil {
+		for _, q := range n.Queues {
+			r.Priorities = append(r.Priorities, q.Policy.Priority)
+		}
+	}
+	r.StoreSilence = c.timeSinceStoreSuccess()
+	r.Waiting = c.returns.waiting(timekeeper.Now()) + 1
+	r.Hosts = int(c.knownHosts.Load())
+	if ld := c.currentLeadership(); ld != nil {
+		r.Hosts = ld.hosts.count(timekeeper.Now()) + 1
+	}
+	return readmitter.RetryAfter(r)
+}
+
+// returnCounter counts the refused callers that have not been due to return yet. It is safe for concurrent use.
+type returnCounter struct {
+	mu      sync.Mutex // guards returns
+	returns readmitter.Returns
+}
+
+func (r *returnCounter) add(now time.Time, wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.returns.Add(now, wait)
+}
+
+func (r *returnCounter) waiting(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.returns.Waiting(now)
+}
+
+// NotConfigured implements JobService.
+func (c *Coordinator) NotConfigured() Answer {
+	return Answer{Outcome: OutcomeUnavailable, Reason: "no configuration yet, or none since a pause of this process",
+		RetryAfter: c.retryAfter(readmitter.Refusal{Cause: readmitter.CauseNotConfigured})}
 }
 
 // State implements JobService. The leader has the current state. If it does not answer or does
@@ -129,14 +197,14 @@
 	}
 	e, err := c.store.Get(ctx, prefixRecord+id)
 	if err != nil {
-		return unavailableAnswer(err)
+		return c.unavailableAnswer(err, id, requestPriority)
 	}
 	if e.Revision > 0 {
-		return recordAnswer(e)
+		return c.recordAnswer(id, e)
 	}
 	e, err = c.store.Get(ctx, prefixJob+id)
 	if err != nil {
-		return unavailableAnswer(err)
+		return c.unavailableAnswer(err, id, requestPriority)
 	}
 	if e.Revision > 0 {
 		return Answer{Outcome: OutcomeDone, State: orchestrator.StateQueued}
@@ -144,19 +212,19 @@
 	// The write of a final record deletes the job, possibly between the two reads above.
 	e, err = c.store.Get(ctx, prefixRecord+id)
 	if err != nil {
-		return unavailableAnswer(err)
+		return c.unavailableAnswer(err, id, requestPriority)
 	}
 	if e.Revision > 0 {
-		return recordAnswer(e)
+		return c.recordAnswer(id, e)
 	}
 	return Answer{Outcome: OutcomeNoSuchJob, Reason: "no such job"}
 }
 
 // recordAnswer returns the state in a job's record.
-func recordAnswer(e storer.Entry) Answer {
+func (c *Coordinator) recordAnswer(id string, e storer.Entry) Answer {
 	r, err := orchestrator.DecodeRecord(e.Value)
 	if err != nil {
-		return unavailableAnswer(err)
+		return c.unavailableAnswer(err, id, requestPriority)
 	}
 	return Answer{Outcome: OutcomeDone, State: r.State}
 }
@@ -174,7 +242,7 @@
 	for range maxTransactionAttempts {
 		job, err := c.store.Get(ctx, prefixJob+id)
 		if err != nil {
-			return unavailableAnswer(err)
+			return c.unavailableAnswer(err, id, requestPriority)
 		}
 		if job.Revision == 0 {
 			return c.cancelFinished(ctx, id)
@@ -193,7 +261,8 @@
 			return Answer{Outcome: OutcomeUndecided, Reason: err.Error()}
 		}
 	}
-	return Answer{Outcome: OutcomeUnavailable, Reason: "the job changed during every try", RetryAfter: defaultRetryAfter}
+	return Answer{Outcome: OutcomeUnavailable, Reason: "the job changed during every try",
+		RetryAfter: c.retryAfter(readmitter.Refusal{Cause: readmitter.CauseLeaderChange, ID: id})}
 }
 
 // cancelFinished answers a request to cancel a job that is not among the unfinished jobs.
@@ -201,7 +270,7 @@
 	e, err := c.store.Get(ctx, prefixRecord+id)
 	switch {
 	case err != nil:
-		return unavailableAnswer(err)
+		return c.unavailableAnswer(err, id, requestPriority)
 	case e.Revision > 0:
 		return Answer{Outcome: OutcomeDone, Reason: "it has ended"}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -72,7 +72,11 @@
 	// yieldedEarlyAt is the timekeeper time of the last early hand-over, Unix ns; see yieldTo.
 	yieldedEarlyAt    atomic.Int64
 	leaderPending     atomic.Pointer[pendingCounts] // from the leader's last answer to a ping; nil: none yet
-	invalidWorkerKeys sync.Map                      // keys of worker entries that could not be decoded; each is logged once
+	lastLeaderPing    atomic.Pointer[leaderPing]    // the leader's last answer to a ping; nil: none yet
+	knownHosts        atomic.Int64                  // number of hosts, from the leader's last answer that has it; 0: unknown
+	forwardSlots      chan struct{}                 // holds one element for each submission that is being forwarded
+	returns           returnCounter
+	invalidWorkerKeys sync.Map // keys of worker entries that could not be decoded; each is logged once
 
 	mu         sync.Mutex  // guards the fields below
 	term       term        // newest term that this host has read or written
@@ -88,7 +92,7 @@
 	c := &Coordinator{
 		settings: s, deps: p, log: log, metrics: newMetrics(), processID: processID, startedAt: timekeeper.Now(),
 		jitter:  func(d time.Duration) time.Duration { return rand.N(d + 1) },
-		clients: make(map[netip.AddrPort]*messenger.Client),
+		clients: make(map[netip.AddrPort]*messenger.Client), forwardSlots: make(chan struct{}, maxForwardedSubmissions),
 	}
 	c.store = observedStore{TransactionalStore: p.Store, onResult: c.recordStoreResult}
 	return c
@@ -248,7 +252,12 @@
 	m := c.clients[address]
 	if m == nil {
 		var clean func()
-		m, clean = messenger.NewClient(address, messenger.Options{DialTimeout: pingTimeout})
+		o := messenger.Options{DialTimeout: pingTimeout}
+		if c.settings.Forwarding {
+			// Forwarded submissions don't keep pings waiting for a connection.
+			o.MaxConcurrentForwards = messenger.DefaultMaxConcurrentForwards + maxForwardedSubmissions
+		}
+		m, clean = messenger.NewClient(address, o)
 		c.clients[address] = m
 		c.closeFuncs = append(c.closeFuncs, clean)
 	}
--- /dev/null
+++ b/internal/coordinator/forward_test.go
@@ -0,0 +1,316 @@
+package coordinator
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpitch/internal/messenger"
+	"peridotpitch/internal/orchestrator"
+	"peridotpitch/internal/storer"
+	"peridotpitch/internal/timekeeper"
+)
+
+// sharedStore is a store in memory that two hosts use. Its keys are set once.
+type sharedStore struct {
+	storer.TransactionalStore
+	mu   sync.Mutex // guards keys
+	keys map[string][]byte
+	// commit, if set, is called before each transaction; an error is the transaction's.
+	commit func(ctx context.Context) error
+	term   uint64 // revision of keyTerm
+}
+
+func (s *sharedStore) Get(_ context.Context, key string) (storer.Entry, error) {
+	return storer.Entry{Key: key, Revision: s.term}, nil
+}
+
+func (s *sharedStore) Commit(ctx context.Context, t storer.Transaction) (uint64, error) {
+	if s.commit != nil {
+		if err := s.commit(ctx); err != nil {
+			return 0, err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range t.Conditions {
+		switch {
+		case c.Key == keyTerm && c.Revision != s.term:
+			return 0, &storer.ConflictError{Entries: []storer.Entry{{Key: keyTerm, Revision: s.term}}}
+		case c.Key != keyTerm && s.keys[c.Key] != nil:
+			return 0, &storer.ConflictError{Entries: []storer.Entry{{Key: c.Key, Revision: 2}}}
+		}
+	}
+	for _, e := range t.Puts {
+		s.keys[e.Key] = e.Value
+	}
+	return 2, nil
+}
+
+// stored returns the job that the store holds, or an empty one.
+func (s *sharedStore) stored(is *is.I, id string) orchestrator.Job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value := s.keys[prefixJob+id]
+	if value == nil {
+		return orchestrator.Job{}
+	}
+	j, err := orchestrator.DecodeJob(value)
+	is.NoErr(err)
+	return j
+}
+
+// forwardingPair is a leader, and a host that the store does not serve.
+type forwardingPair struct {
+	store       *sharedStore
+	leader      *leadership
+	host        *Coordinator
+	hostStore   *silentStore
+	hostLog     *bytes.Buffer
+	leaderLog   *bytes.Buffer
+	closeServer func()
+}
+
+func newForwardingPair(t *testing.T) *forwardingPair {
+	t.Helper()
+	is := is.New(t)
+	f := &forwardingPair{store: &sharedStore{keys: make(map[string][]byte), term: 1}, hostStore: &silentStore{}, hostLog: &bytes.Buffer{}}
+	f.leader, f.leaderLog = newTestLeadership(f.store)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ld := f.leader
+	ld.apply(orchestrator.Inherited{})
+	ld.loaded, ld.c.processID, ld.c.settings.Forwarding = true, "a/1", true
+	ld.c.term, ld.c.termKnown = term{Host: "a", Process: "a/1", Address: l.Addr().String(), Revision: 1}, true
+	_, f.closeServer = messenger.NewMethodServer(l, ld.c.peerMethods(), slog.New(slog.DiscardHandler))
+	t.Cleanup(f.closeServer)
+	f.host = New(Settings{Name: "b", Forwarding: true}, Dependencies{Store: f.hostStore}, slog.New(slog.NewTextHandler(f.hostLog, nil)))
+	t.Cleanup(f.host.closeClients)
+	f.host.term, f.host.termKnown = ld.c.term, true
+	f.ping(is)
+	f.host.recordStoreResult(&storer.UnavailableError{})
+	f.host.lastStoreSuccess.Store(timekeeper.Now().Add(-minOutageSilence).UnixNano())
+	return f
+}
+
+// ping makes the host ping the leader. The answer stays fresh for as long as the test takes.
+func (f *forwardingPair) ping(is *is.I) {
+	_, err := f.host.pingLeader(context.Background(), f.host.term)
+	is.NoErr(err)
+	f.host.lastLeaderPing.Load().sent = timekeeper.Now().Add(time.Minute)
+}
+
+func (f *forwardingPair) submit(id string) Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return f.host.Submit(ctx, orchestrator.Job{ID: id, Steps: []orchestrator.Step{{Count: 1}}, Policy: orchestrator.Policy{Queue: "q", Priority: 3}})
+}
+
+// The store does not serve one host. Guards against a submission that is refused there although the leader could
+// store it, against a job without its policy and time of submission, and against a second job for a
+// repetition at another host.
+func TestLeaderStoresForwardedSubmission(t *testing.T) {
+	is := is.New(t)
+	f := newForwardingPair(t)
+	begin := time.Now()
+	is.Equal(f.submit("j1").Outcome, OutcomeDone)
+	j := f.store.stored(is, "j1")
+	is.Equal(j.Policy.Priority, 3)
+	is.True(!j.Submitted.Before(begin.Round(0)) && !j.Submitted.After(time.Now()))
+	is.Equal(j.Epoch, uint64(1))
+	_, known, _ := f.leader.state("j1")
+	is.True(known) // the leader need not find it in the store
+	is.True(strings.Contains(f.hostLog.String(), "Forwarded=a"))
+	is.True(strings.Contains(f.leaderLog.String(), "msg=SubmitForwarded Job=j1 From=b Outcome=done"))
+	is.Equal(f.hostStore.commits, 0)
+
+	is.Equal(f.submit("j1").Outcome, OutcomeDone)
+	is.Equal(f.leader.c.Submit(context.Background(), orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1}}}).Outcome, OutcomeDone)
+	is.Equal(f.store.stored(is, "j1"), j)
+	is.Equal(len(f.store.keys), 1)
+}
+
+// Guards against a message to the leader while forwarding is off, or while the leader is not known to store jobs.
+func TestNothingIsForwarded(t *testing.T) {
+	for name, prepare := range map[string]func(f *forwardingPair){
+		"off":                        func(f *forwardingPair) { f.host.settings.Forwarding = false },
+		"no answer to a ping":        func(f *forwardingPair) { f.host.lastLeaderPing.Store(nil) },
+		"old answer to a ping":       func(f *forwardingPair) { f.host.lastLeaderPing.Load().sent = timekeeper.Now().Add(-maxLeaderPingAge) },
+		"leader without the store":   func(f *forwardingPair) { f.host.lastLeaderPing.Load().answer.StoreSilence = maxForwardStoreSilence },
+		"leader has not loaded":      func(f *forwardingPair) { f.host.lastLeaderPing.Load().answer.Loaded = false },
+		"another process answers":    func(f *forwardingPair) { f.host.lastLeaderPing.Load().answer.Process = "a/2" },
+		"64 submissions are waiting": func(f *forwardingPair) { fill(f.host.forwardSlots) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newForwardingPair(t)
+			prepare(f)
+			a := f.submit("j1")
+			is.Equal(a.Outcome, OutcomeUnavailable)
+			is.Equal(a.RetryAfter, time.Second)
+			is.Equal(f.hostStore.commits, 0)
+			is.Equal(f.leaderLog.Len(), 0)
+			is.True(!strings.Contains(f.hostLog.String(), "Forwarded="))
+		})
+	}
+}
+
+func fill(slots chan struct{}) {
+	for range cap(slots) {
+		slots <- struct{}{}
+	}
+}
+
+// The leader can't store a forwarded submission. Guards against a refusal of a job that may be stored, and against an
+// unknown outcome, which costs the caller time, of a job that certainly is not.
+func TestForwardingFails(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(f *forwardingPair)
+		want    Outcome
+	}{
+		{"the store refuses the leader", func(f *forwardingPair) {
+			f.store.commit = func(context.Context) error { return &storer.UnavailableError{Reason: "status 503"} }
+		}, OutcomeUnavailable},
+		{"the leader has lost the store", func(f *forwardingPair) {
+			f.store.commit = func(context.Context) error { return &storer.UnknownOutcomeError{} }
+			f.leader.c.recordStoreResult(&storer.UnavailableError{})
+		}, OutcomeUnavailable},
+		{"the leader has been deposed and knows it", func(f *forwardingPair) { f.leader.deposed.Store(true) }, OutcomeUnavailable},
+		{"the host that is asked does not lead", func(f *forwardingPair) { f.leader.c.leadership = nil }, OutcomeUnavailable},
+		{"the leader hands over", func(f *forwardingPair) { f.leader.handingOver = true }, OutcomeUnavailable},
+		{"the leader's process has ended", func(f *forwardingPair) {
+			f.closeServer()
+			f.host.closeClients()
+			f.host.clients = make(map[netip.AddrPort]*messenger.Client)
+		}, OutcomeUnavailable},
+		{"the leader gets no answer from the store", func(f *forwardingPair) {
+			f.store.commit = func(ctx context.Context) error { <-ctx.Done(); return &storer.UnknownOutcomeError{} }
+		}, OutcomeUndecided},
+		{"the handler of the call panics", func(f *forwardingPair) {
+			f.store.commit = func(context.Context) error { panic("fault") }
+		}, OutcomeUndecided},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newForwardingPair(t)
+			c.prepare(f)
+			begin := time.Now()
+			a := f.submit("j1")
+			is.Equal(a.Outcome, c.want)
+			is.Equal(a.RetryAfter > 0, c.want == OutcomeUnavailable)
+			is.True(time.Since(begin) < maxForwardTime+500*time.Millisecond)
+			is.Equal(f.hostStore.commits, 0)
+			is.Equal(f.store.stored(is, "j1").ID, "")
+		})
+	}
+}
+
+// The leader stores the job, and its answer arrives too late. Guards against a refusal of a job that exists, against
+// two jobs after the repetition, and against a wait beyond the caller's time.
+func TestAnswerOfLeaderIsLate(t *testing.T) {
+	is := is.New(t)
+	f := newForwardingPair(t)
+	stored := make(chan struct{})
+	f.store.commit = func(ctx context.Context) error {
+		<-ctx.Done() // the host has stopped waiting
+		defer close(stored)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	a := f.host.Submit(ctx, orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1}}})
+	is.Equal(a.Outcome, OutcomeUndecided)
+	is.NoErr(ctx.Err()) // the caller still hears it
+	<-stored
+	f.store.commit = nil
+	for f.store.stored(is, "j1").ID == "" {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(f.submit("j1"), Answer{Outcome: OutcomeDone, Reason: "it was accepted before"})
+	is.Equal(len(f.store.keys), 1)
+}
+
+// Another host was elected while the leader was late. Guards against a job that names the earlier term, which nobody
+// would start until it is found in the store.
+func TestDeposedLeaderStoresForwardedSubmissionUnderNewTerm(t *testing.T) {
+	is := is.New(t)
+	f := newForwardingPair(t)
+	f.store.term = 9
+	is.Equal(f.submit("j1").Outcome, OutcomeDone)
+	is.Equal(f.store.stored(is, "j1").Epoch, uint64(9))
+	is.True(f.leader.deposed.Load())
+	is.Equal(f.submit("j2").Outcome, OutcomeUnavailable) // it does not lead any more
+}
+
+// unavailableStore refuses each call.
+type unavailableStore struct {
+	silentStore
+	calls atomic.Int64
+}
+
+func (s *unavailableStore) Commit(context.Context, storer.Transaction) (uint64, error) {
+	s.calls.Add(1)
+	return 0, &storer.UnavailableError{Reason: "status 503"}
+}
+
+// The store fails during a submission. Guards against a refusal although the leader could store the job, and against a
+// refusal of a job that this host may have stored.
+func TestSubmissionIsForwardedAfterItsOwnFailure(t *testing.T) {
+	for _, c := range []struct {
+		store  storer.TransactionalStore
+		leader bool // stores the job
+		want   Outcome
+	}{
+		{&unavailableStore{}, true, OutcomeDone},
+		{&unavailableStore{}, false, OutcomeUnavailable},
+		{&silentStore{}, true, OutcomeDone},
+		{&silentStore{}, false, OutcomeUndecided}, // its transaction may still be executed
+	} {
+		t.Run(fmt.Sprintf("%T, leader %t", c.store, c.leader), func(t *testing.T) {
+			is := is.New(t)
+			f := newForwardingPair(t)
+			f.host.store = observedStore{TransactionalStore: c.store, onResult: f.host.recordStoreResult}
+			f.host.recordStoreResult(nil)
+			if !c.leader {
+				f.store.commit = func(context.Context) error { return &storer.UnavailableError{Reason: "status 503"} }
+			}
+			is.Equal(f.submit("j1").Outcome, c.want)
+			is.Equal(f.store.stored(is, "j1").ID != "", c.leader)
+		})
+	}
+}
+
+// Guards against refusals that all say the same during an outage, and against other answers than before while the setting is off.
+func TestRetryAfterFollowsPriorityAndOutage(t *testing.T) {
+	is := is.New(t)
+	c := New(Settings{Name: "a", StoreWriteRate: 40}, Dependencies{Store: &silentStore{}}, slog.New(slog.DiscardHandler))
+	c.config.Store(&Configuration{Version: 1, Queues: []Queue{{Policy: orchestrator.Policy{Priority: 0}}, {Policy: orchestrator.Policy{Priority: 1}}}})
+	c.recordStoreResult(&storer.UnavailableError{})
+	c.lastStoreSuccess.Store(timekeeper.Now().Add(-2500 * time.Millisecond).UnixNano())
+	told := func() map[int]map[time.Duration]int {
+		by := map[int]map[time.Duration]int{0: {}, 1: {}}
+		for i := range 60 {
+			a := c.Submit(context.Background(), orchestrator.Job{ID: fmt.Sprintf("%016x", i), Steps: []orchestrator.Step{{Count: 1}}, Policy: orchestrator.Policy{Priority: i % 2}})
+			is.Equal(a.Outcome, OutcomeUnavailable)
+			by[i%2][a.RetryAfter]++
+		}
+		return by
+	}
+	by := told()
+	is.True(len(by[0]) > 1 && len(by[1]) > 1)
+	is.True(by[0][time.Second] > 0)
+	is.Equal(by[1][time.Second], 0) // the first second is the urgent callers'
+	c.settings.StoreWriteRate = 0
+	is.Equal(told(), map[int]map[time.Duration]int{0: {time.Second: 30}, 1: {time.Second: 30}})
+}
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -16,6 +16,7 @@
 	methodNotice = "Notice"
 	methodState  = "State"
 	methodStatus = "Status"
+	methodSubmit = "Submit"
 )
 
 // leaderCallTimeout bounds calls to the leader other than pings. It is short because a
@@ -45,6 +46,8 @@
 	StoreSilence time.Duration
 	Version      uint64
 	Pending      map[string]int
+	// Hosts is the number of hosts that the leader hears of, with itself; 0: the settings don't need it.
+	Hosts int `msgpack:",omitempty"`
 }
 
 // notice informs the leader of a job or cancel request that a host has stored.
@@ -79,6 +82,7 @@
 			return c.localState(r.ID), nil
 		}),
 		methodStatus: messenger.NewMethod(c.serveStatus),
+		methodSubmit: messenger.NewMethod(c.serveSubmit),
 	}
 }
 
@@ -93,6 +97,9 @@
 			ProcessorShare: p.Share, Ready: p.Ready, Uptime: p.Uptime}, timekeeper.Now())
 		a.Leading, a.Epoch, a.Pending = true, ld.term.Revision, ld.pending()
 		a.Loaded = a.Pending != nil
+		if c.settings.ReturnRate() > 0 {
+			a.Hosts = ld.hosts.count(timekeeper.Now()) + 1
+		}
 		a.StoreSilence = max(a.StoreSilence, ld.timeSinceConfirmedWrite())
 		if p.Ready && c.settings.ProcessorShare < minProcessorShareRatio*p.Share {
 			ld.yieldTo(p.Host)
@@ -127,6 +134,10 @@
 		return pingAnswer{}, err
 	}
 	c.noteOtherHostsVersion(a.Version)
+	c.lastLeaderPing.Store(&leaderPing{answer: a, term: t, sent: sent})
+	if a.Hosts > 0 {
+		c.knownHosts.Store(int64(a.Hosts))
+	}
 	if a.Leading && a.Loaded {
 		c.leaderPending.Store(&pendingCounts{byQueue: a.Pending, at: sent})
 	}
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -25,6 +25,8 @@
 	leaderWrites    prometheus.Counter
 	electionsWon    prometheus.Counter
 	storeFailures   prometheus.Counter
+	retryAfter      *prometheus.HistogramVec
+	forwardOutcomes *prometheus.CounterVec
 	panics          prometheus.Counter
 	leading         prometheus.Gauge
 	leaderLag       prometheus.Gauge
@@ -54,6 +56,8 @@
 		leaderWrites:    counter("leader_writes_total", "Writes of the leader to the store."),
 		electionsWon:    counter("elections_won_total", "Elections that this host won."),
 		storeFailures:   counter("store_failures_total", "Calls to the store without an answer or with a refusal."),
+		retryAfter:      histogram("retry_after_seconds", "Time after which refused submissions should be repeated, by queue.", prometheus.LinearBuckets(1, 1, 6), "queue"),
+		forwardOutcomes: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "peridotpitch", Name: "submissions_forwarded_total", Help: "Submissions forwarded to the leader, by outcome."}, []string{"outcome"}),
 		panics:          counter("panics_total", "Panics of the scheduler or of a request's handler that were contained."),
 		leading:         gauge("leading", "1 while this host leads."),
 		leaderLag:       gauge("leader_lag_seconds", "How late the leader's last regular event was applied."),
@@ -62,7 +66,7 @@
 		configReads:     histogram("configuration_read_seconds", "Time of the store's answers to reads and watches of the configuration, by call and outcome.", prometheus.ExponentialBuckets(0.004, 2, 12), "call", "outcome"),
 	}
 	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures,
-		m.panics, m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads,
+		m.panics, m.retryAfter, m.forwardOutcomes, m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return m
 }
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -92,6 +92,19 @@
 	t.hosts[h.Name] = heardHost{status: h, at: now, restarts: restarts}
 }
 
+// count returns the number of hosts that are not silent.
+func (t *hostTable) count(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, h := range t.hosts {
+		if now.Sub(h.at) < maxHostSilence {
+			n++
+		}
+	}
+	return n
+}
+
 // maxPreferredRestarts is the number of restarts up to which a host may be preferred as successor.
 // A host with more of them may be restarting for a fault of its own.
 const maxPreferredRestarts = 1
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -30,8 +30,22 @@
 	DrainTimeout   time.Duration
 
 	DisabledMechanisms orchestrator.MechanismSet
+
+	// Forwarding makes a host that the store does not serve forward submissions to the leader.
+	Forwarding bool
+	// StoreWriteRate is the number of writes per second that the store accepts from all hosts; 0: refused callers
+	// are asked to retry after a fixed time.
+	StoreWriteRate float64
 }
 
+// returnShare is the part of the store's writes that refused callers may use when they return. The rest is for
+// the leader and for other submissions.
+const returnShare = 0.25
+
+// ReturnRate returns the rate, in submissions per second, at which refused callers of all hosts are asked to return
+// after an outage; 0: each is asked to return after a fixed time.
+func (s Settings) ReturnRate() float64 { return returnShare * s.StoreWriteRate }
+
 // Configuration is the version of the operators' configuration that is in effect.
 type Configuration struct {
 	Version uint64
@@ -95,6 +109,8 @@
 	Leaving() bool
 	// Configured reports whether a configuration is in effect, and was after the last pause of this process.
 	Configured() bool
+	// NotConfigured returns the answer to requests that arrive while Configured reports false.
+	NotConfigured() Answer
 	// Route returns the queue of a request and the rest of its path, and false if there
 	// is no such queue. It must not be called before Configured reports true.
 	Route(host, path string) (Queue, string, bool)
--- a/internal/readmitter/readmitter.go
+++ b/internal/readmitter/readmitter.go
@@ -16,10 +16,10 @@
 	// is there for 12 s. Two waits of 6 s fit into that time: whoever returns before the end of an outage
 	// of the usual length (up to 7 s) returns once more.
 	MaxWait = 6 * time.Second
-	// silencePerSecond is the time without the store for which the wait becomes one second longer. Urgent callers
+	// silencePerStep is the time without the store for which the wait becomes one second longer. Urgent callers
 	// with 4 repetitions would otherwise make their last try 4.8 s after the begin of an outage that is noticed
 	// after 0.8 s; with it they make it after more than 5.5 s on average.
-	silencePerSecond = 2 * time.Second
+	silencePerStep = 2 * time.Second
 )
 
 // Cause is why a request was refused.
@@ -92,7 +92,7 @@
 	}
 	ranked := slices.Compact(slices.Sorted(slices.Values(queues)))
 	callers := float64(max(r.Waiting, 1) * max(r.Hosts, 1))
-	grown := 1 + int(max(r.StoreSilence, 0)/silencePerSecond)
+	grown := 1 + int(max(r.StoreSilence, 0)/silencePerStep)
 	left := r.ReturnRate
 	before := window{skipped: -1}
 	for rank, p := range ranked {
