orchestrator: derive the outlook for admission

Cause: hosts need the leader's figures on waiting work and capacity to decide on submissions.

Best-effort work has the rate at which it was completed while tasks waited.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -57,6 +57,7 @@
 	queueStats    map[string]*queueStats // by queue
 	interference  interferenceModel
 	evacuations   evacuator.Evacuator
+	outlookMeter  outlookMeter
 	loadsBuffer   []imageLoad    // reused by bestEffortLoads
 	rankingBuffer []rankedWorker // reused by rank
 
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -404,6 +404,9 @@
 	if r != nil {
 		o.noteEnd(r, row)
 		o.recordRunTime(r, row)
+		if row.How == EndDone && r.task.step.Fills {
+			o.outlookMeter.endBestEffort(r)
+		}
 		o.removeRun(r)
 	}
 	if row.Saved != "" && !t.done {
