coordinator, platform: refuse jobs that are not expected to end in time

Cause: hosts accept every valid job while the store answers.

Change: the key Admission in the section Submissions, off by default. The leader's answers to pings have its outlook; a host refuses a submission with 429 by it, unless the job may have been accepted before: a transaction of this host for the ID is undecided, the store has the job or a record of it, or does not say. The log line Submit has the figures, status shows the outlook, and admission_decisions_total counts the decisions.

--- a/internal/commandline/fleet.go
+++ b/internal/commandline/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"peridotpitch/internal/administrator"
+	"peridotpitch/internal/admitter"
 	"peridotpitch/internal/coordinator"
 )
 
@@ -106,6 +107,7 @@
 	row(w, "Work", fmt.Sprintf("%d jobs; %d tasks wait for %d cores; in the last second %d starts in %d passes, %d steps put off",
 		load.Jobs, load.WaitingTasks, load.WaitingCores, load.Starts, load.Passes, load.PutOffSteps))
 	_, _ = fmt.Fprintln(w)
+	printOutlook(w, l.Outlook)
 	printHostsToCheck(w, *l)
 	row(w, "FAILURE DOMAIN", "WORKERS", "USABLE", "OUT OF REACH", "RUNS")
 	for _, d := range l.Workers.FailureDomains {
@@ -128,6 +130,26 @@
 	}
 }
 
+// printOutlook prints the outlook by which hosts accept jobs, one row for each service, kind and priority.
+func printOutlook(w io.Writer, entries []admitter.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	row(w, "SERVICE", "PRIORITY", "WAITING CORES", "CORE-SECONDS TO DO", "FREE CORES", "CORE-SECONDS PER SECOND", "RUN TIMES / ESTIMATES")
+	for _, e := range entries {
+		service, rate := e.Class.Service, "not measured"
+		if e.Class.BestEffort {
+			service += ", best-effort"
+		}
+		if e.Rate > 0 {
+			rate = fmt.Sprintf("%.0f", e.Rate)
+		}
+		row(w, service, e.Class.Priority, fmt.Sprintf("%.0f", e.Cores), fmt.Sprintf("%.0f", e.Work), fmt.Sprintf("%.0f", e.Free), rate,
+			fmt.Sprintf("%.2f", e.Ratio))
+	}
+	_, _ = fmt.Fprintln(w)
+}
+
 // printHostsToCheck prints the hosts that are silent or not ready, or whose program or
 // configuration is not that of the leader.
 func printHostsToCheck(w io.Writer, l coordinator.LeaderStatus) {
--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -27,7 +27,7 @@
 // Submit implements JobService. Any host can store a job; the leader then starts its tasks.
 func (c *Coordinator) Submit(ctx context.Context, j orchestrator.Job) Answer {
 	begin := time.Now()
-	a := c.submit(ctx, j)
+	a := c.admitAndSubmit(ctx, j)
 	c.metrics.observeRequest("submit", j.Policy.Queue, string(a.Outcome), time.Since(begin))
 	c.log.Info("Submit", "Job", j.ID, "Queue", j.Policy.Queue, "Outcome", string(a.Outcome), "Reason", a.Reason,
 		"Took", time.Since(begin).Round(time.Millisecond).String(), "Version", c.configVersion())
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -72,7 +72,8 @@
 	// yieldedEarlyAt is the timekeeper time of the last early hand-over, Unix ns; see yieldTo.
 	yieldedEarlyAt    atomic.Int64
 	leaderPending     atomic.Pointer[pendingCounts] // from the leader's last answer to a ping; nil: none yet
-	invalidWorkerKeys sync.Map                      // keys of worker entries that could not be decoded; each is logged once
+	admission         admission
+	invalidWorkerKeys sync.Map // keys of worker entries that could not be decoded; each is logged once
 
 	mu         sync.Mutex  // guards the fields below
 	term       term        // newest term that this host has read or written
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"peridotpitch/internal/admitter"
 	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/timekeeper"
 )
@@ -85,6 +86,9 @@
 	pollers            map[string]*poller
 	pendingJobs        map[string]int // result of orch.Pending at pendingAt; replaced, never changed
 	pendingAt          time.Time
+	lastOutlook        admitter.Outlook // as of outlookMeasuredAt
+	outlookKnown       bool             // lastOutlook is set
+	outlookMeasuredAt  time.Time
 
 	deposed           atomic.Bool  // another host has been elected: nothing is sent any more
 	lag               atomic.Int64 // how late the last Tick was applied, ns
@@ -214,6 +218,7 @@
 			ld.apply(orchestrator.Tick{WallOffset: timekeeper.WallOffset(), Lag: lag})
 			lag = time.Since(due)
 			ld.recordLag(lag)
+			ld.outlook() // the averages need regular measurements
 			ld.processors.sample(timekeeper.Now())
 		case <-ctx.Done():
 			return
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -45,6 +45,7 @@
 	StoreSilence time.Duration
 	Version      uint64
 	Pending      map[string]int
+	Outlook      []byte `msgpack:",omitempty"` // see admitter.Outlook.Encode; empty: none
 }
 
 // notice informs the leader of a job or cancel request that a host has stored.
@@ -93,6 +94,7 @@
 			ProcessorShare: p.Share, Ready: p.Ready, Uptime: p.Uptime}, timekeeper.Now())
 		a.Leading, a.Epoch, a.Pending = true, ld.term.Revision, ld.pending()
 		a.Loaded = a.Pending != nil
+		a.Outlook = ld.encodedOutlook()
 		a.StoreSilence = max(a.StoreSilence, ld.timeSinceConfirmedWrite())
 		if p.Ready && c.settings.ProcessorShare < minProcessorShareRatio*p.Share {
 			ld.yieldTo(p.Host)
@@ -127,6 +129,7 @@
 		return pingAnswer{}, err
 	}
 	c.noteOtherHostsVersion(a.Version)
+	c.receiveOutlook(a, sent)
 	if a.Leading && a.Loaded {
 		c.leaderPending.Store(&pendingCounts{byQueue: a.Pending, at: sent})
 	}
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -20,6 +20,7 @@
 	decisions       *prometheus.CounterVec
 	commandDuration *prometheus.HistogramVec
 	jobDuration     *prometheus.HistogramVec
+	admissions      *prometheus.CounterVec
 	taskStarts      prometheus.Counter
 	polls           prometheus.Counter
 	leaderWrites    prometheus.Counter
@@ -49,19 +50,21 @@
 		commandDuration: histogram("order_seconds", "Time until workers answer orders.", prometheus.ExponentialBuckets(0.001, 2, 10), "order"),
 		jobDuration:     histogram("job_seconds", "Time from a job's submission to its final state, by queue and state.", prometheus.ExponentialBuckets(0.25, 2, 12), "queue", "state"),
 		decisions:       prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "peridotpitch", Name: "decisions_total", Help: "Decisions, by event."}, []string{"event"}),
-		taskStarts:      counter("starts_total", "Starts of tasks sent to workers."),
-		polls:           counter("looks_total", "Looks that workers answered."),
-		leaderWrites:    counter("leader_writes_total", "Writes of the leader to the store."),
-		electionsWon:    counter("elections_won_total", "Elections that this host won."),
-		storeFailures:   counter("store_failures_total", "Calls to the store without an answer or with a refusal."),
-		panics:          counter("panics_total", "Panics of the scheduler or of a request's handler that were contained."),
-		leading:         gauge("leading", "1 while this host leads."),
-		leaderLag:       gauge("leader_lag_seconds", "How late the leader's last regular event was applied."),
-		configVersion:   gauge("configuration_version", "Version of the configuration in force."),
-		configBytes:     gauge("configuration_bytes", "Size of the configuration in force, before it is encoded for the transfer."),
-		configReads:     histogram("configuration_read_seconds", "Time of the store's answers to reads and watches of the configuration, by call and outcome.", prometheus.ExponentialBuckets(0.004, 2, 12), "call", "outcome"),
+		admissions: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "peridotpitch", Name: "admission_decisions_total",
+			Help: "Decisions on submissions by what can still end in time, by queue and outcome."}, []string{"queue", "outcome"}),
+		taskStarts:    counter("starts_total", "Starts of tasks sent to workers."),
+		polls:         counter("looks_total", "Looks that workers answered."),
+		leaderWrites:  counter("leader_writes_total", "Writes of the leader to the store."),
+		electionsWon:  counter("elections_won_total", "Elections that this host won."),
+		storeFailures: counter("store_failures_total", "Calls to the store without an answer or with a refusal."),
+		panics:        counter("panics_total", "Panics of the scheduler or of a request's handler that were contained."),
+		leading:       gauge("leading", "1 while this host leads."),
+		leaderLag:     gauge("leader_lag_seconds", "How late the leader's last regular event was applied."),
+		configVersion: gauge("configuration_version", "Version of the configuration in force."),
+		configBytes:   gauge("configuration_bytes", "Size of the configuration in force, before it is encoded for the transfer."),
+		configReads:   histogram("configuration_read_seconds", "Time of the store's answers to reads and watches of the configuration, by call and outcome.", prometheus.ExponentialBuckets(0.004, 2, 12), "call", "outcome"),
 	}
-	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures,
+	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.admissions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures,
 		m.panics, m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return m
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"peridotpitch/internal/admitter"
 	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/timekeeper"
 )
@@ -61,6 +62,7 @@
 	DisabledMechanisms string        // separated by commas
 	Hosts              []HostStatus  // all hosts that have pinged this leader within hostRetention, by name, without the leader
 	Workers            orchestrator.Status
+	Outlook            []admitter.Entry `msgpack:",omitempty" json:",omitempty"` // of Settings.Admission
 }
 
 // hostTable holds the hosts that have pinged a leader. It is safe for concurrent use.
@@ -186,6 +188,8 @@
 	}
 	s.Loaded = ld.loaded && !ld.handingOver && !ld.deposed.Load()
 	s.Workers = ld.orch.Status(now)
+	o, _ := ld.lockedOutlook()
+	s.Outlook = o.Entries
 	return s
 }
 
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -29,6 +29,8 @@
 	ProcessorShare float64
 	DrainTimeout   time.Duration
 
+	Admission bool // jobs that are not expected to end in time are refused
+
 	DisabledMechanisms orchestrator.MechanismSet
 }
 
@@ -75,6 +77,7 @@
 	OutcomeNoSuchQueue Outcome = "unknown"     // no such queue
 	OutcomeNoSuchJob   Outcome = "gone"        // no such job
 	OutcomeUnavailable Outcome = "unavailable" // the request was not executed and will not be
+	OutcomeOverloaded  Outcome = "overloaded"  // the job is not expected to end in time; it was not accepted and will not run
 	OutcomeUndecided   Outcome = "undecided"   // the request may have been executed
 )
 
