--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -29,14 +29,14 @@
 // Submit implements JobService. Any host can store a job; the leader then starts its tasks.
 func (c *Coordinator) Submit(ctx context.Context, j orchestrator.Job) Answer {
 	begin := time.Now()
-	a, host := c.submitOrForward(ctx, j)
+	a, host := c.admitAndSubmit(ctx, j)
 	c.metrics.observeRequest("submit", j.Policy.Queue, string(a.Outcome), time.Since(begin))
 	fields := []any{"Job", j.ID, "Queue", j.Policy.Queue, "Outcome", string(a.Outcome), "Reason", a.Reason,
 		"Took", time.Since(begin).Round(time.Millisecond).String(), "Version", c.configVersion()}
 	if host != "" {
 		fields = append(fields, "Forwarded", host)
 	}
-	if a.RetryAfter > 0 && c.settings.ReturnRate() > 0 {
+	if a.RetryAfter > 0 && a.Outcome != OutcomeOverloaded && c.settings.ReturnRate() > 0 {
 		c.returns.add(timekeeper.Now(), a.RetryAfter)
 		c.metrics.retryAfter.WithLabelValues(j.Policy.Queue).Observe(a.RetryAfter.Seconds())
 		fields = append(fields, "RetryAfter", a.RetryAfter.String())
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -76,6 +76,7 @@
 	knownHosts        atomic.Int64                  // number of hosts, from the leader's last answer that has it; 0: unknown
 	forwardSlots      chan struct{}                 // holds one element for each submission that is being forwarded
 	returns           returnCounter
+	admission         admission
 	invalidWorkerKeys sync.Map // keys of worker entries that could not be decoded; each is logged once
 
 	mu         sync.Mutex  // guards the fields below
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -47,7 +47,8 @@
 	Version      uint64
 	Pending      map[string]int
 	// Hosts is the number of hosts that the leader hears of, with itself; 0: the settings don't need it.
-	Hosts int `msgpack:",omitempty"`
+	Hosts   int    `msgpack:",omitempty"`
+	Outlook []byte `msgpack:",omitempty"` // see admitter.Outlook.Encode; empty: none
 }
 
 // notice informs the leader of a job or cancel request that a host has stored.
@@ -100,6 +101,7 @@
 		if c.settings.ReturnRate() > 0 {
 			a.Hosts = ld.hosts.count(timekeeper.Now()) + 1
 		}
+		a.Outlook = ld.encodedOutlook()
 		a.StoreSilence = max(a.StoreSilence, ld.timeSinceConfirmedWrite())
 		if p.Ready && c.settings.ProcessorShare < minProcessorShareRatio*p.Share {
 			ld.yieldTo(p.Host)
@@ -138,6 +140,7 @@
 	if a.Hosts > 0 {
 		c.knownHosts.Store(int64(a.Hosts))
 	}
+	c.receiveOutlook(a, sent)
 	if a.Leading && a.Loaded {
 		c.leaderPending.Store(&pendingCounts{byQueue: a.Pending, at: sent})
 	}
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -33,6 +33,8 @@
 	ProcessorShare float64
 	DrainTimeout   time.Duration
 
+	Admission bool // jobs that are not expected to end in time are refused
+
 	DisabledMechanisms orchestrator.MechanismSet
 
 	// Forwarding makes a host that the store does not serve forward submissions to the leader.
@@ -93,6 +95,7 @@
 	OutcomeNoSuchQueue Outcome = "unknown"     // no such queue
 	OutcomeNoSuchJob   Outcome = "gone"        // no such job
 	OutcomeUnavailable Outcome = "unavailable" // the request was not executed and will not be
+	OutcomeOverloaded  Outcome = "overloaded"  // the job is not expected to end in time; it was not accepted and will not run
 	OutcomeUndecided   Outcome = "undecided"   // the request may have been executed
 )
 
