coordinator: drop the outlook of an earlier leader when this host leads

Cause: a host that had just been elected went on deciding by the outlook of its predecessor for up to 2 s.

Change: without an outlook of its own, a leader has none.

Result: the new case of TestAdmissionDecisions fails without the change.

--- a/internal/admitter/outlook.go
+++ b/internal/admitter/outlook.go
@@ -88,7 +88,9 @@
 // beyond maxEntries are left out, so that hosts accept their jobs.
 func (o Outlook) Encode() ([]byte, error) {
 	es := slices.Clone(o.Entries)
-	slices.SortFunc(es, func(a, b Entry) int { return cmp.Or(cmp.Compare(b.TotalWork(), a.TotalWork()), a.Class.compare(b.Class)) })
+	slices.SortFunc(es, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(b.TotalWork(), a.TotalWork()), a.Class.compare(b.Class))
+	})
 	return msgpack.Marshal(es[:min(len(es), maxEntries)])
 }
 
--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -84,9 +84,11 @@
 	}
 	r, now := j.AdmissionRequest(), timekeeper.Now()
 	if ld := c.currentLeadership(); ld != nil {
-		if o, at := ld.outlook(); !at.IsZero() {
-			c.admission.admitter.Update(o, at)
+		o, at := ld.outlook()
+		if at.IsZero() {
+			at = now // the outlook of an earlier leader does not count any more
 		}
+		c.admission.admitter.Update(o, at)
 	}
 	d := c.admission.admitter.Decide(r, now)
 	outcome := admissionAccepted
--- a/internal/coordinator/admission_test.go
+++ b/internal/coordinator/admission_test.go
@@ -65,6 +65,7 @@
 		{"new leader without outlook", func(c *Coordinator, _ *jobStore) {
 			c.receiveOutlook(pingAnswer{Leading: true}, timekeeper.Now())
 		}, OutcomeDone},
+		{"leader without outlook", func(c *Coordinator, _ *jobStore) { c.leadership = &leadership{c: c} }, OutcomeDone},
 		{"outlook of another version", func(c *Coordinator, _ *jobStore) {
 			c.receiveOutlook(pingAnswer{Leading: true, Outlook: []byte{0xc1, 7}}, timekeeper.Now())
 		}, OutcomeDone},
