--- a/internal/coordinator/admission_test.go
+++ b/internal/coordinator/admission_test.go
@@ -65,6 +65,7 @@
 		{"new leader without outlook", func(c *Coordinator, _ *jobStore) {
 			c.receiveOutlook(pingAnswer{Leading: true}, timekeeper.Now())
 		}, OutcomeDone},
+		{"leader without outlook", func(c *Coordinator, _ *jobStore) { c.leadership = &leadership{c: c} }, OutcomeDone},
 		{"outlook of another version", func(c *Coordinator, _ *jobStore) {
 			c.receiveOutlook(pingAnswer{Leading: true, Outlook: []byte{0xc1, 7}}, timekeeper.Now())
 		}, OutcomeDone},
@@ -145,4 +146,6 @@
 	is.NoErr(msgpack.Unmarshal(b, &older))
 	is.True(older.Leading)
 	is.True(len(b) < 500)
+	ld.c.settings.Admission = false
+	is.Equal(len(ping().Outlook), 0)
 }
