orchestrator: restart tests that fail without their fixes again

TestRestartedWorkerDoesNotOutlastLeadership and TestRunOfRestartedWorkerIsReplacedByOneLeader passed with both fixes that they guard taken out. Two later changes hid the faults: a leader without the store soon starts nothing on workers that don't guard their capacity, and a task waits until a crash that counts for it is in the store, if its run was younger than 10 s.

The jobs of these tests now have a policy whose workers guard their capacity, as all known deployments do, and their runs are 11 s old. With expireLostRuns taken out both cases of the second test fail. With mayOutlastLeadership taken out the first test still passes, because the old leader does not replace the lost run any more; with both taken out it fails. TestStartOnFormerClockDoesNotOutlastLeadership is new and fails with mayOutlastLeadership alone taken out (run 33 starts on w0 at 21.46 s while run 1 is on w1).

--- a/internal/orchestrator/restart_test.go
+++ b/internal/orchestrator/restart_test.go
@@ -17,13 +17,15 @@
 // lets runs last for the longest lease, longer than the successor waits for. Guards against two
 // runs of a task: one that the old leader starts on the worker, and one that the successor starts
 // elsewhere.
+// Either Orchestrator.mayOutlastLeadership or expireLostRuns prevents it.
 func TestRestartedWorkerDoesNotOutlastLeadership(t *testing.T) {
 	is := is.New(t)
 	w := newCluster(t, 2, cores(8, 32))
 	j := simpleJob("j1", 1, cores(2, 2))
 	j.Steps[0].LongRunning = true
+	j.Policy.Guarded = true // otherwise a leader without the store soon starts nothing
 	w.submit(j)
-	w.run(5 * time.Second)
+	w.run(11 * time.Second) // longer than crashes count, so that the task doesn't wait until its crash is in the store
 	is.Equal(len(w.runningOn("j1")), 1)
 	restarted := w.workers[w.runningOn("j1")[0]]
 
@@ -43,6 +45,29 @@
 	is.Equal(len(w.runningOn("j1")), 1)
 }
 
+// The same with a worker that ran nothing: the old leader sends it a start with a lease end on the old clock, before it
+// knows of the restart. Guards against two runs of the task. Unlike the case above, this one does not
+// depend on when the old leader may replace the runs of the restarted worker.
+func TestStartOnFormerClockDoesNotOutlastLeadership(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 2, cores(8, 32))
+	w.workers["w0"].unreachableFrom[w.leader()] = true
+	w.run(11*time.Second + 20*time.Millisecond) // w1 has just been polled; the next poll is 100 ms later
+	w.workers["w1"].restart(w)
+	j := simpleJob("j1", 1, cores(2, 2))
+	j.Steps[0].LongRunning = true
+	j.Policy.Guarded = true // otherwise a leader without the store soon starts nothing
+	w.submit(j)
+	w.run(40 * time.Millisecond)
+	is.Equal(w.runningOn("j1"), []string{"w1"})
+
+	w.leader().storeUnreachable = true
+	next := w.elect(false)
+	w.workers["w1"].unreachableFrom[next] = true
+	w.run(20 * time.Second) // the simulation fails at a second run
+	is.Equal(w.runningOn("j1"), []string{"w0"})
+}
+
 // A leader has been replaced and does not know it yet, because no worker that it reaches has told
 // it. The worker that runs a task restarts, or another one takes its place; with it goes the fence
 // that would have told the old leader. Guards against two runs of the task, because both leaders
@@ -57,8 +82,9 @@
 			w := newCluster(t, 3, cores(8, 32))
 			j := simpleJob("j1", 1, cores(2, 2))
 			j.Steps[0].LongRunning = true
+			j.Policy.Guarded = true // otherwise a leader without the store soon starts nothing
 			w.submit(j)
-			w.run(2 * time.Second)
+			w.run(11 * time.Second) // longer than crashes count, so that the task doesn't wait until its crash is in the store
 			is.Equal(len(w.runningOn("j1")), 1)
 			ended := w.workers[w.runningOn("j1")[0]]
 
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -206,7 +206,7 @@
 	}
 	j.Epoch = w.leader().epoch
 	if j.Policy.Service == "" {
-		j.Policy = orchestrator.Policy{Queue: j.Policy.Queue, Service: "s", Attempts: max(3, j.Policy.Attempts), Priority: j.Policy.Priority, Stretch: 2, TargetDuration: time.Second}
+		j.Policy = orchestrator.Policy{Queue: j.Policy.Queue, Service: "s", Attempts: max(3, j.Policy.Attempts), Priority: j.Policy.Priority, Stretch: 2, TargetDuration: time.Second, Guarded: j.Policy.Guarded}
 	}
 	w.jobs[j.ID] = j
 	w.leader().step(orchestrator.JobAccepted{Job: j, Revision: j.Epoch + 1})
