orchestrator: evacuate no task while another of its step is unreachable

A run counted as at work until the leases of its worker had ended, also when its worker did not answer any more or its process had ended. So a leader stopped tasks of a long-running step for an evacuation while as many as MaxMissing others were away with a dead worker.

Such runs now count as away, and are not stopped for an evacuation themselves.

--- a/internal/orchestrator/evacuation.go
+++ b/internal/orchestrator/evacuation.go
@@ -132,8 +132,10 @@
 	return rs
 }
 
-// atWork reports whether a long-running task has finished its start.
-func (r *run) atWork() bool { return r.phase == phaseRunning && r.progressPercent >= 100 }
+// atWork reports whether a long-running task has finished its start and certainly runs: its worker answers.
+func (r *run) atWork() bool {
+	return r.phase == phaseRunning && r.progressPercent >= 100 && r.lostAt.IsZero() && !r.worker.unreachable
+}
 
 // mayStopOne reports whether the system may stop a task of a long-running step now: fewer tasks of it than MaxMissing are
 // away. Of a step without MaxMissing, one may be away at a time.
--- a/internal/orchestrator/evacuation_test.go
+++ b/internal/orchestrator/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -125,6 +126,26 @@
 	return w.runsIn("a") == 0
 }
 
+// A worker with a task of a step dies just before another failure domain is evacuated, so that its leader can't know yet whether the
+// task still runs. Guards against a second task of the step that is stopped meanwhile, and against tasks that never leave.
+func TestNoTaskIsMovedWhileAnotherIsUnreachable(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationCluster(t, 0, 4)
+	w.submit(latencyCriticalJob("s", "web", 14, cores(2.5, 4)))
+	w.run(2 * time.Second)
+	workers := w.runningOn("s")
+	evacuated := w.workers[workers[0]].entry.FailureDomain
+	other := slices.IndexFunc(workers, func(id string) bool { return w.workers[id].entry.FailureDomain != evacuated })
+	is.True(other > 0)
+	w.workers[workers[other]].dead = true
+	w.run(200 * time.Millisecond)
+	w.evacuate(evacuated)
+	w.run(3 * time.Second) // less than the leases of the dead worker
+	is.Equal(len(w.notesOf(orchestrator.EventStop)), 0)
+	w.run(30 * time.Second)
+	is.Equal(w.runsIn(evacuated), 0)
+}
+
 // Long-running tasks use most of three failure domains when one of them is evacuated. Guards against tasks that are stopped and find no
 // room elsewhere, or take what waiting jobs need.
 func TestLongRunningTasksStayWithoutRoomElsewhere(t *testing.T) {
