--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -102,7 +102,7 @@
 		return c.unavailableAnswer(cause, j.ID, j.Policy.Priority)
 	}
 	for _, key := range []string{prefixJob + j.ID, prefixRecord + j.ID} {
-		if _, ok := c.forwardingLeader(); ok {
+		if _, obstacle := c.forwardingLeader(); obstacle == "" && c.needsForwarding() {
 			break // the leader finds the job or stores it, without a second wait for a silent store
 		}
 		e, err := c.store.Get(ctx, key)
--- a/internal/coordinator/forward.go
+++ b/internal/coordinator/forward.go
@@ -56,12 +56,18 @@
 		return Answer{Outcome: OutcomeInvalid, Reason: err.Error()}, ""
 	}
 	j.Submitted = time.Now().Round(0)
-	if t, ok := c.forwardingLeader(); ok {
-		return c.forward(ctx, t, j)
+	if c.needsForwarding() {
+		if t, obstacle := c.forwardingLeader(); obstacle == "" {
+			return c.forward(ctx, t, j)
+		}
 	}
 	a := c.submit(ctx, j)
-	t, ok := c.forwardingLeader()
-	if !ok || a.Outcome != OutcomeUnavailable && a.Outcome != OutcomeUndecided || !forwardTimeLeft(ctx) {
+	if a.Outcome != OutcomeUnavailable && a.Outcome != OutcomeUndecided || !c.needsForwarding() || !forwardTimeLeft(ctx) {
+		return a, ""
+	}
+	t, obstacle := c.forwardingLeader()
+	if obstacle != "" {
+		a.Reason += "; not forwarded: " + obstacle
 		return a, ""
 	}
 	// The store has failed during this submission.
@@ -73,19 +79,32 @@
 	return f, host
 }
 
-// forwardingLeader returns the term of the leader that should store submissions in place of this host. It returns false
-// if the store serves this host, or if the leader is not known to store jobs. While nothing else happens, a host's only
-// call is a watch of a second, so storeProbeSilence and not a shorter time without a served call counts as a failure.
-func (c *Coordinator) forwardingLeader() (term, bool) {
-	if !c.settings.Forwarding || c.currentLeadership() != nil || !c.storeUnavailable.Load() && c.timeSinceStoreSuccess() < storeProbeSilence {
-		return term{}, false
-	}
+// needsForwarding reports whether the store does not serve this host and the settings allow for forwarding. While nothing
+// else happens, a host's only call is a watch of a second, so storeProbeSilence and not a shorter time without a served
+// call counts as a failure.
+func (c *Coordinator) needsForwarding() bool {
+	return c.settings.Forwarding && c.currentLeadership() == nil &&
+		(c.storeUnavailable.Load() || c.timeSinceStoreSuccess() >= storeProbeSilence)
+}
+
+// forwardingLeader returns the term of the leader that can store submissions, or what speaks against it.
+func (c *Coordinator) forwardingLeader() (t term, obstacle string) {
 	p := c.lastLeaderPing.Load()
-	if p == nil || timekeeper.Now().Sub(p.sent) >= maxLeaderPingAge {
-		return term{}, false
+	if p == nil {
+		return term{}, "the leader has answered no ping"
+	}
+	if age := timekeeper.Now().Sub(p.sent); age >= maxLeaderPingAge {
+		return term{}, "the leader's last answer to a ping is " + age.Round(time.Millisecond).String() + " old"
+	}
+	switch a := p.answer; {
+	case a.Process != p.term.Process || !a.Leading:
+		return term{}, "the host of the last leader does not lead"
+	case !a.Loaded:
+		return term{}, "the leader has not loaded its state"
+	case a.StoreSilence >= maxForwardStoreSilence:
+		return term{}, "the store has not served the leader for " + a.StoreSilence.Round(time.Millisecond).String()
 	}
-	a := p.answer
-	return p.term, a.Process == p.term.Process && a.Leading && a.Loaded && a.StoreSilence < maxForwardStoreSilence
+	return p.term, ""
 }
 
 // forwardTimeLeft reports whether the caller's time allows for forwarding.
--- a/internal/coordinator/forward_test.go
+++ b/internal/coordinator/forward_test.go
@@ -32,7 +32,15 @@
 }
 
 func (s *sharedStore) Get(_ context.Context, key string) (storer.Entry, error) {
-	return storer.Entry{Key: key, Revision: s.term}, nil
+	if key == keyTerm {
+		return storer.Entry{Key: key, Revision: s.term}, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.keys[key] == nil {
+		return storer.Entry{Key: key}, nil
+	}
+	return storer.Entry{Key: key, Value: s.keys[key], Revision: 2}, nil
 }
 
 func (s *sharedStore) Commit(ctx context.Context, t storer.Transaction) (uint64, error) {
@@ -92,6 +100,9 @@
 	ld.apply(orchestrator.Inherited{})
 	ld.loaded, ld.c.processID, ld.c.settings.Forwarding = true, "a/1", true
 	ld.c.term, ld.c.termKnown = term{Host: "a", Process: "a/1", Address: l.Addr().String(), Revision: 1}, true
+	// Whatever the test takes, the store has just served the leader.
+	ld.c.lastStoreSuccess.Store(timekeeper.Now().Add(time.Minute).UnixNano())
+	ld.lastConfirmedSent.Store(timekeeper.Now().Add(time.Minute).UnixNano())
 	_, f.closeServer = messenger.NewMethodServer(l, ld.c.peerMethods(), slog.New(slog.DiscardHandler))
 	t.Cleanup(f.closeServer)
 	f.host = New(Settings{Name: "b", Forwarding: true}, Dependencies{Store: f.hostStore}, slog.New(slog.NewTextHandler(f.hostLog, nil)))
@@ -221,9 +232,10 @@
 func TestAnswerOfLeaderIsLate(t *testing.T) {
 	is := is.New(t)
 	f := newForwardingPair(t)
-	stored := make(chan struct{})
+	answered, stored := make(chan struct{}), make(chan struct{})
 	f.store.commit = func(ctx context.Context) error {
-		<-ctx.Done() // the host has stopped waiting
+		<-ctx.Done()
+		<-answered
 		defer close(stored)
 		return nil
 	}
@@ -232,6 +244,7 @@
 	a := f.host.Submit(ctx, orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1}}})
 	is.Equal(a.Outcome, OutcomeUndecided)
 	is.NoErr(ctx.Err()) // the caller still hears it
+	close(answered)
 	<-stored
 	f.store.commit = nil
 	for f.store.stored(is, "j1").ID == "" {
@@ -241,6 +254,33 @@
 	is.Equal(len(f.store.keys), 1)
 }
 
+// The leader answers no submission for a second, and hundreds of them arrive. Guards against memory and connections without
+// bound, and against pings that wait for the submissions: the host would take the leader for dead.
+func TestForwardedSubmissionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	f := newForwardingPair(t)
+	var waiting, refused atomic.Int64
+	release := make(chan struct{})
+	f.store.commit = func(context.Context) error { waiting.Add(1); <-release; return nil }
+	var all sync.WaitGroup
+	for i := range 3 * maxForwardedSubmissions {
+		all.Go(func() {
+			j := orchestrator.Job{ID: fmt.Sprint(i), Steps: []orchestrator.Step{{Count: 1}}}
+			if f.host.Submit(context.Background(), j).Outcome == OutcomeUnavailable {
+				refused.Add(1)
+			}
+		})
+	}
+	for refused.Load() < 2*maxForwardedSubmissions {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(waiting.Load() <= maxForwardedSubmissions)
+	f.ping(is)
+	close(release)
+	all.Wait()
+	is.Equal(refused.Load(), int64(2*maxForwardedSubmissions))
+}
+
 // Another host was elected while the leader was late. Guards against a job that names the earlier term, which nobody
 // would start until it is found in the store.
 func TestDeposedLeaderStoresForwardedSubmissionUnderNewTerm(t *testing.T) {
@@ -287,6 +327,9 @@
 			}
 			is.Equal(f.submit("j1").Outcome, c.want)
 			is.Equal(f.store.stored(is, "j1").ID != "", c.leader)
+			if s, ok := c.store.(*silentStore); ok {
+				is.Equal(s.reads, 0) // no second wait for a silent store
+			}
 		})
 	}
 }
