--- a/internal/coordinator/evacuations.go
+++ b/internal/coordinator/evacuations.go
@@ -79,7 +79,7 @@
 	}
 	for ctx.Err() == nil {
 		update := ld.watchEvacuationsOnce
-		if time.Now().Sub(ld.evacuations.readAt) >= evacuationReadInterval {
+		if time.Since(ld.evacuations.readAt) >= evacuationReadInterval {
 			update = ld.readEvacuations
 		}
 		if err := update(ctx); err != nil {
--- a/internal/coordinator/evacuations_test.go
+++ b/internal/coordinator/evacuations_test.go
@@ -39,8 +39,10 @@
 func newEvacuationLeadership(store storer.TransactionalStore) (*leadership, func() string) {
 	ld, log := newTestLeadership(store)
 	ld.c.deps.Decoder, ld.c.deps.Keys.Evacuations = evacuationDecoder{}, evacuationPrefix
+	ld.c.settings.MaxLease = 10 * time.Second
+	ld.orch = orchestrator.New(ld.c.orchestratorSettings(1, timekeeper.Now(), timekeeper.Now()))
 	ld.orch.Apply(orchestrator.Inherited{}, timekeeper.Now())
-	ld.orch.Apply(orchestrator.WorkerListed{Worker: orchestrator.WorkerEntry{ID: "w0", FailureDomain: "north"}}, timekeeper.Now())
+	ld.orch.Apply(orchestrator.WorkerListed{Worker: orchestrator.WorkerEntry{ID: "w0", FailureDomain: "north", Capacity: orchestrator.Resources{CPU: 8000}}}, timekeeper.Now())
 	return ld, func() string {
 		ld.mu.Lock()
 		defer ld.mu.Unlock()
@@ -143,17 +145,47 @@
 	is.True(ld.evacuates("north") && ld.evacuates("south") && !ld.evacuates(""))
 }
 
-// Starts wait for a worker when the evacuation of its failure domain becomes known. Guards against starts that are sent
-// there afterwards.
+// decideStart returns the start of a task on worker w0, which the orchestrator has decided.
+func decideStart(t *testing.T, ld *leadership) orchestrator.StartRun {
+	t.Helper()
+	job := orchestrator.Job{ID: "j1", Policy: orchestrator.Policy{Attempts: 1}, Steps: []orchestrator.Step{{Count: 1, Size: orchestrator.Resources{CPU: 1000}}}}
+	events := []orchestrator.Event{
+		orchestrator.WorkersWatched{SentAt: timekeeper.Now()},
+		orchestrator.PollAnswered{Worker: "w0", SentAt: timekeeper.Now(), ReceivedAt: timekeeper.Now(), Incarnation: 1},
+		orchestrator.Written{Batch: ld.orch.NextBatch(maxBatchKeys, true, timekeeper.Now())},
+		orchestrator.Confirmed{SentAt: timekeeper.Now()},
+		orchestrator.JobAccepted{Job: job, Revision: 2},
+	}
+	for range 100 {
+		events = append(events, orchestrator.Tick{})
+	}
+	for _, e := range events {
+		time.Sleep(5 * time.Millisecond) // scheduling passes are some milliseconds apart
+		for _, a := range ld.orch.Apply(e, timekeeper.Now()) {
+			if s, ok := a.(orchestrator.StartRun); ok {
+				return s
+			}
+		}
+	}
+	t.Fatal("no start was decided")
+	return orchestrator.StartRun{}
+}
+
+// A start waits for a worker when the evacuation of its failure domain becomes known. Guards against a start that is sent
+// there afterwards, and against one that the orchestrator takes for sent.
 func TestQueuedStartIsNotSentToEvacuatedDomain(t *testing.T) {
 	is := is.New(t)
-	ld, _ := newEvacuationLeadership(entryStore{entries: map[string][]byte{evacuationPrefix + "north": nil}})
+	ld, log := newEvacuationLeadership(entryStore{entries: map[string][]byte{evacuationPrefix + "north": nil}})
 	workers := &countingWorkers{}
 	ld.c.deps.Workers = workers
+	start := decideStart(t, ld)
+	is.Equal(start.FailureDomain, "north")
 	is.NoErr(ld.readEvacuations(context.Background()))
 	p := &poller{ld: ld, target: Target{ID: "w0"}, ctx: context.Background()}
-	p.send(orchestrator.StartRun{Worker: "w0", FailureDomain: "north"})
+	p.send(start)
 	is.Equal(workers.starts, 0)
-	p.send(orchestrator.StartRun{Worker: "w0", FailureDomain: "south"})
+	is.True(strings.Contains(log(), `msg=StartRefused Job=j1 Task=j1.0.0.0 Run=33 Worker=w0 Outcome="not sent"`))
+	start.FailureDomain = "south"
+	p.send(start)
 	is.Equal(workers.starts, 1)
 }
