coordinator: short waits for callers of a host that alone has lost the store

A host multiplied the callers it had refused by the number of all hosts also while the store served the leader, and let its callers wait up to 6 s although other hosts could serve them. It now counts its own callers only and leaves out the length of the silence. The test is red without the change.

--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -151,6 +151,11 @@
 	if ld := c.currentLeadership(); ld != nil {
 		r.Hosts = ld.hosts.count(timekeeper.Now()) + 1
 	}
+	if _, obstacle := c.forwardingLeader(); obstacle == "" {
+		// The store serves the leader, so this host is cut off alone or with some others, and its callers are
+		// served wherever else they return.
+		r.Hosts, r.StoreSilence = 1, 0
+	}
 	return readmitter.RetryAfter(r)
 }
 
--- a/internal/coordinator/forward_test.go
+++ b/internal/coordinator/forward_test.go
@@ -17,6 +17,7 @@
 
 	"peridotpitch/internal/messenger"
 	"peridotpitch/internal/orchestrator"
+	"peridotpitch/internal/readmitter"
 	"peridotpitch/internal/storer"
 	"peridotpitch/internal/timekeeper"
 )
@@ -354,6 +355,16 @@
 	is.True(len(by[0]) > 1 && len(by[1]) > 1)
 	is.True(by[0][time.Second] > 0)
 	is.Equal(by[1][time.Second], 0) // the first second is the urgent callers'
+
+	// Other hosts could serve the callers: nothing is gained by a wait for the store of this one.
+	c.settings.StoreWriteRate, c.returns.returns = 4000, readmitter.Returns{}
+	c.lastStoreSuccess.Store(0)
+	c.knownHosts.Store(400)
+	c.lastLeaderPing.Store(&leaderPing{answer: pingAnswer{Leading: true, Loaded: true}, sent: timekeeper.Now().Add(time.Minute)})
+	is.Equal(told(), map[int]map[time.Duration]int{0: {time.Second: 30}, 1: {2 * time.Second: 30}})
+	c.lastLeaderPing.Store(nil)
+	is.True(len(told()[0]) > 1)
+
 	c.settings.StoreWriteRate = 0
 	is.Equal(told(), map[int]map[time.Duration]int{0: {time.Second: 30}, 1: {time.Second: 30}})
 }
