--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -108,7 +108,7 @@
 	storeUnreachable bool
 	deposed          bool
 	frozen           bool
-	missedChanges    bool      // entries of workers have changed while it did not reach the store
+	missedChanges    bool      // entries of workers have changed while it was frozen or did not reach the store
 	disturbedAt      time.Time // when it was last frozen, thawed or cut off
 	pendingAnswers   []orchestrator.Event
 }
@@ -392,7 +392,8 @@
 	}
 	capacity := k.entry.Capacity
 	if w.now.Sub(k.shrunkAt) < shrinkGrace {
-		capacity = k.shrunkFrom
+		// It may have grown since, beyond the former one.
+		capacity = orchestrator.Resources{CPU: max(capacity.CPU, k.shrunkFrom.CPU), Memory: max(capacity.Memory, k.shrunkFrom.Memory)}
 	}
 	if !k.hasRoom(w, a.Task, capacity) {
 		w.t.Fatalf("%s: %s does not fit on %s: %v%s", w.elapsed(), a.Task, k.entry.ID, slices.Sorted(maps.Keys(k.runs)), w.workerHistory(k.entry.ID))
@@ -420,7 +421,7 @@
 	}
 	k.entry.Capacity = capacity
 	for _, l := range w.leaders {
-		l.missedChanges = l.missedChanges || l.storeUnreachable
+		l.missedChanges = l.missedChanges || l.storeUnreachable || l.frozen
 		if !l.storeUnreachable {
 			l.step(orchestrator.WorkerListed{Worker: k.entry})
 		}
