orchestrator: model test with evacuations and MaxMissing

The five workers of the model have three failure domains, which are evacuated and taken back. All evacuations end with the other faults. Long-running jobs have two or three tasks, of which none to two may be missing. When an undisturbed leader stops one of them for an evacuation, fewer than max(1, MaxMissing) others of the step must be away. Half of the runs have workers that guard their capacity, where leaders without the store go on starting tasks; before, no run had.

--- a/internal/orchestrator/model_test.go
+++ b/internal/orchestrator/model_test.go
@@ -17,9 +17,11 @@
 // TestInvariantsUnderFaults guards against two runs of a task at the same time, starts after
 // an acknowledged success, starts beyond the allowed attempts and starts beyond a worker's
 // capacity, while leaders are replaced, disconnected and frozen, commands are dropped or
-// executed late, and workers restart, change their capacity or crash under tasks. simulation.checkStart checks each start, and
-// checkCrashes and checkGivenUp that a task which crashes its workers is given up, and no task is that has
-// been on fewer than two workers that ended. After the last fault every job must reach a final state.
+// executed late, workers restart, change their capacity or crash under tasks, and failure domains are evacuated.
+// simulation.checkStart checks each start, and checkCrashes and checkGivenUp that a task which crashes its workers is given up,
+// and no task is that has been on fewer than two workers that ended. checkedStart checks that nothing starts in evacuated failure
+// domains, and checkEvacuationStop that a step does not miss more tasks than it may for an evacuation. After the last
+// fault every job must reach a final state.
 func TestInvariantsUnderFaults(t *testing.T) { rapid.Check(t, checkInvariants) }
 
 // setFlag sets a flag until the test ends.
@@ -43,8 +45,10 @@
 	w.runTime = func(string, *simulatedWorker) time.Duration {
 		return 300*time.Millisecond + time.Duration(w.rng.Int64N(int64(2*time.Second)))
 	}
+	guarded := rapid.Bool().Draw(rt, "guarded")
 	for i := range 5 {
-		w.addWorker(fmt.Sprintf("w%d", i), cores(8, 32), fmt.Sprintf("r%d", i%2))
+		k := w.addWorker(fmt.Sprintf("w%d", i), cores(8, 32), fmt.Sprintf("r%d", i%2))
+		k.entry.FailureDomain, k.guarded = fmt.Sprintf("d%d", i%3), guarded
 	}
 	crashing := make(map[string]bool) // jobs
 	w.crash = crashModel{
@@ -59,18 +63,19 @@
 	w.elect(false)
 	jobs := 0
 	for range rapid.IntRange(5, 25).Draw(rt, "steps") {
-		switch rapid.SampledFrom([]string{"job", "job", "long-running job", "crashing job", "elect", "hand over", "partition", "disconnect", "heal", "restart", "kill", "freeze", "toggle store", "cancel", "resize"}).Draw(rt, "event") {
+		switch rapid.SampledFrom([]string{"job", "job", "long-running job", "crashing job", "elect", "hand over", "partition", "disconnect", "heal", "restart", "kill", "freeze", "toggle store", "cancel", "resize", "evacuate", "take back"}).Draw(rt, "event") {
 		case "job":
 			jobs++
-			w.submit(modelJob(rt, jobs))
+			w.submit(modelJob(rt, jobs, guarded))
 		case "long-running job":
 			jobs++
-			j := simpleJob(fmt.Sprintf("j%d", jobs), 2, cores(1, 1))
-			j.Steps[0].LongRunning = true
+			j := simpleJob(fmt.Sprintf("j%d", jobs), rapid.IntRange(2, 3).Draw(rt, "tasks"), cores(1, 1))
+			j.Steps[0].LongRunning, j.Policy.Guarded = true, guarded
+			j.Steps[0].MaxMissing = rapid.IntRange(0, 2).Draw(rt, "may miss")
 			w.submit(j)
 		case "crashing job":
 			jobs++
-			j := modelJob(rt, jobs)
+			j := modelJob(rt, jobs, guarded)
 			// Several such jobs crash all five workers, so that nothing can be kept apart.
 			crashing[j.ID] = len(crashing) < 2
 			w.submit(j)
@@ -98,6 +103,10 @@
 		case "resize":
 			k := w.workers[rapid.SampledFrom([]string{"w0", "w1", "w2", "w3", "w4"}).Draw(rt, "worker")]
 			w.resize(k, cores(float64(rapid.IntRange(0, 8).Draw(rt, "capacity")), 32))
+		case "evacuate":
+			w.evacuate(rapid.SampledFrom([]string{"d0", "d1", "d2"}).Draw(rt, "failure domain"))
+		case "take back":
+			w.takeBack(rapid.SampledFrom([]string{"d0", "d1", "d2"}).Draw(rt, "failure domain"))
 		case "freeze":
 			l := rapid.SampledFrom(w.leaders).Draw(rt, "leader")
 			l.frozen, l.disturbedAt = !l.frozen, w.now
@@ -115,16 +124,20 @@
 	for _, k := range w.workers {
 		w.resize(k, cores(8, 32))
 	}
+	for _, d := range w.evacuations.domains() {
+		w.takeBack(d)
+	}
 	w.finishAll(rt, jobs)
 }
 
-func modelJob(rt *rapid.T, n int) orchestrator.Job {
+func modelJob(rt *rapid.T, n int, guarded bool) orchestrator.Job {
 	j := simpleJob(fmt.Sprintf("j%d", n), rapid.IntRange(1, 6).Draw(rt, "tasks"), cores(float64(rapid.IntRange(1, 4).Draw(rt, "cores")), 2))
 	if rapid.Bool().Draw(rt, "two steps") {
 		j.Steps = append(j.Steps, orchestrator.Step{Count: 2, Size: cores(1, 1), Estimate: time.Second, After: []int{0}})
 	}
 	j.Steps[0].Checkpoints = rapid.Bool().Draw(rt, "checkpoints")
 	j.Steps[0].Fills = rapid.Bool().Draw(rt, "fills")
+	j.Policy.Guarded = guarded
 	return j
 }
 
--- a/internal/orchestrator/simulation_crash_test.go
+++ b/internal/orchestrator/simulation_crash_test.go
@@ -98,7 +98,7 @@
 		}
 		k.replaced = true
 		next := w.addWorker(fmt.Sprintf("%s+", k.entry.ID), k.entry.Capacity, k.entry.Rack)
-		next.entry.Address = k.entry.Address
+		next.entry.Address, next.entry.FailureDomain, next.guarded = k.entry.Address, k.entry.FailureDomain, k.guarded
 		for _, l := range w.leaders {
 			if !l.storeUnreachable {
 				l.step(orchestrator.WorkerUnlisted{ID: k.entry.ID})
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -111,6 +111,7 @@
 	missedChanges    bool      // entries of workers have changed while it was frozen or did not reach the store
 	disturbedAt      time.Time // when it was last frozen, thawed or cut off
 	pendingAnswers   []orchestrator.Event
+	stopped          map[string]int // highest number of a run that it has stopped, by task
 }
 
 // reporter fails a test: *testing.T or *rapid.T.
@@ -247,6 +248,7 @@
 	case orchestrator.Note:
 		w.notes = append(w.notes, a)
 		w.checkGivenUp(a)
+		l.checkEvacuationStop(a)
 	case orchestrator.StartRun, orchestrator.StopRun, orchestrator.ThrottleRun:
 		// Commands arrive after the step that sent them.
 		w.pendingCommands = append(w.pendingCommands, pendingCommand{at: w.now.Add(time.Millisecond), leader: l, action: a})
@@ -670,6 +672,7 @@
 			k.advance(w)
 		}
 	}
+	w.notePresentTasks()
 	for _, l := range w.leaders {
 		if l.deposed || l.frozen {
 			continue
