orchestrator: a seed that fails without either fix of restarted workers

It found 318646 and 320037 besides 300715. Seed 320037 is a case of its own: without mayOutlastLeadership alone run 33 of j6.0.0.1 starts on w0 at 17.31 s while run 1 is on w3, without expireLostRuns alone run 66 of j6.0.0.0 starts on w0 at 17.31 s while run 33 is on w3. So both faults that 22515 and 348974 found are guarded by a replayed run again. 318646 fails only without both, as 300715 does, and is not kept.

--- a/internal/orchestrator/model_former_test.go
+++ b/internal/orchestrator/model_former_test.go
@@ -21,7 +21,8 @@
 // young run is in the store. Without that wait too (crashUnwritten), they fail as they did: 348974 without expireLostRuns,
 // 22515 without both fixes, since a run that only expireLostRuns removes is not replaced by a leader without the store.
 //   - 300715: the fault of 22515 with a run of 10.4 s, found on the code of ef5a927 without both fixes. The
-//     faults last 5 s longer than those of the other seeds.
+//     faults last 5 s longer than those of the seeds above.
+//   - 320037: found in the same way; it fails without either of the fixes, by the fault of the one that is missing.
 func TestInvariantsWithFailedSeeds(t *testing.T) {
 	for _, c := range []struct {
 		seed, events string
@@ -33,6 +34,8 @@
 			"long-running job,toggle store,restart,partition", 0},
 		{"300715", "freeze,partition,hand over,partition,long-running job,elect,job,partition,job,long-running job,disconnect,job," +
 			"disconnect,job,restart,job", 5 * time.Second},
+		{"320037", "elect,elect,job,heal,long-running job,job,restart,heal,job,partition,elect,job," +
+			"cancel,restart,long-running job,elect,elect,job,cancel,disconnect,freeze,long-running job,long-running job,restart", 5 * time.Second},
 	} {
 		t.Run(c.seed, func(t *testing.T) {
 			setFlag(t, "rapid.seed", c.seed)
