coordinator: remember an undecided submission when a later one is refused

A submission without a known outcome was forgotten when a repeated submission of the same job was certainly not executed, for example because the store limited the rate. The next repetition could be refused with 429 while the first transaction could still be executed. Count the submissions of a job and forget them when their outcomes are known. TestAdmissionDecisions has this sequence as a case; it failed before (overloaded instead of done).

--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -34,7 +34,13 @@
 	admitter admitter.Admitter
 
 	mu         sync.Mutex
-	unanswered map[string]time.Time // submissions whose transaction may still be executed, and when they came
+	unanswered map[string]unansweredSubmissions // by ID of the job
+}
+
+// unansweredSubmissions are the submissions of one job whose transactions may still be executed.
+type unansweredSubmissions struct {
+	count int
+	at    time.Time // when the last one came
 }
 
 // begin remembers a submission whose transaction may be sent from now on.
@@ -42,35 +48,45 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.unanswered == nil {
-		a.unanswered = make(map[string]time.Time)
+		a.unanswered = make(map[string]unansweredSubmissions)
 	}
 	if len(a.unanswered) >= maxUnanswered {
-		for k, at := range a.unanswered {
-			if now.Sub(at) > unansweredRetention {
+		for k, u := range a.unanswered {
+			if now.Sub(u.at) > unansweredRetention {
 				delete(a.unanswered, k)
 			}
 		}
 	}
-	if len(a.unanswered) < maxUnanswered {
-		a.unanswered[id] = now
+	u, known := a.unanswered[id]
+	if known || len(a.unanswered) < maxUnanswered {
+		a.unanswered[id] = unansweredSubmissions{count: u.count + 1, at: now}
 	}
 }
 
-// end forgets a submission if the outcome of its transaction is known.
+// end forgets a submission if the outcome of its transaction is known. Other submissions of the same job, whose outcome
+// is unknown, remain: a transaction that was not executed says nothing about theirs. Once one has stored the job, the
+// store answers for all.
 func (a *admission) end(id string, o Outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if o != OutcomeUndecided {
+	u, known := a.unanswered[id]
+	if !known || o == OutcomeUndecided {
+		return
+	}
+	u.count--
+	if o == OutcomeDone || u.count <= 0 {
 		delete(a.unanswered, id)
+		return
 	}
+	a.unanswered[id] = u
 }
 
 // mayBeStored reports whether a transaction of this host for the job may still be executed.
 func (a *admission) mayBeStored(id string, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	at, ok := a.unanswered[id]
-	return ok && now.Sub(at) <= unansweredRetention || len(a.unanswered) >= maxUnanswered
+	u, ok := a.unanswered[id]
+	return ok && now.Sub(u.at) <= unansweredRetention || len(a.unanswered) >= maxUnanswered
 }
 
 // admitAndSubmit refuses a job that is not expected to end in time, and submits the others. A refusal says that the
--- a/internal/coordinator/admission_test.go
+++ b/internal/coordinator/admission_test.go
@@ -81,6 +81,15 @@
 			s.commitErr = nil
 			c.recordStoreResult(nil)
 		}, OutcomeDone},
+		{"earlier transaction undecided, a later one not executed", func(c *Coordinator, s *jobStore) {
+			c.receiveOutlook(pingAnswer{Leading: true}, timekeeper.Now())
+			for _, s.commitErr = range []error{&storer.UnknownOutcomeError{}, &storer.RateLimitedError{}} {
+				c.Submit(context.Background(), admissionJob())
+			}
+			c.receiveOutlook(pingAnswer{Leading: true, Outlook: overload(t)}, timekeeper.Now())
+			s.commitErr = nil
+			c.recordStoreResult(nil)
+		}, OutcomeDone},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
