coordinator: remember forwarded submissions for admission

A leader did not remember the transactions of submissions that other hosts had forwarded. A caller that repeated such a submission at the leader could be refused with 429 while the transaction could still be executed. TestAdmissionDecisions has this sequence as a case; it failed before (overloaded instead of done).

--- a/internal/coordinator/admission_test.go
+++ b/internal/coordinator/admission_test.go
@@ -90,6 +90,18 @@
 			s.commitErr = nil
 			c.recordStoreResult(nil)
 		}, OutcomeDone},
+		{"forwarded transaction undecided", func(c *Coordinator, s *jobStore) {
+			c.settings.Forwarding, c.leadership = true, &leadership{c: c}
+			c.leadership.pendingJobs, c.leadership.loaded, c.leadership.pendingAt = map[string]int{}, true, timekeeper.Now()
+			c.leadership.lastConfirmedSent.Store(timekeeper.Now().UnixNano())
+			s.commitErr = &storer.UnknownOutcomeError{}
+			_, err := c.serveSubmit(context.Background(), submitRequest{Host: "a", Job: admissionJob(), Timeout: time.Second})
+			if err != nil || s.commits != 1 {
+				t.Errorf("%d transactions were sent, error %v", s.commits, err)
+			}
+			c.leadership, s.commitErr = nil, nil
+			c.recordStoreResult(nil)
+		}, OutcomeDone},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/coordinator/forward.go
+++ b/internal/coordinator/forward.go
@@ -177,5 +177,12 @@
 	if c.storeUnavailable.Load() {
 		return c.storeSilentAnswer(j, "the leader has lost the store")
 	}
-	return c.submit(ctx, j)
+	if !c.settings.Admission {
+		return c.submit(ctx, j)
+	}
+	// The caller may repeat the submission at this host, which must know then that the job may have been stored.
+	c.admission.begin(j.ID, timekeeper.Now())
+	a := c.submit(ctx, j)
+	c.admission.end(j.ID, a.Outcome)
+	return a
 }
