orchestrator: move no task out of evacuated failure domains without the store

A task that was stopped shortly before could not start elsewhere until the store was back. Move tasks only if the leadership was confirmed within the last second.

--- a/internal/orchestrator/evacuation.go
+++ b/internal/orchestrator/evacuation.go
@@ -16,6 +16,10 @@
 	// evacuationMoveReservation is how long a worker is reserved for a task that moves to it. It covers the stop of
 	// the present run, which takes up to a second, and the poll that lists its end.
 	evacuationMoveReservation = 2 * time.Second
+	// evacuationMoveConfirmation is how long ago the leadership may last have been confirmed for a move. A leader writes
+	// each 300 ms. Without the store, the start could be refused for up to the rest of an outage: the workers' capacities
+	// count as known for maxCapacityAge only, and the end of leases is limited by the last confirmation.
+	evacuationMoveConfirmation = time.Second
 )
 
 // listEvacuations replaces the evacuated failure domains. From then on nothing starts there; what runs there goes on.
@@ -66,7 +70,8 @@
 // moveOutOfEvacuated stops long-running tasks in evacuated failure domains that can start elsewhere at once. A worker there
 // is reserved for each. Tasks that find no such worker stay.
 func (o *Orchestrator) moveOutOfEvacuated() {
-	if !o.evacuations.Any() || !o.enabled(MechanismEvacuationMoves) || o.now.Sub(o.movedOutAt) < evacuationMoveInterval {
+	if !o.evacuations.Any() || !o.enabled(MechanismEvacuationMoves) || o.now.Sub(o.movedOutAt) < evacuationMoveInterval ||
+		o.now.Sub(o.confirmedAt) > evacuationMoveConfirmation {
 		return
 	}
 	o.movedOutAt = o.now
--- a/internal/orchestrator/evacuation_test.go
+++ b/internal/orchestrator/evacuation_test.go
@@ -164,6 +164,31 @@
 	}
 }
 
+// The store is lost while long-running tasks move out of an evacuated failure domain. Guards against a task that is stopped
+// shortly before starts are no longer possible, and is away for the rest of the outage.
+func TestNoTaskIsMovedWithoutStore(t *testing.T) {
+	for offset := time.Duration(0); offset < 500*time.Millisecond; offset += 100 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			w := newEvacuationCluster(t, 0, 8)
+			w.submit(latencyCriticalJob("s", "web", 72, cores(1, 2)))
+			w.run(2*time.Second + offset)
+			w.evacuate("a")
+			w.run(400 * time.Millisecond)
+			w.leader().storeUnreachable = true
+			lastComplete := w.now
+			for range 70 {
+				w.run(100 * time.Millisecond)
+				if len(w.runningOn("s")) == 72 {
+					lastComplete = w.now
+				}
+				if d := w.now.Sub(lastComplete); d > time.Second {
+					t.Fatalf("a task has been away for %s", d)
+				}
+			}
+		})
+	}
+}
+
 // Jobs wait for capacity when an evacuation is taken back after half a second. Guards against work that does not return, and against moves
 // of what runs elsewhere.
 func TestWorkReturnsWhenEvacuationIsTakenBack(t *testing.T) {
