orchestrator: move no task into a failure domain whose evacuation has just ended

Moves out of an evacuated failure domain chose targets in failure domains that had returned less than 3 s before, unlike moves of throttled and slow tasks. Leave their workers out. TestNoTaskIsMovedIntoDomainThatHasJustReturned failed before (5 of 6 tasks moved at once).

--- a/internal/orchestrator/evacuation.go
+++ b/internal/orchestrator/evacuation.go
@@ -82,6 +82,7 @@
 			continue
 		}
 		workers, _ := o.candidates(t.step)
+		workers = slices.DeleteFunc(workers, func(w *worker) bool { return o.evacuations.Settles(w.FailureDomain, o.now) })
 		target, _ := o.choose(t, workers)
 		if target == nil {
 			continue
--- a/internal/orchestrator/evacuation_test.go
+++ b/internal/orchestrator/evacuation_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"peridotpitch/internal/evacuator"
 	"peridotpitch/internal/orchestrator"
 )
 
@@ -189,6 +190,24 @@
 	}
 }
 
+// One failure domain is evacuated in the moment in which the evacuation of another one is taken back. Guards against a wave
+// of moves onto workers that may be slow, and against tasks that move out and back.
+func TestNoTaskIsMovedIntoDomainThatHasJustReturned(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationCluster(t, 0, 4)
+	w.evacuate("b")
+	w.evacuate("c")
+	w.submit(latencyCriticalJob("s", "web", 6, cores(2, 4)))
+	w.run(2 * time.Second)
+	is.Equal(w.runsIn("a"), 6)
+	w.takeBack("b")
+	w.evacuate("a")
+	w.run(evacuator.SettleTime - 100*time.Millisecond)
+	is.Equal(w.runsIn("b"), 0)
+	w.run(10 * time.Second)
+	is.Equal(w.runsIn("b"), 6)
+}
+
 // Jobs wait for capacity when an evacuation is taken back after half a second. Guards against work that does not return, and against moves
 // of what runs elsewhere.
 func TestWorkReturnsWhenEvacuationIsTakenBack(t *testing.T) {
