orchestrator: bound the search for moves out of evacuated failure domains

While no task waited but none fit elsewhere, for example for lack of memory, each long-running task there was compared with all workers every 0.5 s. TestSearchForMovesIsBounded failed before.

--- a/internal/orchestrator/evacuation.go
+++ b/internal/orchestrator/evacuation.go
@@ -76,15 +76,20 @@
 	}
 	o.movedOutAt = o.now
 	surroundings := o.evacuationSurroundings()
+	stay := make(map[*step]bool) // steps of which no further task moves now
+	targets := make(map[string][]*worker)
 	for _, r := range o.movableRuns() {
 		t, size := r.task, r.task.step.Size.CPU
-		if evacuator.MovesAllowed(surroundings, size) == 0 || !t.step.mayStopOne() {
+		if stay[t.step] || evacuator.MovesAllowed(surroundings, size) == 0 {
 			continue
 		}
-		workers, _ := o.candidates(t.step)
-		workers = slices.DeleteFunc(workers, func(w *worker) bool { return o.evacuations.Settles(w.FailureDomain, o.now) })
-		target, _ := o.choose(t, workers)
+		if !t.step.mayStopOne() {
+			stay[t.step] = true
+			continue
+		}
+		target, _ := o.choose(t, o.moveTargets(targets, t.step))
 		if target == nil {
+			stay[t.step] = !t.suspected() // its other tasks have the same size, and no run to be kept apart from
 			continue
 		}
 		target.reservedFor, target.reservedUntil = t, o.now.Add(evacuationMoveReservation)
@@ -94,6 +99,22 @@
 	}
 }
 
+// moveTargets returns the workers to which tasks of a step may move. known holds those of steps with the same
+// requirements.
+func (o *Orchestrator) moveTargets(known map[string][]*worker, s *step) []*worker {
+	p := s.occurrence.job.Policy
+	key := p.Service + "/" + s.RequiredLabel
+	if ws, ok := known[key]; ok && !p.Advised {
+		return ws
+	}
+	ws, _ := o.candidates(s)
+	ws = slices.DeleteFunc(ws, func(w *worker) bool { return o.evacuations.Settles(w.FailureDomain, o.now) })
+	if !p.Advised {
+		known[key] = ws
+	}
+	return ws
+}
+
 // evacuationSurroundings returns the load outside the evacuated failure domains.
 func (o *Orchestrator) evacuationSurroundings() evacuator.Surroundings {
 	var s evacuator.Surroundings
--- a/internal/orchestrator/evacuation_test.go
+++ b/internal/orchestrator/evacuation_test.go
@@ -208,6 +208,23 @@
 	is.Equal(w.runsIn("b"), 6)
 }
 
+// Long-running tasks use all memory of three failure domains but few processors, and one of these is evacuated. Guards against
+// a search of all workers for each task there, which takes a leader with 1,100 workers and 4,400 tasks 0.3 s at a time.
+func TestSearchForMovesIsBounded(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationCluster(t, 0, 20)
+	j := latencyCriticalJob("s", "web", 240, cores(1, 16))
+	j.Steps[0].MaxMissing = 240
+	w.submit(j)
+	w.run(3 * time.Second)
+	is.Equal(w.runsIn("a"), 80)
+	before := w.loadFigure(t, "Scored")
+	w.evacuate("a")
+	w.run(10 * time.Second)
+	is.Equal(w.runsIn("a"), 80)
+	is.True(w.loadFigure(t, "Scored")-before <= 2*20*40) // two searches of 40 workers each second; and not 80 times as many
+}
+
 // Jobs wait for capacity when an evacuation is taken back after half a second. Guards against work that does not return, and against moves
 // of what runs elsewhere.
 func TestWorkReturnsWhenEvacuationIsTakenBack(t *testing.T) {
