orchestrator: give up no task that began just after the one that crashes its workers

Cause: a task that had lost a worker to one crashing task started again, 100 ms or more after another crashing task had begun on the same worker. That worker crashed 400 ms after the start of the crashing task. By then the suspected task had begun last, so that its second crash counted as its own: runs counted as begun at the same time only up to 100 ms. The crashing task did not explain the crash, because it had just one itself.

Runs that began within 1 s of each other are now equally suspect; such a task is given up after the third crash instead of the second. The bounds after three and four crashes are as before, and so is the platform's bound. With 10 s instead, a task that crashes workers on which others have run for seconds would need a third crash (TestTaskThatCrashesWorkersAloneIsGivenUpAfterTwo).

The load test of crash-isolation runs seeds 0 to 11. The crash storm ends 15 s after its last job instead of after 45 s: nothing crashes any more, and no worker is away for more than 9 s. If jobs don't end, it lasts 60 s.

--- a/internal/orchestrator/crash.go
+++ b/internal/orchestrator/crash.go
@@ -12,9 +12,10 @@
 	// crashWindow is how long after its start a run may be the cause of its worker's crash. A task
 	// whose run lasts longer is no longer suspected.
 	crashWindow = 10 * time.Second
-	// crashOverlap is the difference between the starts of two runs up to which their order is unknown:
-	// workers answer starts in any order.
-	crashOverlap = 100 * time.Millisecond
+	// crashDelay is the time after its start up to which a task that crashes its worker is expected to do so. If two
+	// runs began within this time of each other, the later one is no more likely to be the cause. With 100 ms, tasks that
+	// started again beside one that crashes its worker after 400 ms were given up in its place.
+	crashDelay = time.Second
 	// minCertainCrashes is the number of crashes during which the task ran certainly, from which it may be given
 	// up. The platform allows it after two crashes.
 	minCertainCrashes = 2
@@ -233,14 +234,14 @@
 	return o.finished[id].state == StateFailed
 }
 
-// isLast reports whether no run of another job began on the worker after the suspect or at the same time. It
-// is false if that is not known.
+// isLast reports whether no run of another job began on the worker after the suspect, or up to crashDelay before it.
+// It is false if that is not known.
 func (s suspect) isLast(all []suspect) bool {
 	if s.startedAt.IsZero() {
 		return false
 	}
 	return !slices.ContainsFunc(all, func(other suspect) bool {
-		return jobID(other.task) != jobID(s.task) && (other.startedAt.IsZero() || other.startedAt.After(s.startedAt.Add(-crashOverlap)))
+		return jobID(other.task) != jobID(s.task) && (other.startedAt.IsZero() || other.startedAt.After(s.startedAt.Add(-crashDelay)))
 	})
 }
 
--- a/internal/orchestrator/crash_test.go
+++ b/internal/orchestrator/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -103,6 +104,54 @@
 	}
 }
 
+// A task loses two workers to two other tasks, which begin there 100 to 400 ms before it does. Guards against giving up
+// the task that began last although the crash comes so late that an earlier one may have caused it.
+func TestTaskThatStartsAfterCrashingOnesIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	m := crashModels()["crash while it runs"]
+	w := newCrashCluster(t, 2, m)
+	lasting := simpleJob("lasting", 1, cores(6, 1))
+	lasting.Steps[0].LongRunning = true
+	w.submit(lasting)
+	w.run(2 * time.Second)
+	first := w.workers["w0"] // the empty one
+	if slices.Contains(w.runningOn("lasting"), "w0") {
+		first = w.workers["w1"]
+	}
+	w.submit(simpleJob("deadly0", 1, cores(1, 1)))
+	w.run(200 * time.Millisecond)
+	w.submit(simpleJob("short", 1, cores(1, 1)))
+	for !first.dead {
+		w.run(10 * time.Millisecond)
+	}
+	w.cancel("deadly0")
+	first.entry.Capacity = cores(0.5, 1) // it returns without room, so that both tasks start on the other one
+	w.run(m.down - 100*time.Millisecond)
+	w.submit(simpleJob("deadly1", 1, cores(1, 1)))
+	w.run(m.down + time.Second)
+	is.Equal(w.crash.under["short.0.0.0"], 2)
+	w.cancel("deadly1")
+	w.run(10 * time.Second)
+	is.Equal(w.state("short"), orchestrator.StateSucceeded)
+}
+
+// A task crashes workers on which other tasks have run for seconds. Guards against a third crash where the second one
+// tells the cause.
+func TestTaskThatCrashesWorkersAloneIsGivenUpAfterTwo(t *testing.T) {
+	is := is.New(t)
+	w := newCrashCluster(t, 4, crashModels()["crash while it runs"])
+	for i := range 4 {
+		j := simpleJob(fmt.Sprintf("lasting%d", i), 1, cores(1, 1))
+		j.Steps[0].LongRunning = true
+		w.submit(j)
+	}
+	w.run(2 * time.Second)
+	w.submit(simpleJob("deadly", 1, cores(1, 1)))
+	w.run(20 * time.Second)
+	is.Equal(w.state("deadly"), orchestrator.StateFailed)
+	is.Equal(w.crash.under["deadly.0.0.0"], 2)
+}
+
 // stormOutcome counts the jobs of a crash storm.
 type stormOutcome struct{ crashing, crashingFailed, otherFailed int }
 
@@ -126,7 +175,10 @@
 		}
 		w.run(100 * time.Millisecond)
 	}
-	w.run(45 * time.Second)
+	for end := w.now.Add(45 * time.Second); w.now.Before(end) && !w.stormEnded(); {
+		w.run(time.Second)
+	}
+	w.run(15 * time.Second) // longer than a crashed worker is away, so that each crash is counted
 	for id := range w.jobs {
 		failed := w.state(id) == orchestrator.StateFailed
 		switch {
@@ -139,6 +191,16 @@
 	return outcome
 }
 
+// stormEnded reports whether all jobs but the long-running ones have ended, so that no worker crashes any more.
+func (w *simulation) stormEnded() bool {
+	for id, j := range w.jobs {
+		if !j.Steps[0].LongRunning && !w.state(id).Final() {
+			return false
+		}
+	}
+	return true
+}
+
 // Three racks lose power, one soon after the other. Guards against jobs that fail although none of their tasks
 // causes crashes.
 func TestTasksOfLostRacksSucceed(t *testing.T) {
--- a/internal/orchestrator/mechanism_test.go
+++ b/internal/orchestrator/mechanism_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -178,8 +179,15 @@
 	return w.state("j1") == orchestrator.StateSucceeded
 }
 
-// A tenth of the jobs have a task that crashes its worker. No other job may fail.
+// A tenth of the jobs have a task that crashes its worker. No other job may fail on any seed.
 func tasksBesideCrashingOnesEnd(t *testing.T, disabled orchestrator.MechanismSet) bool {
-	w := newCrashClusterWithout(t, disabled, 32, crashModels()["crash while it runs"])
-	return w.runCrashStorm(10).otherFailed == 0
+	for seed := range uint64(12) {
+		w := newCrashClusterWithout(t, disabled, 32, crashModels()["crash while it runs"])
+		w.rng = rand.New(rand.NewPCG(seed, 1))
+		if n := w.runCrashStorm(10).otherFailed; n > 0 {
+			t.Logf("seed %d, disabled mechanisms %q: %d other jobs fail", seed, disabled, n)
+			return false
+		}
+	}
+	return true
 }
