coordinator, messenger: test forwarding between hosts in virtual time

TestAnswerOfLeaderIsLate and TestForwardingFails failed on a busy machine: in about three repetitions beside four busy loops on the same two processors, a ping timed out while connecting twice, the wait for the leader exceeded 1.5 s twice, and the caller's 300 ms passed before the answer once. After that failure TestAnswerOfLeaderIsLate hung, because the server waits for a call that the test no longer released.

The hosts of these tests now connect in memory, in a bubble of testing/synctest, so that their timeouts do not depend on the speed of the machine. messenger.Options.Dial replaces the connection over TCP for it; without it nothing changes. The checks are stricter: the wait for the leader is at most maxForwardTime, without 500 ms of slack, and the 128 submissions beyond the bound are refused before any time passes. Calls are released when a test fails.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -54,6 +54,8 @@
 	metrics   *metrics
 	processID string // identifies this process in the store and to other hosts
 	jitter    func(time.Duration) time.Duration
+	// dialHost connects to another entry host; nil: over TCP. Tests set it.
+	dialHost  func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	startedAt time.Time // timekeeper time at which the process started
 
 	config            atomic.Pointer[Configuration]
@@ -253,7 +255,7 @@
 	m := c.clients[address]
 	if m == nil {
 		var clean func()
-		o := messenger.Options{DialTimeout: pingTimeout}
+		o := messenger.Options{DialTimeout: pingTimeout, Dial: c.dialHost}
 		if c.settings.Forwarding {
 			// Forwarded submissions don't keep pings waiting for a connection.
 			o.MaxConcurrentForwards = messenger.DefaultMaxConcurrentForwards + maxForwardedSubmissions
--- a/internal/coordinator/forward_test.go
+++ b/internal/coordinator/forward_test.go
@@ -11,9 +11,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp/fasthttputil"
 
 	"peridotpitch/internal/messenger"
 	"peridotpitch/internal/orchestrator"
@@ -90,17 +92,18 @@
 	closeServer func()
 }
 
+// newForwardingPair connects the hosts in memory. In a bubble of testing/synctest, their timeouts do not depend on the
+// speed of the machine: on a busy one, a connection over TCP took longer than pingTimeout.
 func newForwardingPair(t *testing.T) *forwardingPair {
 	t.Helper()
 	is := is.New(t)
 	f := &forwardingPair{store: &sharedStore{keys: make(map[string][]byte), term: 1}, hostStore: &silentStore{}, hostLog: &bytes.Buffer{}}
 	f.leader, f.leaderLog = newTestLeadership(f.store)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
+	l := fasthttputil.NewInmemoryListener()
 	ld := f.leader
 	ld.apply(orchestrator.Inherited{})
 	ld.loaded, ld.c.processID, ld.c.settings.Forwarding = true, "a/1", true
-	ld.c.term, ld.c.termKnown = term{Host: "a", Process: "a/1", Address: l.Addr().String(), Revision: 1}, true
+	ld.c.term, ld.c.termKnown = term{Host: "a", Process: "a/1", Address: "127.0.0.1:1", Revision: 1}, true
 	// Whatever the test takes, the store has just served the leader.
 	ld.c.lastStoreSuccess.Store(timekeeper.Now().Add(time.Minute).UnixNano())
 	ld.lastConfirmedSent.Store(timekeeper.Now().Add(time.Minute).UnixNano())
@@ -108,6 +111,7 @@
 	t.Cleanup(f.closeServer)
 	f.host = New(Settings{Name: "b", Forwarding: true}, Dependencies{Store: f.hostStore}, slog.New(slog.NewTextHandler(f.hostLog, nil)))
 	t.Cleanup(f.host.closeClients)
+	f.host.dialHost = func(context.Context, netip.AddrPort) (net.Conn, error) { return l.Dial() }
 	f.host.term, f.host.termKnown = ld.c.term, true
 	f.ping(is)
 	f.host.recordStoreResult(&storer.UnavailableError{})
@@ -132,24 +136,26 @@
 // store it, against a job without its policy and time of submission, and against a second job for a
 // repetition at another host.
 func TestLeaderStoresForwardedSubmission(t *testing.T) {
-	is := is.New(t)
-	f := newForwardingPair(t)
-	begin := time.Now()
-	is.Equal(f.submit("j1").Outcome, OutcomeDone)
-	j := f.store.stored(is, "j1")
-	is.Equal(j.Policy.Priority, 3)
-	is.True(!j.Submitted.Before(begin.Round(0)) && !j.Submitted.After(time.Now()))
-	is.Equal(j.Epoch, uint64(1))
-	_, known, _ := f.leader.state("j1")
-	is.True(known) // the leader need not find it in the store
-	is.True(strings.Contains(f.hostLog.String(), "Forwarded=a"))
-	is.True(strings.Contains(f.leaderLog.String(), "msg=SubmitForwarded Job=j1 From=b Outcome=done"))
-	is.Equal(f.hostStore.commits, 0)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwardingPair(t)
+		begin := time.Now()
+		is.Equal(f.submit("j1").Outcome, OutcomeDone)
+		j := f.store.stored(is, "j1")
+		is.Equal(j.Policy.Priority, 3)
+		is.True(!j.Submitted.Before(begin.Round(0)) && !j.Submitted.After(time.Now()))
+		is.Equal(j.Epoch, uint64(1))
+		_, known, _ := f.leader.state("j1")
+		is.True(known) // the leader need not find it in the store
+		is.True(strings.Contains(f.hostLog.String(), "Forwarded=a"))
+		is.True(strings.Contains(f.leaderLog.String(), "msg=SubmitForwarded Job=j1 From=b Outcome=done"))
+		is.Equal(f.hostStore.commits, 0)
 
-	is.Equal(f.submit("j1").Outcome, OutcomeDone)
-	is.Equal(f.leader.c.Submit(context.Background(), orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1}}}).Outcome, OutcomeDone)
-	is.Equal(f.store.stored(is, "j1"), j)
-	is.Equal(len(f.store.keys), 1)
+		is.Equal(f.submit("j1").Outcome, OutcomeDone)
+		is.Equal(f.leader.c.Submit(context.Background(), orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1}}}).Outcome, OutcomeDone)
+		is.Equal(f.store.stored(is, "j1"), j)
+		is.Equal(len(f.store.keys), 1)
+	})
 }
 
 // Guards against a message to the leader while forwarding is off, or while the leader is not known to store jobs.
@@ -164,15 +170,17 @@
 		"64 submissions are waiting": func(f *forwardingPair) { fill(f.host.forwardSlots) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			f := newForwardingPair(t)
-			prepare(f)
-			a := f.submit("j1")
-			is.Equal(a.Outcome, OutcomeUnavailable)
-			is.Equal(a.RetryAfter, time.Second)
-			is.Equal(f.hostStore.commits, 0)
-			is.Equal(f.leaderLog.Len(), 0)
-			is.True(!strings.Contains(f.hostLog.String(), "Forwarded="))
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newForwardingPair(t)
+				prepare(f)
+				a := f.submit("j1")
+				is.Equal(a.Outcome, OutcomeUnavailable)
+				is.Equal(a.RetryAfter, time.Second)
+				is.Equal(f.hostStore.commits, 0)
+				is.Equal(f.leaderLog.Len(), 0)
+				is.True(!strings.Contains(f.hostLog.String(), "Forwarded="))
+			})
 		})
 	}
 }
@@ -214,16 +222,18 @@
 		}, OutcomeUndecided},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			f := newForwardingPair(t)
-			c.prepare(f)
-			begin := time.Now()
-			a := f.submit("j1")
-			is.Equal(a.Outcome, c.want)
-			is.Equal(a.RetryAfter > 0, c.want == OutcomeUnavailable)
-			is.True(time.Since(begin) < maxForwardTime+500*time.Millisecond)
-			is.Equal(f.hostStore.commits, 0)
-			is.Equal(f.store.stored(is, "j1").ID, "")
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newForwardingPair(t)
+				c.prepare(f)
+				begin := time.Now()
+				a := f.submit("j1")
+				is.Equal(a.Outcome, c.want)
+				is.Equal(a.RetryAfter > 0, c.want == OutcomeUnavailable)
+				is.True(time.Since(begin) <= maxForwardTime)
+				is.Equal(f.hostStore.commits, 0)
+				is.Equal(f.store.stored(is, "j1").ID, "")
+			})
 		})
 	}
 }
@@ -231,67 +241,76 @@
 // The leader stores the job, and its answer arrives too late. Guards against a refusal of a job that exists, against
 // two jobs after the repetition, and against a wait beyond the caller's time.
 func TestAnswerOfLeaderIsLate(t *testing.T) {
-	is := is.New(t)
-	f := newForwardingPair(t)
-	answered, stored := make(chan struct{}), make(chan struct{})
-	f.store.commit = func(ctx context.Context) error {
-		<-ctx.Done()
-		<-answered
-		defer close(stored)
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-	defer cancel()
-	a := f.host.Submit(ctx, orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1}}})
-	is.Equal(a.Outcome, OutcomeUndecided)
-	is.NoErr(ctx.Err()) // the caller still hears it
-	close(answered)
-	<-stored
-	f.store.commit = nil
-	for f.store.stored(is, "j1").ID == "" {
-		time.Sleep(time.Millisecond)
-	}
-	is.Equal(f.submit("j1"), Answer{Outcome: OutcomeDone, Reason: "it was accepted before"})
-	is.Equal(len(f.store.keys), 1)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwardingPair(t)
+		answered, stored := make(chan struct{}), make(chan struct{})
+		f.store.commit = func(ctx context.Context) error {
+			<-ctx.Done()
+			<-answered
+			defer close(stored)
+			return nil
+		}
+		answer := sync.OnceFunc(func() { close(answered) })
+		defer answer() // the server waits for the call also when the test fails
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		a := f.host.Submit(ctx, orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1}}})
+		is.Equal(a.Outcome, OutcomeUndecided)
+		is.NoErr(ctx.Err()) // the caller still hears it
+		answer()
+		<-stored
+		f.store.commit = nil
+		for f.store.stored(is, "j1").ID == "" {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(f.submit("j1"), Answer{Outcome: OutcomeDone, Reason: "it was accepted before"})
+		is.Equal(len(f.store.keys), 1)
+	})
 }
 
 // The leader answers no submission for a second, and hundreds of them arrive. Guards against memory and connections without
 // bound, and against pings that wait for the submissions: the host would take the leader for dead.
 func TestForwardedSubmissionsAreBounded(t *testing.T) {
-	is := is.New(t)
-	f := newForwardingPair(t)
-	var waiting, refused atomic.Int64
-	release := make(chan struct{})
-	f.store.commit = func(context.Context) error { waiting.Add(1); <-release; return nil }
-	var all sync.WaitGroup
-	for i := range 3 * maxForwardedSubmissions {
-		all.Go(func() {
-			j := orchestrator.Job{ID: fmt.Sprint(i), Steps: []orchestrator.Step{{Count: 1}}}
-			if f.host.Submit(context.Background(), j).Outcome == OutcomeUnavailable {
-				refused.Add(1)
-			}
-		})
-	}
-	for refused.Load() < 2*maxForwardedSubmissions {
-		time.Sleep(time.Millisecond)
-	}
-	is.True(waiting.Load() <= maxForwardedSubmissions)
-	f.ping(is)
-	close(release)
-	all.Wait()
-	is.Equal(refused.Load(), int64(2*maxForwardedSubmissions))
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwardingPair(t)
+		var waiting, refused atomic.Int64
+		release := make(chan struct{})
+		end := sync.OnceFunc(func() { close(release) })
+		defer end() // the server waits for the calls also when the test fails
+		f.store.commit = func(context.Context) error { waiting.Add(1); <-release; return nil }
+		var all sync.WaitGroup
+		for i := range 3 * maxForwardedSubmissions {
+			all.Go(func() {
+				j := orchestrator.Job{ID: fmt.Sprint(i), Steps: []orchestrator.Step{{Count: 1}}}
+				if f.host.Submit(context.Background(), j).Outcome == OutcomeUnavailable {
+					refused.Add(1)
+				}
+			})
+		}
+		synctest.Wait()
+		is.Equal(refused.Load(), int64(2*maxForwardedSubmissions)) // at once
+		is.True(waiting.Load() <= maxForwardedSubmissions)
+		f.ping(is)
+		end()
+		all.Wait()
+		is.Equal(refused.Load(), int64(2*maxForwardedSubmissions))
+	})
 }
 
 // Another host was elected while the leader was late. Guards against a job that names the earlier term, which nobody
 // would start until it is found in the store.
 func TestDeposedLeaderStoresForwardedSubmissionUnderNewTerm(t *testing.T) {
-	is := is.New(t)
-	f := newForwardingPair(t)
-	f.store.term = 9
-	is.Equal(f.submit("j1").Outcome, OutcomeDone)
-	is.Equal(f.store.stored(is, "j1").Epoch, uint64(9))
-	is.True(f.leader.deposed.Load())
-	is.Equal(f.submit("j2").Outcome, OutcomeUnavailable) // it does not lead any more
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwardingPair(t)
+		f.store.term = 9
+		is.Equal(f.submit("j1").Outcome, OutcomeDone)
+		is.Equal(f.store.stored(is, "j1").Epoch, uint64(9))
+		is.True(f.leader.deposed.Load())
+		is.Equal(f.submit("j2").Outcome, OutcomeUnavailable) // it does not lead any more
+	})
 }
 
 // unavailableStore refuses each call.
@@ -319,18 +338,20 @@
 		{&silentStore{}, false, OutcomeUndecided}, // its transaction may still be executed
 	} {
 		t.Run(fmt.Sprintf("%T, leader %t", c.store, c.leader), func(t *testing.T) {
-			is := is.New(t)
-			f := newForwardingPair(t)
-			f.host.store = observedStore{TransactionalStore: c.store, onResult: f.host.recordStoreResult}
-			f.host.recordStoreResult(nil)
-			if !c.leader {
-				f.store.commit = func(context.Context) error { return &storer.UnavailableError{Reason: "status 503"} }
-			}
-			is.Equal(f.submit("j1").Outcome, c.want)
-			is.Equal(f.store.stored(is, "j1").ID != "", c.leader)
-			if s, ok := c.store.(*silentStore); ok {
-				is.Equal(s.reads, 0) // no second wait for a silent store
-			}
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newForwardingPair(t)
+				f.host.store = observedStore{TransactionalStore: c.store, onResult: f.host.recordStoreResult}
+				f.host.recordStoreResult(nil)
+				if !c.leader {
+					f.store.commit = func(context.Context) error { return &storer.UnavailableError{Reason: "status 503"} }
+				}
+				is.Equal(f.submit("j1").Outcome, c.want)
+				is.Equal(f.store.stored(is, "j1").ID != "", c.leader)
+				if s, ok := c.store.(*silentStore); ok {
+					is.Equal(s.reads, 0) // no second wait for a silent store
+				}
+			})
 		})
 	}
 }
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -83,8 +83,10 @@
 	ExchangeTimeout       time.Duration
 	CallTimeout           time.Duration // for all methods of Peer except Exchange and Forward
 	DialTimeout           time.Duration
-	MaxConcurrentForwards int        // further Forward and Invoke calls wait for a connection
-	Rand                  *rand.Rand // jitter of the dial backoff; must not be used concurrently elsewhere
+	MaxConcurrentForwards int // further Forward and Invoke calls wait for a connection
+	// Dial connects to a peer; nil: over TCP, within DialTimeout. Tests connect in memory, for virtual time.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	Rand *rand.Rand // jitter of the dial backoff; must not be used concurrently elsewhere
 }
 
 // Client implements Peer for the entry host at one address.
@@ -114,6 +116,12 @@
 	if o.MaxConcurrentForwards <= 0 {
 		o.MaxConcurrentForwards = DefaultMaxConcurrentForwards
 	}
+	if o.Dial == nil {
+		o.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			d := net.Dialer{Timeout: o.DialTimeout}
+			return d.DialContext(ctx, "tcp", address.String())
+		}
+	}
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
@@ -358,8 +366,7 @@
 	if err := c.dialBackoff.check(time.Now()); err != nil {
 		return nil, err
 	}
-	d := net.Dialer{Timeout: c.options.DialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", c.address.String())
+	conn, err := c.options.Dial(ctx, c.address)
 	if err != nil && ctx.Err() == context.Canceled {
 		return nil, err // canceled by the caller, so no failure of the peer
 	}
