status: show forwarded submissions and refused callers of each host

The status said nothing of forwarding and readmission: operators had to compare the logs or metrics of all hosts. Pings now carry how many submissions a host has sent to the leader in the last 10 s, and how many of its refused callers are not due yet. Hosts with a figure above 0 get a row, the leader too, which no row showed before; silent hosts show no figures, because theirs are of seconds that have passed.

--- a/internal/commandline/fleet.go
+++ b/internal/commandline/fleet.go
@@ -169,10 +169,14 @@
 }
 
 // printHostsToCheck prints the hosts that are silent or not ready, or whose program or
-// configuration is not that of the leader.
+// configuration is not that of the leader, and those, the leader too, that have forwarded submissions or refused
+// callers.
 func printHostsToCheck(w io.Writer, l coordinator.LeaderStatus) {
 	header := false
-	for _, h := range l.Hosts {
+	// The row "Leader" says whether the leader is ready.
+	leader := l.Host
+	leader.Ready = true
+	for _, h := range append(slices.Clone(l.Hosts), leader) {
 		var reasons []string
 		if h.Silent {
 			reasons = append(reasons, "silent")
@@ -186,6 +190,12 @@
 		if h.ConfigurationVersion != l.Host.ConfigurationVersion {
 			reasons = append(reasons, fmt.Sprintf("configuration %d", h.ConfigurationVersion))
 		}
+		if h.Forwarded > 0 {
+			reasons = append(reasons, fmt.Sprintf("%d submissions forwarded in the last 10s", h.Forwarded))
+		}
+		if h.RefusedCallers > 0 {
+			reasons = append(reasons, fmt.Sprintf("%d refused callers not due yet", h.RefusedCallers))
+		}
 		if len(reasons) == 0 {
 			continue
 		}
--- a/internal/commandline/fleet_test.go
+++ b/internal/commandline/fleet_test.go
@@ -12,8 +12,8 @@
 	"peridotpitch/internal/orchestrator"
 )
 
-// fleetStatus returns the fixed status of 147 hosts, of which one is silent and one has the
-// previous program and configuration.
+// fleetStatus returns the fixed status of 147 hosts, of which one is silent, one has the
+// previous program and configuration, one forwards submissions, and the leader has refused callers.
 func fleetStatus() coordinator.FleetStatus {
 	host := func(n int) coordinator.HostStatus {
 		return coordinator.HostStatus{Name: fmt.Sprintf("sampaloc-%d", n), FailureDomain: "Sampaloc", Program: "1.2.3", ConfigurationVersion: 14,
@@ -45,6 +45,8 @@
 		leader.Hosts = append(leader.Hosts, host(n))
 	}
 	leader.Hosts[40].HeardAgo, leader.Hosts[40].Silent = 31*time.Second, true
+	leader.Hosts[42].Ready, leader.Hosts[42].Forwarded, leader.Hosts[42].RefusedCallers = false, 17, 4
+	leader.Host.RefusedCallers = 2
 	leader.Hosts[41].Program, leader.Hosts[41].ConfigurationVersion, leader.Hosts[41].Ready = "1.2.2", 13, false
 	return coordinator.FleetStatus{Host: host(5), Leader: &leader}
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -77,6 +77,7 @@
 	lastLeaderPing    atomic.Pointer[leaderPing]    // the leader's last answer to a ping; nil: none yet
 	knownHosts        atomic.Int64                  // number of hosts, from the leader's last answer that has it; 0: unknown
 	forwardSlots      chan struct{}                 // holds one element for each submission that is being forwarded
+	recentForwards    recentCounter                 // submissions sent to the leader
 	returns           returnCounter
 	admission         admission
 	invalidWorkerKeys sync.Map // keys of worker entries that could not be decoded; each is logged once
--- a/internal/coordinator/forward.go
+++ b/internal/coordinator/forward.go
@@ -138,6 +138,7 @@
 		// Also after an error that the leader has reported: a panic may have ended the call after the write.
 		s = submitAnswer{Outcome: OutcomeUndecided, Reason: err.Error()}
 	}
+	c.recentForwards.add(timekeeper.Now())
 	a := Answer{Outcome: s.Outcome, Reason: s.Reason}
 	switch s.Outcome {
 	case OutcomeDone, OutcomeInvalid, OutcomeUndecided:
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -33,6 +33,10 @@
 	Share         float64 // processor share of the host
 	Ready         bool
 	Uptime        time.Duration // of the host's process
+	// See HostStatus. They are left out while 0, so that the message is the same as before while the settings don't
+	// switch forwarding and readmission on.
+	Forwarded      int `msgpack:",omitempty"`
+	RefusedCallers int `msgpack:",omitempty"`
 }
 
 // pingAnswer describes the host that was pinged.
@@ -95,7 +99,7 @@
 			c.checkTerm()
 		}
 		ld.hosts.record(HostStatus{Name: p.Host, FailureDomain: p.FailureDomain, Program: p.Program, ConfigurationVersion: p.Version,
-			ProcessorShare: p.Share, Ready: p.Ready, Uptime: p.Uptime}, timekeeper.Now())
+			ProcessorShare: p.Share, Ready: p.Ready, Uptime: p.Uptime, Forwarded: p.Forwarded, RefusedCallers: p.RefusedCallers}, timekeeper.Now())
 		a.Leading, a.Epoch, a.Pending = true, ld.term.Revision, ld.pending()
 		a.Loaded = a.Pending != nil
 		if c.settings.ReturnRate() > 0 {
@@ -131,7 +135,7 @@
 	err := c.client(t.address()).Invoke(ctx, pingTimeout, methodPing,
 		&pingRequest{Host: c.settings.Name, FailureDomain: c.settings.FailureDomain, Program: c.deps.Program, Epoch: t.Revision,
 			Version: c.configVersion(), Share: c.settings.ProcessorShare, Ready: c.Ready(),
-			Uptime: timekeeper.Now().Sub(c.startedAt)}, &a)
+			Uptime: sent.Sub(c.startedAt), Forwarded: c.recentForwards.count(sent), RefusedCallers: c.returns.waiting(sent)}, &a)
 	if err != nil {
 		return pingAnswer{}, err
 	}
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -27,6 +27,9 @@
 	maxHostSilence = 2 * time.Second
 	// hostRetention is how long the status shows a silent host.
 	hostRetention = 5 * time.Minute
+	// recentForwardSeconds is for how many seconds a forwarded submission counts as recent. Operators who repeat the
+	// status every few seconds then miss none.
+	recentForwardSeconds = 10
 )
 
 // FleetStatus is what an entry host knows about the fleet. Ages refer to the time of the answer.
@@ -48,6 +51,11 @@
 	Uptime               time.Duration // of its process, as of its last ping
 	HeardAgo             time.Duration // since its last ping to the leader; 0 for the leader and the host that answers
 	Silent               bool          // it has not pinged the leader for maxHostSilence
+	// Forwarded is the number of submissions that it has sent to the leader in the last recentForwardSeconds, and
+	// RefusedCallers that of the callers that it has refused and that have not been due to return yet. Both are as of
+	// its last ping, and 0 for silent hosts and while the settings don't switch forwarding and readmission on.
+	Forwarded      int `msgpack:",omitempty" json:",omitempty"`
+	RefusedCallers int `msgpack:",omitempty" json:",omitempty"`
 }
 
 // LeaderStatus is the leader's view of the fleet.
@@ -144,12 +152,47 @@
 			delete(t.hosts, name)
 			continue
 		}
+		if h.status.Silent {
+			h.status.Forwarded, h.status.RefusedCallers = 0, 0 // they describe seconds that have passed
+		}
 		hosts = append(hosts, h.status)
 	}
 	slices.SortFunc(hosts, func(a, b HostStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return hosts
 }
 
+// recentCounter counts the events of the last recentForwardSeconds; the current second is the last of them. It is safe
+// for concurrent use.
+type recentCounter struct {
+	mu      sync.Mutex // guards seconds
+	seconds [recentForwardSeconds]struct {
+		second int64 // Unix time
+		count  int
+	}
+}
+
+func (r *recentCounter) add(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &r.seconds[now.Unix()%recentForwardSeconds]
+	if s.second != now.Unix() {
+		s.second, s.count = now.Unix(), 0
+	}
+	s.count++
+}
+
+func (r *recentCounter) count(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, s := range r.seconds {
+		if now.Unix()-s.second < recentForwardSeconds {
+			n += s.count
+		}
+	}
+	return n
+}
+
 // processorMeter measures the processors that this process uses. sample must not be called
 // concurrently.
 type processorMeter struct {
@@ -180,9 +223,11 @@
 
 // hostStatus describes this host.
 func (c *Coordinator) hostStatus() HostStatus {
+	now := timekeeper.Now()
 	return HostStatus{
 		Name: c.settings.Name, FailureDomain: c.settings.FailureDomain, Program: c.deps.Program, ConfigurationVersion: c.configVersion(),
-		ProcessorShare: c.settings.ProcessorShare, Ready: c.Ready(), Uptime: timekeeper.Now().Sub(c.startedAt),
+		ProcessorShare: c.settings.ProcessorShare, Ready: c.Ready(), Uptime: now.Sub(c.startedAt),
+		Forwarded: c.recentForwards.count(now), RefusedCallers: c.returns.waiting(now),
 	}
 }
 
