coordinator: bound the forwarded submissions that the leader stores at a time

Each host forwards at most 64 submissions at a time, but the leader had no bound for all hosts together: with a third of 147 hosts cut off and a slow store, over 3,000 jobs and calls to the store could wait there. It now stores at most 256 at a time and refuses further ones at once as not accepted, which is true since nothing was sent to the store. Such callers are spread by priority like those of an outage, because hundreds are refused together.

TestForwardedSubmissionsOfAllHostsAreBounded was seen red without the bound, with a wait instead of the refusal, and with slots that are not given back.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -77,6 +77,7 @@
 	lastLeaderPing    atomic.Pointer[leaderPing]    // the leader's last answer to a ping; nil: none yet
 	knownHosts        atomic.Int64                  // number of hosts, from the leader's last answer that has it; 0: unknown
 	forwardSlots      chan struct{}                 // holds one element for each submission that is being forwarded
+	servedSlots       chan struct{}                 // holds one element for each forwarded submission that this host stores as leader
 	recentForwards    recentCounter                 // submissions sent to the leader
 	returns           returnCounter
 	admission         admission
@@ -97,6 +98,7 @@
 		settings: s, deps: p, log: log, metrics: newMetrics(), processID: processID, startedAt: timekeeper.Now(),
 		jitter:  func(d time.Duration) time.Duration { return rand.N(d + 1) },
 		clients: make(map[netip.AddrPort]*messenger.Client), forwardSlots: make(chan struct{}, maxForwardedSubmissions),
+		servedSlots: make(chan struct{}, maxServedSubmissions),
 	}
 	c.store = observedStore{TransactionalStore: p.Store, onResult: c.recordStoreResult}
 	return c
--- a/internal/coordinator/forward.go
+++ b/internal/coordinator/forward.go
@@ -15,6 +15,10 @@
 	// maxForwardedSubmissions bounds the submissions that a host forwards at the same time. Each holds a
 	// connection to the leader and its job in memory.
 	maxForwardedSubmissions = 64
+	// maxServedSubmissions bounds the forwarded submissions that the leader stores at the same time, for all hosts
+	// together. Each holds its job in memory and a call to the store, which the leader's own writes need too. Four hosts
+	// reach it at their own bounds.
+	maxServedSubmissions = 256
 	// maxForwardTime bounds the wait for the leader's answer. The leader needs some milliseconds; a leader that
 	// needs longer has lost the store or its processor.
 	maxForwardTime = time.Second
@@ -178,5 +182,13 @@
 	if c.storeUnavailable.Load() {
 		return c.storeSilentAnswer(j, "the leader has lost the store")
 	}
+	select {
+	case c.servedSlots <- struct{}{}:
+		defer func() { <-c.servedSlots }()
+	default:
+		// CauseOutage, because hundreds of callers are refused together: urgent ones return first.
+		return Answer{Outcome: OutcomeUnavailable, Reason: "the leader already stores as many forwarded submissions as it may",
+			RetryAfter: c.retryAfter(readmitter.Refusal{Cause: readmitter.CauseOutage, ID: j.ID, Priority: j.Policy.Priority})}
+	}
 	return c.submit(ctx, j)
 }
--- a/internal/coordinator/forward_test.go
+++ b/internal/coordinator/forward_test.go
@@ -299,6 +299,48 @@
 	})
 }
 
+// A third of the hosts lose the store and all forward at once, and the store is slow. Guards against jobs and calls to the
+// store without bound at the leader, against a wait of those beyond the bound, and against a refusal of a job that is stored.
+func TestForwardedSubmissionsOfAllHostsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwardingPair(t)
+		release := make(chan struct{})
+		end := sync.OnceFunc(func() { close(release) })
+		defer end()
+		f.store.commit = func(context.Context) error { <-release; return nil }
+		const refused = 50
+		answers := make(map[string]submitAnswer)
+		var mu sync.Mutex // guards answers
+		var all sync.WaitGroup
+		submit := func(id string) {
+			j := orchestrator.Job{ID: id, Steps: []orchestrator.Step{{Count: 1}}}
+			a, err := f.leader.c.serveSubmit(context.Background(), submitRequest{Host: "b", Job: j, Timeout: maxForwardTime})
+			is.NoErr(err)
+			mu.Lock()
+			defer mu.Unlock()
+			answers[id] = a
+		}
+		for i := range maxServedSubmissions + refused {
+			all.Go(func() { submit(fmt.Sprint(i)) })
+		}
+		synctest.Wait()
+		is.Equal(len(answers), refused) // at once: the others wait for the store
+		for _, a := range answers {
+			is.Equal(a.Outcome, OutcomeUnavailable)
+			is.Equal(a.RetryAfter, time.Second)
+		}
+		end()
+		all.Wait()
+		for id, a := range answers {
+			is.Equal(a.Outcome == OutcomeDone, f.store.stored(is, id).ID == id)
+		}
+		is.Equal(len(f.store.keys), maxServedSubmissions)
+		submit("later")
+		is.Equal(answers["later"].Outcome, OutcomeDone)
+	})
+}
+
 // Another host was elected while the leader was late. Guards against a job that names the earlier term, which nobody
 // would start until it is found in the store.
 func TestDeposedLeaderStoresForwardedSubmissionUnderNewTerm(t *testing.T) {
