--- a/internal/readmitter/readmitter_test.go
+++ b/internal/readmitter/readmitter_test.go
@@ -89,6 +89,7 @@
 	}
 	r.Add(now.Add(7*time.Second), time.Hour)
 	is.Equal(r.Waiting(now.Add(7*time.Second)), 1)
+	is.Equal(r.Waiting(now.Add(7*time.Second+MaxWait)), 0)
 }
 
 // caller is a caller of the simulated outage.
