--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -54,6 +54,8 @@
 	metrics   *metrics
 	processID string // identifies this process in the store and to other hosts
 	jitter    func(time.Duration) time.Duration
+	// dialHost connects to another entry host; nil: over TCP. Tests set it.
+	dialHost  func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	startedAt time.Time // timekeeper time at which the process started
 
 	config            atomic.Pointer[Configuration]
@@ -75,6 +77,8 @@
 	lastLeaderPing    atomic.Pointer[leaderPing]    // the leader's last answer to a ping; nil: none yet
 	knownHosts        atomic.Int64                  // number of hosts, from the leader's last answer that has it; 0: unknown
 	forwardSlots      chan struct{}                 // holds one element for each submission that is being forwarded
+	servedSlots       chan struct{}                 // holds one element for each forwarded submission that this host stores as leader
+	recentForwards    recentCounter                 // submissions sent to the leader
 	returns           returnCounter
 	admission         admission
 	invalidWorkerKeys sync.Map // keys of worker entries that could not be decoded; each is logged once
@@ -94,6 +98,7 @@
 		settings: s, deps: p, log: log, metrics: newMetrics(), processID: processID, startedAt: timekeeper.Now(),
 		jitter:  func(d time.Duration) time.Duration { return rand.N(d + 1) },
 		clients: make(map[netip.AddrPort]*messenger.Client), forwardSlots: make(chan struct{}, maxForwardedSubmissions),
+		servedSlots: make(chan struct{}, maxServedSubmissions),
 	}
 	c.store = observedStore{TransactionalStore: p.Store, onResult: c.recordStoreResult}
 	return c
@@ -253,7 +258,7 @@
 	m := c.clients[address]
 	if m == nil {
 		var clean func()
-		o := messenger.Options{DialTimeout: pingTimeout}
+		o := messenger.Options{DialTimeout: pingTimeout, Dial: c.dialHost}
 		if c.settings.Forwarding {
 			// Forwarded submissions don't keep pings waiting for a connection.
 			o.MaxConcurrentForwards = messenger.DefaultMaxConcurrentForwards + maxForwardedSubmissions
