orchestrator: end the reservation for a moved task with its start

The worker that is reserved for a task that leaves an evacuated failure domain stayed closed to all other tasks for 2 s, also after the task had started there or elsewhere. Release it at the start of the task. TestReservationEndsWithTheMove failed before (one of two short tasks waited).

--- a/internal/orchestrator/evacuation.go
+++ b/internal/orchestrator/evacuation.go
@@ -93,6 +93,7 @@
 			continue
 		}
 		target.reservedFor, target.reservedUntil = t, o.now.Add(evacuationMoveReservation)
+		t.moveTarget = target
 		o.stop(r, "its failure domain is evacuated, and worker "+target.ID+" has room")
 		surroundings.Moving++
 		surroundings.Used += size
@@ -115,6 +116,14 @@
 	return ws
 }
 
+// endMove releases the worker that is reserved for a task that moves, because the task starts.
+func (t *task) endMove() {
+	if w := t.moveTarget; w != nil && w.reservedFor == t {
+		w.reservedFor = nil
+	}
+	t.moveTarget = nil
+}
+
 // evacuationSurroundings returns the load outside the evacuated failure domains.
 func (o *Orchestrator) evacuationSurroundings() evacuator.Surroundings {
 	var s evacuator.Surroundings
--- a/internal/orchestrator/evacuation_test.go
+++ b/internal/orchestrator/evacuation_test.go
@@ -225,6 +225,20 @@
 	is.True(w.loadFigure(t, "Scored")-before <= 2*20*40) // two searches of 40 workers each second; and not 80 times as many
 }
 
+// A long-running task has moved out of an evacuated failure domain. Guards against a worker that stays reserved for it.
+func TestReservationEndsWithTheMove(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationCluster(t, 0, 1)
+	w.submit(latencyCriticalJob("s", "web", 1, cores(2, 4)))
+	w.run(2 * time.Second)
+	w.evacuate(w.workers[w.runningOn("s")[0]].entry.FailureDomain)
+	w.run(600 * time.Millisecond)
+	is.Equal(len(w.runningOn("s")), 1)
+	w.submit(simpleJob("j", 2, cores(6, 4))) // one task for each worker
+	w.run(300 * time.Millisecond)
+	is.Equal(len(w.runningOn("j")), 2)
+}
+
 // Jobs wait for capacity when an evacuation is taken back after half a second. Guards against work that does not return, and against moves
 // of what runs elsewhere.
 func TestWorkReturnsWhenEvacuationIsTakenBack(t *testing.T) {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -169,6 +169,7 @@
 	runs              []*run
 	expiredRuns       map[int]bool    // runs whose lease or worker ended without a report
 	moves             int             // moves because it was throttled, hung or slow, less its preemptions
+	moveTarget        *worker         // worker that moveOutOfEvacuated has reserved for its next run; nil: none
 	unsuitableWorkers map[string]bool // workers on which a run failed or was too slow
 	waitingSince      time.Time       // when the last run ended, or the step became ready
 	lastRunEnd        time.Time       // when the last run that had begun ended; zero: none has
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -167,6 +167,7 @@
 	}
 	o.emit(Note{Event: EventStart, Job: t.job().ID, Task: t.name, Run: number, Worker: w.ID, Age: o.timeSinceAnswer(w),
 		Figures: fmt.Sprintf("Score=%.2f FreeCores=%.1f Waited=%s", score, float64(w.free().CPU)/1000, o.now.Sub(t.waitingSince).Round(time.Millisecond))})
+	t.endMove()
 	speed := o.initialSpeed(s, w)
 	r := o.start(t, w, number, s.advice.tickets[w.ID])
 	r.targetSpeed, r.throttled = speed, speed < 100
