orchestrator: start a moved task at once when capacity has become scarce

A task that leaves an evacuated failure domain is stopped only if it fits elsewhere at once. If short jobs took nearly all processors during the stop, the task waited for 4.5 s beside the worker that was reserved for it, because the rest was kept for short jobs. Exempt the reserved worker. TestMovedTaskStartsAtOnceWhenCapacityGetsScarce failed before (not running after 1 s).

--- a/internal/orchestrator/evacuation_test.go
+++ b/internal/orchestrator/evacuation_test.go
@@ -239,6 +239,24 @@
 	is.Equal(len(w.runningOn("j")), 2)
 }
 
+// Short jobs take nearly all processors while a long-running task is stopped for a move. Guards against a task that waits
+// 4.5 s for the reserve for short jobs beside a worker that is reserved for it.
+func TestMovedTaskStartsAtOnceWhenCapacityGetsScarce(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationCluster(t, 0, 8)
+	w.runTime = func(string, *simulatedWorker) time.Duration { return 10 * time.Second }
+	w.submit(latencyCriticalJob("s", "web", 1, cores(2, 4)))
+	w.run(2 * time.Second)
+	w.evacuate(w.workers[w.runningOn("s")[0]].entry.FailureDomain)
+	w.run(100 * time.Millisecond)
+	is.Equal(len(w.notesOf(orchestrator.EventStop)), 1)
+	j := simpleJob("j", 130, cores(1, 1)) // 128 find room in the two other failure domains
+	j.Steps[0].Estimate = 10 * time.Second
+	w.submit(j)
+	w.run(time.Second)
+	is.Equal(len(w.runningOn("s")), 1)
+}
+
 // Jobs wait for capacity when an evacuation is taken back after half a second. Guards against work that does not return, and against moves
 // of what runs elsewhere.
 func TestWorkReturnsWhenEvacuationIsTakenBack(t *testing.T) {
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -352,7 +352,7 @@
 		return obstacleSuspect
 	case o.yieldsToReturning(t, w):
 		return obstacleReturningTask
-	case s.LongRunning && o.capacityScarce && o.now.Sub(t.waitingSince) < longRunningMaxWait:
+	case s.LongRunning && o.capacityScarce && t.moveTarget != w && o.now.Sub(t.waitingSince) < longRunningMaxWait:
 		return obstacleShortJobReserve
 	}
 	if s.RackAffinity != "" && w.Rack != s.RackAffinity {
