--- a/internal/coordinator/evacuations_test.go
+++ b/internal/coordinator/evacuations_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"strings"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/storer"
@@ -189,3 +191,12 @@
 	p.send(start)
 	is.Equal(workers.starts, 1)
 }
+
+// Guards against a status that changes on the wire while no failure domain is evacuated.
+func TestStatusWithoutEvacuationsIsAsBefore(t *testing.T) {
+	is := is.New(t)
+	ld, _ := newEvacuationLeadership(nil)
+	b, err := msgpack.Marshal(ld.orch.Status(timekeeper.Now()))
+	is.NoErr(err)
+	is.True(!bytes.Contains(b, []byte("EvacuatedFor")))
+}
--- a/internal/orchestrator/status.go
+++ b/internal/orchestrator/status.go
@@ -29,7 +29,7 @@
 	Unreachable int // their last poll failed, or they have not answered this leader yet
 	Runs        int // present runs on all workers
 	// EvacuatedFor is how long this leader has known that operators evacuate the failure domain; 0: they do not.
-	EvacuatedFor time.Duration
+	EvacuatedFor time.Duration `msgpack:",omitempty" json:",omitempty"`
 }
 
 // WorkerStatus describes a worker that gets no new work.
