--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -21,11 +21,11 @@
 	OutcomeTakenBack Outcome = "taken back"
 )
 
-// Change is the begin or the end of an evacuation.
+// Change is the beginning or the end of an evacuation.
 type Change struct {
 	FailureDomain string
 	Outcome       Outcome
-	Lasted        time.Duration // of an evacuation that has been taken back; 0: it has begun
+	Lasted        time.Duration // how long an evacuation lasted that has been taken back; 0: it has begun
 }
 
 // Evacuator holds the present evacuations. The zero value has none. It is not safe for concurrent use.
@@ -75,8 +75,8 @@
 	return now.Sub(at)
 }
 
-// Settles reports whether no running task may be moved into a failure domain yet, because its evacuation has
-// just ended.
+// Settles reports whether the evacuation of a failure domain ended less than SettleTime ago, so that no running task may
+// be moved there yet.
 func (e *Evacuator) Settles(domain string, now time.Time) bool {
 	at, ok := e.takenBackAt[domain]
 	return ok && now.Sub(at) < SettleTime
--- a/internal/orchestrator/evacuation.go
+++ b/internal/orchestrator/evacuation.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// moveOutOfEvacuated stops long-running tasks in evacuated failure domains that can start elsewhere at once. A worker there
-// is reserved for each. Tasks that find no such worker stay.
+// moveOutOfEvacuated stops long-running tasks in evacuated failure domains that can start elsewhere at once. A worker
+// there is reserved for each. Tasks that find no such worker stay.
 func (o *Orchestrator) moveOutOfEvacuated() {
 	if !o.evacuations.Any() || !o.enabled(MechanismEvacuationMoves) || o.now.Sub(o.movedOutAt) < evacuationMoveInterval ||
 		o.now.Sub(o.confirmedAt) > evacuationMoveConfirmation {
--- a/internal/orchestrator/evacuation_test.go
+++ b/internal/orchestrator/evacuation_test.go
@@ -37,8 +37,8 @@
 	return jobs
 }
 
-// A failure domain is evacuated under load, with commands that are lost or executed late, while the leader is replaced, frozen or without the
-// store. checkedStart guards against starts there; the jobs must end elsewhere.
+// A failure domain is evacuated under load, with commands that are lost or executed late, while the leader is replaced,
+// frozen or without the store. checkedStart guards against starts there; the jobs must end elsewhere.
 func TestNothingStartsInEvacuatedDomain(t *testing.T) {
 	for name, disturb := range map[string]func(*simulation){
 		"undisturbed":           func(*simulation) {},
@@ -73,8 +73,8 @@
 	}
 }
 
-// The last start before an evacuation gets no answer. Guards against sending it again after the evacuation, and against a second run
-// elsewhere while the first may still begin.
+// The last start before an evacuation gets no answer. Guards against sending it again after the evacuation, and against
+// a second run elsewhere while the first may still begin.
 func TestUnansweredStartIsNotSentAgainToEvacuatedDomain(t *testing.T) {
 	is := is.New(t)
 	w := newEvacuationCluster(t, 0, 1)
@@ -93,7 +93,8 @@
 	}
 }
 
-// Batch tasks run in a failure domain when it is evacuated. Guards against work that is stopped although it ends by itself.
+// Batch tasks run in a failure domain when it is evacuated. Guards against work that is stopped although it ends by
+// itself.
 func TestEvacuationStopsNoBatchTasks(t *testing.T) {
 	is := is.New(t)
 	w := newEvacuationCluster(t, 0, 4)
@@ -109,8 +110,8 @@
 	is.Equal(w.state("j"), orchestrator.StateSucceeded)
 }
 
-// Twelve long-running tasks, of which two may be away, use a third of three failure domains, and one of these is evacuated. Reports whether
-// it is empty after 20 s. Guards against more tasks away than allowed.
+// Twelve long-running tasks, of which two may be away, use a third of three failure domains, and one of these is
+// evacuated. Reports whether it is empty after 20 s. Guards against more tasks away than allowed.
 func longRunningTasksLeaveEvacuatedDomain(t *testing.T, disabled orchestrator.MechanismSet) bool {
 	w := newEvacuationCluster(t, disabled, 4)
 	j := latencyCriticalJob("s", "web", 12, cores(2.5, 4))
@@ -127,8 +128,9 @@
 	return w.runsIn("a") == 0
 }
 
-// A worker with a task of a step dies just before another failure domain is evacuated, so that its leader can't know yet whether the
-// task still runs. Guards against a second task of the step that is stopped meanwhile, and against tasks that never leave.
+// A worker with a task of a step dies just before another failure domain is evacuated, so that its leader can't know
+// yet whether the task still runs. Guards against a second task of the step that is stopped meanwhile, and against
+// tasks that never leave.
 func TestNoTaskIsMovedWhileAnotherIsUnreachable(t *testing.T) {
 	is := is.New(t)
 	w := newEvacuationCluster(t, 0, 4)
@@ -147,8 +149,8 @@
 	is.Equal(w.runsIn(evacuated), 0)
 }
 
-// Long-running tasks use most of three failure domains when one of them is evacuated. Guards against tasks that are stopped and find no
-// room elsewhere, or take what waiting jobs need.
+// Long-running tasks use most of three failure domains when one of them is evacuated. Guards against tasks that are
+// stopped and find no room elsewhere, or take what waiting jobs need.
 func TestLongRunningTasksStayWithoutRoomElsewhere(t *testing.T) {
 	is := is.New(t)
 	w := newEvacuationCluster(t, 0, 4)
@@ -165,8 +167,8 @@
 	}
 }
 
-// The store is lost while long-running tasks move out of an evacuated failure domain. Guards against a task that is stopped
-// shortly before starts are no longer possible, and is away for the rest of the outage.
+// The store is lost while long-running tasks move out of an evacuated failure domain. Guards against a task that is
+// stopped shortly before starts are no longer possible, and is away for the rest of the outage.
 func TestNoTaskIsMovedWithoutStore(t *testing.T) {
 	for offset := time.Duration(0); offset < 500*time.Millisecond; offset += 100 * time.Millisecond {
 		t.Run(offset.String(), func(t *testing.T) {
@@ -190,8 +192,8 @@
 	}
 }
 
-// One failure domain is evacuated in the moment in which the evacuation of another one is taken back. Guards against a wave
-// of moves onto workers that may be slow, and against tasks that move out and back.
+// One failure domain is evacuated in the moment in which the evacuation of another one is taken back. Guards against a
+// wave of moves onto workers that may be slow, and against tasks that move out and back.
 func TestNoTaskIsMovedIntoDomainThatHasJustReturned(t *testing.T) {
 	is := is.New(t)
 	w := newEvacuationCluster(t, 0, 4)
@@ -208,8 +210,9 @@
 	is.Equal(w.runsIn("b"), 6)
 }
 
-// Long-running tasks use all memory of three failure domains but few processors, and one of these is evacuated. Guards against
-// a search of all workers for each task there, which takes a leader with 1,100 workers and 4,400 tasks 0.3 s at a time.
+// Long-running tasks use all memory of three failure domains but few processors, and one of these is evacuated. Guards
+// against a search of all workers for each task there, which takes a leader with 1,100 workers and 4,400 tasks 0.3 s at
+// a time.
 func TestSearchForMovesIsBounded(t *testing.T) {
 	is := is.New(t)
 	w := newEvacuationCluster(t, 0, 20)
@@ -257,8 +260,8 @@
 	is.Equal(len(w.runningOn("s")), 1)
 }
 
-// Jobs wait for capacity when an evacuation is taken back after half a second. Guards against work that does not return, and against moves
-// of what runs elsewhere.
+// Jobs wait for capacity when an evacuation is taken back after half a second. Guards against work that does not
+// return, and against moves of what runs elsewhere.
 func TestWorkReturnsWhenEvacuationIsTakenBack(t *testing.T) {
 	is := is.New(t)
 	w := newEvacuationCluster(t, 0, 2)
