orchestrator: count the load for moves by service

The free capacity for moves out of evacuated failure domains was that of all services together. Idle workers of another service let long-running tasks fill their own service's workers completely, beyond the 75% that leave room for jobs that arrive meanwhile, and a task that waited in one service stopped the moves of all. Count workers and tasks by service. TestMovesCountCapacityOfTheirService failed before (32 of 32 cores in a simulation with 54 tasks).

--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -82,7 +82,7 @@
 	return ok && now.Sub(at) < SettleTime
 }
 
-// Surroundings are what the number of moves depends on.
+// Surroundings are what the number of moves depends on: figures of the workers and tasks of one service.
 type Surroundings struct {
 	Workers  int // usable workers, all outside the evacuated failure domains
 	Waiting  int // tasks that wait for capacity
--- a/internal/orchestrator/evacuation.go
+++ b/internal/orchestrator/evacuation.go
@@ -75,12 +75,13 @@
 		return
 	}
 	o.movedOutAt = o.now
-	surroundings := o.evacuationSurroundings()
+	byService := o.evacuationSurroundings()
 	stay := make(map[*step]bool) // steps of which no further task moves now
 	targets := make(map[string][]*worker)
 	for _, r := range o.movableRuns() {
 		t, size := r.task, r.task.step.Size.CPU
-		if stay[t.step] || evacuator.MovesAllowed(surroundings, size) == 0 {
+		surroundings := byService[t.job().Policy.Service]
+		if stay[t.step] || surroundings == nil || evacuator.MovesAllowed(*surroundings, size) == 0 {
 			continue
 		}
 		if !t.step.mayStopOne() {
@@ -124,17 +125,28 @@
 	t.moveTarget = nil
 }
 
-// evacuationSurroundings returns the load outside the evacuated failure domains.
-func (o *Orchestrator) evacuationSurroundings() evacuator.Surroundings {
-	var s evacuator.Surroundings
+// evacuationSurroundings returns the load outside the evacuated failure domains, by service. Services without usable
+// workers are left out.
+func (o *Orchestrator) evacuationSurroundings() map[string]*evacuator.Surroundings {
+	byService := make(map[string]*evacuator.Surroundings)
 	for _, w := range o.workers {
-		if ok, _ := o.usable(w); ok {
-			s.Workers++
-			s.Capacity += w.Capacity.CPU
-			s.Used += w.used.CPU + w.load.bestEffort
+		if ok, _ := o.usable(w); !ok {
+			continue
+		}
+		s := byService[w.Service]
+		if s == nil {
+			s = &evacuator.Surroundings{}
+			byService[w.Service] = s
 		}
+		s.Workers++
+		s.Capacity += w.Capacity.CPU
+		s.Used += w.used.CPU + w.load.bestEffort
 	}
 	for st := range o.ready {
+		s := byService[st.occurrence.job.Policy.Service]
+		if s == nil {
+			continue
+		}
 		for _, t := range st.tasks {
 			switch {
 			case t.done || slices.ContainsFunc(t.runs, func(r *run) bool { return r.phase != phaseStopping }):
@@ -145,7 +157,7 @@
 			}
 		}
 	}
-	return s
+	return byService
 }
 
 // movableRuns returns the runs of long-running tasks at work in evacuated failure domains, the shortest ones first: their
--- a/internal/orchestrator/evacuation_test.go
+++ b/internal/orchestrator/evacuation_test.go
@@ -260,6 +260,24 @@
 	is.Equal(len(w.runningOn("s")), 1)
 }
 
+// The workers of one failure domain are of another service and idle. Guards against moves that fill the remaining
+// workers of a service because those of another one have room.
+func TestMovesCountCapacityOfTheirService(t *testing.T) {
+	is := is.New(t)
+	w := newEvacuationCluster(t, 0, 4)
+	w.inDomain("c", func(k *simulatedWorker) { k.entry.Service = "other" })
+	w.leader().step(orchestrator.WorkersListed{Workers: w.listedWorkers(), SentAt: w.now})
+	w.submit(latencyCriticalJob("s", "web", 54, cores(1, 1)))
+	w.run(2 * time.Second)
+	evacuated, other := "a", "b"
+	if w.runsIn("a") < w.runsIn("b") {
+		evacuated, other = "b", "a"
+	}
+	w.evacuate(evacuated)
+	w.run(20 * time.Second)
+	is.True(w.runsIn(other) <= 24) // of 32
+}
+
 // Jobs wait for capacity when an evacuation is taken back after half a second. Guards against work that does not
 // return, and against moves of what runs elsewhere.
 func TestWorkReturnsWhenEvacuationIsTakenBack(t *testing.T) {
