classifier, orchestrator: move slow runs only if their worker is the likely cause

Cause: tasks that take long by themselves were taken for runs on slow workers, stopped and started elsewhere up to four times, each time from the beginning.

Mechanism slow-run-causes.

The load of the mechanism fails without it.

--- a/internal/orchestrator/event_names.go
+++ b/internal/orchestrator/event_names.go
@@ -22,12 +22,13 @@
 	EventWorkerLost        = "WorkerLost"
 	EventWorkerQuarantined = "WorkerAvoided"
 	EventEvacuation        = "Evacuation"
+	EventSlowRun           = "SlowRun"
 )
 
 // Events returns all values of Note.Event.
 func Events() []string {
 	return []string{
 		EventJobAdded, EventJobFinished, EventStart, EventStartRefused, EventStop, EventCopy, EventEnd, EventAdopt,
-		EventRunLost, EventResend, EventCrash, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined, EventEvacuation,
+		EventRunLost, EventResend, EventCrash, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined, EventEvacuation, EventSlowRun,
 	}
 }
--- a/internal/orchestrator/mechanism.go
+++ b/internal/orchestrator/mechanism.go
@@ -34,6 +34,8 @@
 	// MechanismEvacuationMoves moves long-running tasks out of evacuated failure domains into
 	// capacity that no task waits for.
 	MechanismEvacuationMoves Mechanism = "evacuation-moves"
+	// MechanismSlowRunCauses moves slow runs only if their queue has shown that workers are the cause.
+	MechanismSlowRunCauses Mechanism = "slow-run-causes"
 	// MechanismStragglers moves or copies runs that hang or are slower than expected.
 	MechanismStragglers Mechanism = "straggler-moves"
 )
@@ -42,7 +44,7 @@
 var Mechanisms = []Mechanism{
 	MechanismStepLoad, MechanismImageSeparation, MechanismThrottledMoves, MechanismForecastOrder,
 	MechanismShortJobReserve, MechanismPreemption, MechanismReservations, MechanismQuarantine, MechanismStragglers, MechanismCrashIsolation,
-	MechanismEvacuationMoves,
+	MechanismEvacuationMoves, MechanismSlowRunCauses,
 }
 
 // MechanismSet is a set of mechanisms. The zero value is empty.
--- a/internal/orchestrator/mechanism_test.go
+++ b/internal/orchestrator/mechanism_test.go
@@ -47,6 +47,7 @@
 	orchestrator.MechanismStragglers:      hungTaskEndsElsewhere,
 	orchestrator.MechanismCrashIsolation:  tasksBesideCrashingOnesEnd,
 	orchestrator.MechanismEvacuationMoves: longRunningTasksLeaveEvacuatedDomain,
+	orchestrator.MechanismSlowRunCauses:   longTasksAreNotRestarted,
 }
 
 // Guards against a mechanism that no longer answers its load, and against one that the load
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"peridotpitch/internal/classifier"
 	"peridotpitch/internal/evacuator"
 )
 
@@ -102,6 +103,7 @@
 type queueStats struct {
 	runTimeRatio    float64 // moving average of the ratio of measured run times to estimates
 	runTimeVariance float64 // moving average of the variance of the logarithm of run times within a step
+	tasks           classifier.Queue
 }
 
 // job is a job that has not finished, or whose final state is not in the store yet.
@@ -170,6 +172,8 @@
 	expiredRuns       map[int]bool    // runs whose lease or worker ended without a report
 	moves             int             // moves because it was throttled, hung or slow, less its preemptions
 	unsuitableWorkers map[string]bool // workers on which a run failed or was too slow
+	slow              slowRun         // its last run that was stopped or copied because it was slow
+	long              bool            // it takes long on several workers
 	waitingSince      time.Time       // when the last run ended, or the step became ready
 	lastRunEnd        time.Time       // when the last run that had begun ended; zero: none has
 	crashes           []Crash         // crashes of workers under it since it last outlasted crashWindow
--- a/internal/orchestrator/record.go
+++ b/internal/orchestrator/record.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"peridotpitch/internal/classifier"
 )
 
 // Record is the progress of a job, as kept in the store.
@@ -230,6 +232,7 @@
 	Ratios map[string]float64 // ratio of measured run times to estimates, by queue
 	// Variances holds the variance of the logarithm of run times within a step, by queue.
 	Variances map[string]float64
+	LongTasks map[string]classifier.Queue // tasks that are long by themselves, by queue; queues without any are left out
 }
 
 // PairStatistics is the measured interference of a best-effort image with a latency-critical
@@ -282,6 +285,12 @@
 	}
 	for queue, s := range o.queueStats {
 		e.Ratios[queue], e.Variances[queue] = s.runTimeRatio, s.runTimeVariance
+		if s.tasks.Long > 0 {
+			if e.LongTasks == nil {
+				e.LongTasks = make(map[string]classifier.Queue)
+			}
+			e.LongTasks[queue] = s.tasks
+		}
 	}
 	return e
 }
@@ -299,5 +308,6 @@
 	}
 	for queue, ratio := range e.Ratios {
 		o.stats(queue).runTimeRatio, o.stats(queue).runTimeVariance = ratio, e.Variances[queue]
+		o.stats(queue).tasks = e.LongTasks[queue]
 	}
 }
--- a/internal/orchestrator/record_test.go
+++ b/internal/orchestrator/record_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"peridotpitch/internal/classifier"
 	"peridotpitch/internal/orchestrator"
 )
 
@@ -45,6 +46,7 @@
 		Pairs:  []orchestrator.PairStatistics{{Serving: "web", Filler: "loud", Coefficient: 3, Samples: 40, Variance: 0.02}},
 		Images: []orchestrator.ImageStatistics{{Image: "web", Idle: 0.22, Mean: 0.5}},
 		Ratios: map[string]float64{"q": 1.5}, Variances: map[string]float64{"q": 0.09},
+		LongTasks: map[string]classifier.Queue{"q": {Long: 3, Normal: 100}},
 	}
 	b, err := orchestrator.EncodeWorkloadStatistics(e)
 	is.NoErr(err)
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -376,6 +376,7 @@
 		o.recordRunOutcome(r.worker, r.task.job(), false)
 	}
 	o.clearCrashes(r)
+	o.compareSlowRun(r)
 	o.checkStraggler(r)
 	o.moveThrottled(r)
 }
@@ -484,7 +485,7 @@
 	}
 	took := o.now.Sub(r.startedAt)
 	qs := o.stats(r.task.job().Policy.Queue)
-	if expected := s.expectedRunTime(qs.runTimeRatio); expected > 0 && !s.Fills {
+	if expected := s.expectedRunTime(qs.runTimeRatio); expected > 0 && !s.Fills && o.observeSpeed(r, took, expected) {
 		r.worker.slowdown += slowdownWeight * (float64(took)/float64(expected) - r.worker.slowdown)
 	}
 	if s.runTimeSamples >= minVarianceSamples && took > 0 {
--- a/internal/orchestrator/throttle.go
+++ b/internal/orchestrator/throttle.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"peridotpitch/internal/classifier"
 )
 
 const (
@@ -53,7 +55,7 @@
 	hangTimeout = 1500 * time.Millisecond
 	// stragglerFactor is the projected run time, as a multiple of the expected one, above which
 	// a run counts as slow. Slow runs are moved or copied.
-	stragglerFactor = 2.0
+	stragglerFactor = classifier.SlowFactor
 	// stragglerMinRunTime is the run time from which a run may count as hung or slow. The
 	// remaining time of a slow run must also exceed the expected run time by as much.
 	stragglerMinRunTime = 600 * time.Millisecond
@@ -208,7 +210,7 @@
 	slow := false
 	if r.progressPercent > 0 && !s.Fills {
 		projected := elapsed * 100 / time.Duration(r.progressPercent)
-		slow = float64(projected) > stragglerFactor*float64(expected) && projected-elapsed > expected+stragglerMinRunTime
+		slow = float64(projected) > stragglerFactor*float64(expected) && projected-elapsed > expected+stragglerMinRunTime && o.mayMoveSlow(r, elapsed, projected, expected)
 	}
 	if !hung && !slow || t.moves >= maxMoves || !o.moveSearchDue(r) {
 		return
@@ -225,7 +227,12 @@
 	}
 	t.moves++
 	t.markUnsuitable(w)
-	w.slowdown = max(w.slowdown, stragglerFactor)
+	if hung || o.blame(r) >= blameLimit {
+		w.slowdown = max(w.slowdown, stragglerFactor)
+	}
+	if slow {
+		o.moveSlow(r, elapsed*100/time.Duration(r.progressPercent))
+	}
 	if hung {
 		o.quarantine(w, Note{Reason: "a run stands still", Age: o.now.Sub(r.progressAt)})
 	}
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"peridotpitch/internal/classifier"
 )
 
 const (
@@ -80,8 +82,9 @@
 	failureStreak    int // failed runs in a row
 	lastFailedJob    string
 	quarantinedUntil time.Time
-	probing          bool      // it gets one task at a time until one succeeds
-	probe            *run      // run of that task; nil: none
+	probing          bool // it gets one task at a time until one succeeds
+	probe            *run // run of that task; nil: none
+	speeds           classifier.Worker
 	slowdown         float64   // moving average of the ratio of measured to expected run time
 	noCapacityUntil  time.Time // it gets no starts until then, because it refused one for lack of capacity
 	reservedFor      *task     // until reservedUntil only this task may start on it
@@ -381,6 +384,7 @@
 	o.emit(WriteSoon{}) // the lost runs expire after the next confirmation
 	w.lastAppliedEnd, w.ackedThrough, w.unackedEnds = 0, 0, nil
 	w.failureStreak, w.quarantinedUntil, w.probing, w.probe, w.slowdown = 0, time.Time{}, false, nil, 1
+	w.speeds = classifier.Worker{}
 	// The clock of the new incarnation starts at 0. A lease end on the old clock can therefore be a
 	// lease of up to MaxLease.
 	w.leasesEnd = o.now.Add(maxLeaseTime(o.settings.MaxLease))
