coordinator: read no evacuations from before the election

Change: the term's revision is the lower bound; watches wait for 1 ms at least.

Result: the tests of internal/coordinator pass.

--- a/internal/coordinator/evacuations.go
+++ b/internal/coordinator/evacuations.go
@@ -93,7 +93,7 @@
 // watchEvacuationsOnce runs one watch, which ends when the next read of all is due.
 func (ld *leadership) watchEvacuationsOnce(ctx context.Context) error {
 	l, begin := &ld.evacuations, time.Now()
-	wait := min(evacuationWatchTimeout, l.readAt.Add(evacuationReadInterval).Sub(begin))
+	wait := max(time.Millisecond, min(evacuationWatchTimeout, l.readAt.Add(evacuationReadInterval).Sub(begin)))
 	es, err := ld.c.store.Watch(ctx, ld.c.deps.Keys.Evacuations, l.position.start(), wait)
 	if err != nil {
 		return err
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -111,6 +111,7 @@
 		pollers: make(map[string]*poller), headRevision: t.Revision, electedAt: timekeeper.Now(), inheritedHandedOff: handedOff,
 	}
 	ld.lastConfirmedSent.Store(sent.UnixNano())
+	ld.evacuations.revision = t.Revision // reads from before the election are out of date
 	c.mu.Lock()
 	c.term, c.termKnown, c.leadership = t, true, ld
 	c.mu.Unlock()
