commandline: tests of the status don't depend on the machine's speed

Cause: TestOutputAndExitCodes/fleet failed once beside four busy loops, because the request for a status is limited to 900 ms.

Change: the limit is a field of Environment, 900 ms by default; the tests give 30 s. What they compare is unchanged.

--- a/internal/commandline/fleet.go
+++ b/internal/commandline/fleet.go
@@ -44,7 +44,7 @@
 	var first *coordinator.FleetStatus
 	var errs []error
 	for _, a := range addresses {
-		s, err := fetchFleet(a)
+		s, err := fetchFleet(a, cmp.Or(c.FleetTimeout, fleetTimeout))
 		if err != nil {
 			errs = append(errs, &administrator.NoAnswerError{Address: a, Cause: err})
 			continue
@@ -62,13 +62,13 @@
 	return c.show(first, func(w io.Writer) { printFleet(w, *first) })
 }
 
-func fetchFleet(a netip.AddrPort) (coordinator.FleetStatus, error) {
+func fetchFleet(a netip.AddrPort, timeout time.Duration) (coordinator.FleetStatus, error) {
 	client := fasthttp.Client{MaxResponseBodySize: maxFleetStatusBytes, NoDefaultUserAgentHeader: true}
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + a.String() + coordinator.StatusPath)
-	if err := client.DoTimeout(request, response, fleetTimeout); err != nil {
+	if err := client.DoTimeout(request, response, timeout); err != nil {
 		return coordinator.FleetStatus{}, err
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
--- a/internal/commandline/run.go
+++ b/internal/commandline/run.go
@@ -53,6 +53,8 @@
 	// file of the entry subcommand.
 	SettingsVariable string
 	Version          string
+	// FleetTimeout limits the request to one entry host for its status. 0: 900 ms.
+	FleetTimeout time.Duration
 }
 
 // command is one subcommand.
--- a/internal/commandline/run_test.go
+++ b/internal/commandline/run_test.go
@@ -31,6 +31,7 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){"peridotpitch": func() {
 		os.Exit(Run(context.Background(), os.Args[1:], Environment{Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, Version: "1.2.3",
+			FleetTimeout: 30 * time.Second, // the machine may be busy
 			Serve: func(_ context.Context, s loader.Settings) error {
 				return fmt.Errorf("%s is not served in tests", s.Name)
 			}}))
