orchestrator: run long tests in parallel

Cause: with the race detector the tests of the package took nearly their limit of 8 minutes beside load, most of it in a few tests with hundreds of seconds of virtual time.

Change: ten tests and the loads of the mechanisms run in parallel. What they check is unchanged.

--- a/internal/orchestrator/crash_test.go
+++ b/internal/orchestrator/crash_test.go
@@ -42,6 +42,7 @@
 // Guards against one task that crashes worker after worker: it is started again each time, and each crash
 // takes the runs beside it along.
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	t.Parallel()
 	for name, m := range crashModels() {
 		for _, longRunning := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/longRunning=%t", name, longRunning), func(t *testing.T) {
@@ -61,6 +62,7 @@
 // Guards against a count of crashes that ends with the leader which has seen them. Leaders are killed or
 // hand over while a worker is down, or lose the store.
 func TestCrashesCountAcrossLeaders(t *testing.T) {
+	t.Parallel()
 	changes := map[string]func(w *simulation){
 		"kill":      func(w *simulation) { w.leader().deposed = true; w.elect(false) },
 		"hand over": func(w *simulation) { w.elect(w.leader().handOver()) },
@@ -90,6 +92,7 @@
 // Guards against a job that fails because its tasks ran beside tasks that crash workers, and against crashes
 // that go on for long.
 func TestTasksBesideCrashingOnesSucceed(t *testing.T) {
+	t.Parallel()
 	for name, m := range crashModels() {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -204,6 +207,7 @@
 // Three racks lose power, one soon after the other. Guards against jobs that fail although none of their tasks
 // causes crashes.
 func TestTasksOfLostRacksSucceed(t *testing.T) {
+	t.Parallel()
 	for _, sameID := range []bool{false, true} {
 		t.Run(fmt.Sprintf("sameID=%t", sameID), func(t *testing.T) {
 			is := is.New(t)
--- a/internal/orchestrator/domain_test.go
+++ b/internal/orchestrator/domain_test.go
@@ -44,6 +44,7 @@
 // runs that are started again elsewhere or stopped although they went on, and against starts that are sent to
 // workers out of reach.
 func TestShortCutsOfFailureDomainMoveNothing(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	w := newDomains(t, 44, 300)
 	starts := 300
@@ -70,6 +71,7 @@
 // The workers of one failure domain flap: every 1.4 s they can't be reached for 0.7 s. Guards against a storm of
 // starts, stops and moves; the runs on these workers go on.
 func TestFlappingFailureDomainCausesNoStorm(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	w := newDomains(t, 44, 300)
 	for range 10 {
--- a/internal/orchestrator/evacuation_test.go
+++ b/internal/orchestrator/evacuation_test.go
@@ -40,6 +40,7 @@
 // A failure domain is evacuated under load, with commands that are lost or executed late, while the leader is replaced,
 // frozen or without the store. checkedStart guards against starts there; the jobs must end elsewhere.
 func TestNothingStartsInEvacuatedDomain(t *testing.T) {
+	t.Parallel()
 	for name, disturb := range map[string]func(*simulation){
 		"undisturbed":           func(*simulation) {},
 		"another leader":        func(w *simulation) { w.elect(false) },
@@ -170,6 +171,7 @@
 // The store is lost while long-running tasks move out of an evacuated failure domain. Guards against a task that is
 // stopped shortly before starts are no longer possible, and is away for the rest of the outage.
 func TestNoTaskIsMovedWithoutStore(t *testing.T) {
+	t.Parallel()
 	for offset := time.Duration(0); offset < 500*time.Millisecond; offset += 100 * time.Millisecond {
 		t.Run(offset.String(), func(t *testing.T) {
 			w := newEvacuationCluster(t, 0, 8)
--- a/internal/orchestrator/fleet_test.go
+++ b/internal/orchestrator/fleet_test.go
@@ -54,6 +54,7 @@
 // whose work is the waiting steps times the workers: once a task fits nowhere, no larger one of its
 // service does.
 func TestReadyStepsInFullClusterAreNotScoredOneByOne(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	const workers = 300
 	w := newSimulation(t, 1)
--- a/internal/orchestrator/longrunning_test.go
+++ b/internal/orchestrator/longrunning_test.go
@@ -106,6 +106,7 @@
 // its processors go to others: to short jobs, also of higher priority, and to long-running tasks that
 // have waited longer but have no run to lose.
 func TestFailedLongRunningTaskComesBackToFullCluster(t *testing.T) {
+	t.Parallel()
 	for name, p := range map[string]struct {
 		priority int
 		tasks    int
--- a/internal/orchestrator/mechanism_test.go
+++ b/internal/orchestrator/mechanism_test.go
@@ -64,6 +64,7 @@
 			continue
 		}
 		t.Run(string(m), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			disabled, err := orchestrator.ParseMechanisms(string(m))
 			is.NoErr(err)
