connector: keep connections to workers within the process's descriptors

Cause: on a site of 300 hosts of 0.16 cores and 3,000 workers, the leader held a poll connection to each worker and opened another for each start. At 4,100 descriptors accept failed with EMFILE, which fasthttp takes for the end of the listener: callers and readiness checks were not served again (ServerStopped, twice), store calls failed, and 100,720 of 105,682 starts ended as "not sent" after 1 to 4 ms, each tried again at once with a new run number.

Ruled out: a host too weak to lead. It used 22% of its processor.

Change: - Budget counts connections to workers, keeps a fifth of the descriptors free, and lowers its limit when the system refuses one.

--- a/cmd/peridotpitch/entry.go
+++ b/cmd/peridotpitch/entry.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"peridotpitch/internal/connector"
 	"peridotpitch/internal/coordinator"
 	"peridotpitch/internal/logger"
 	"peridotpitch/platform"
@@ -45,7 +46,7 @@
 	defer flush()
 	store, closeStore := platform.NewStore(s.StoreAddress, storeTimeout)
 	defer closeStore()
-	workers, closeWorkers := platform.NewWorkerClient(s.AdviceAddress, commandTimeout, adviceTimeout)
+	workers, closeWorkers := platform.NewWorkerClient(s.AdviceAddress, commandTimeout, adviceTimeout, connector.NewBudget(connector.Descriptors()))
 	defer closeWorkers()
 	keys := coordinator.StoreKeys{Configuration: platform.ConfigurationKey, Workers: platform.WorkerKeyPrefix}
 	if s.EvacuationDeadline > 0 {
--- a/internal/orchestrator/event.go
+++ b/internal/orchestrator/event.go
@@ -131,6 +131,7 @@
 	StartInvalid    StartOutcome = "invalid"
 	StartReplaced   StartOutcome = "replaced"   // another worker answers at the address
 	StartNotSent    StartOutcome = "not sent"   // the start has not left this host
+	StartDeferred   StartOutcome = "deferred"   // the start has not left this host, which lacks the connections to send any
 	StartUnanswered StartOutcome = "unanswered" // the run may have started, or may start later
 )
 
--- a/internal/orchestrator/event_names.go
+++ b/internal/orchestrator/event_names.go
@@ -6,6 +6,7 @@
 	EventJobFinished       = "JobFinished"
 	EventStart             = "Start"
 	EventStartRefused      = "StartRefused"
+	EventStartDeferred     = "StartDeferred"
 	EventStop              = "Stop"
 	EventCopy              = "Copy"
 	EventEnd               = "End"
@@ -28,7 +29,7 @@
 // Events returns all values of Note.Event.
 func Events() []string {
 	return []string{
-		EventJobAdded, EventJobFinished, EventStart, EventStartRefused, EventStop, EventCopy, EventEnd, EventAdopt,
+		EventJobAdded, EventJobFinished, EventStart, EventStartRefused, EventStartDeferred, EventStop, EventCopy, EventEnd, EventAdopt,
 		EventRunLost, EventResend, EventCrash, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined, EventEvacuation, EventSlowRun,
 	}
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -80,6 +80,8 @@
 	loadNotedAt      time.Time              // when noteLoad last ran
 	work             passWork               // of the scheduling passes since loadNotedAt
 	movedOutAt       time.Time              // when moveOutOfEvacuated last looked for moves
+	deferrals        int                    // deferred starts since deferralNotedAt
+	deferralNotedAt  time.Time              // when deferred starts were last noted
 	lastWork         passWork               // of the scheduling passes before loadNotedAt, since the note before
 	tickOffset       int                    // index of the first worker of the last tick
 	lastPassAt       time.Time              // of the last scheduling pass
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -38,6 +38,7 @@
 	ackedAt          time.Time // when the worker answered the last start or stop; zero: not yet
 	inFlight         bool      // a start or stop is sent and not answered
 	lostAt           time.Time // when it was found that the run has ended with its worker's process; zero: not found
+	deferred         bool      // its last start or stop has not left this host, for lack of connections
 	startUnanswered  bool      // a start without an answer may still be executed
 	saved            string    // checkpoint that the start passes on
 	ticket           string
@@ -183,8 +184,12 @@
 		return
 	}
 	w := r.worker
-	r.inFlight = false
-	if e.Outcome != StartAccepted {
+	r.inFlight, r.deferred = false, false
+	switch e.Outcome {
+	case StartAccepted:
+	case StartDeferred:
+		o.noteDeferral(r)
+	default:
 		o.emit(Note{Event: EventStartRefused, Job: r.task.job().ID, Task: e.Task, Run: e.Run, Worker: e.Worker, Outcome: string(e.Outcome), Age: o.now.Sub(r.sentAt)})
 	}
 	switch e.Outcome {
@@ -200,6 +205,8 @@
 	case StartNotSent:
 		w.unansweredAt = o.now
 		o.startNotExecuted(r)
+	case StartDeferred:
+		r.deferred, r.sentAt = true, o.now // resendCommands sends it again
 	case StartNoCapacity:
 		w.noCapacityUntil = o.now.Add(resendInterval)
 		o.startNotExecuted(r)
@@ -214,6 +221,21 @@
 	}
 }
 
+// deferralNoteInterval is the shortest time between two notes on deferred starts. Without connections, all starts of a
+// pass are deferred.
+const deferralNoteInterval = time.Second
+
+// noteDeferral counts a deferred start, and notes the count once per deferralNoteInterval.
+func (o *Orchestrator) noteDeferral(r *run) {
+	o.deferrals++
+	if o.now.Sub(o.deferralNotedAt) < deferralNoteInterval {
+		return
+	}
+	o.emit(Note{Event: EventStartDeferred, Job: r.task.job().ID, Task: r.task.name, Run: r.number, Worker: r.worker.ID, Outcome: "it is sent again",
+		Reason: "this host has no connection left for commands", Age: o.now.Sub(r.startedAt), Figures: fmt.Sprintf("Deferred=%d", o.deferrals)})
+	o.deferralNotedAt, o.deferrals = o.now, 0
+}
+
 // startAccepted handles a start that the worker has accepted.
 func (o *Orchestrator) startAccepted(r *run) {
 	r.begun = true
@@ -264,7 +286,7 @@
 		command = "stop"
 		o.sendStop(r)
 	}
-	if command != "" && r.inFlight {
+	if command != "" && r.inFlight && !r.deferred {
 		o.emit(Note{Event: EventResend, Job: r.task.job().ID, Task: r.task.name, Run: r.number, Worker: w.ID, Outcome: command, Age: o.now.Sub(r.startedAt),
 			Figures: fmt.Sprintf("Incarnation=%d", w.incarnation)})
 	}
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -33,6 +33,7 @@
 	faults          faults
 	succeeds        func(task string, run int) bool // whether a run ends as done
 	refuses         func(task string) bool          // whether a worker refuses a start for lack of capacity; nil: never
+	defers          func(task string) bool          // whether the leader's host lacks the connection for a start; nil: never
 	runTime         func(task string, w *simulatedWorker) time.Duration
 	notes           []orchestrator.Note
 	wallOffset      time.Duration
@@ -268,6 +269,10 @@
 	case orchestrator.ThrottleRun:
 		worker = a.Worker
 	}
+	if a, ok := c.action.(orchestrator.StartRun); ok && answered && w.defers != nil && w.defers(a.Task) {
+		w.answerCommand(c, orchestrator.StartDeferred)
+		return
+	}
 	k := w.workers[worker]
 	if k == nil || k.dead || k.unreachableFrom[c.leader] {
 		if answered {
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -455,7 +455,7 @@
 		w.unreachable = true
 		o.noteSilence(w)
 		o.emit(Note{Event: EventWorkerLost, Worker: w.ID, Outcome: "unreachable", Reason: "a look got no answer",
-			Age: o.timeSinceAnswer(w), Figures: fmt.Sprintf("Runs=%d LeaseLeft=%s", len(w.runs), w.leasesEnd.Sub(o.now).Round(time.Millisecond))})
+			Age: o.timeSinceAnswer(w), Figures: fmt.Sprintf("Runs=%d LeaseLeft=%s", len(w.runs), max(0, w.leasesEnd.Sub(o.now)).Round(time.Millisecond))})
 		o.recordSuspects(w)
 	}
 }
