coordinator: bound what all hosts of a large fleet ask of leader and store

Cause: 300 hosts with equal processors each read head every 150 ms while the leader is late, 2,000 reads a second, all that the store serves. The leader's own writes were refused, it was deposed, and so was each successor: 8 to 21 elections in 50 s on a site of 300 hosts of 0.16 cores and 3,000 workers. Besides, their 1,200 pings a second take over half of such a processor.

Change: the leader's answer to a ping has the number of hosts (before only with forwarding) and the interval at which it wants to be pinged, from its processor share. Reads of head share 400 a second. A leader that asks for a longer interval may be silent for up to 3.2 s instead of 0.9 s; twice that is below the lease of runs. Fleets of up to 60 equal hosts, and those whose leader has 0.8 cores, up to 250 hosts, are as before.

Tests: TestHeadReadsFollowFleet, TestPingsFollowFleet.

Two builds: an older host ignores both fields and goes on as before; an older leader sends neither, and hosts of this build then use the former intervals.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -72,16 +72,18 @@
 	// campaignPausedUntil is the timekeeper time until which this host does not campaign, Unix ns.
 	campaignPausedUntil atomic.Int64
 	// yieldedEarlyAt is the timekeeper time of the last early hand-over, Unix ns; see yieldTo.
-	yieldedEarlyAt    atomic.Int64
-	leaderPending     atomic.Pointer[pendingCounts] // from the leader's last answer to a ping; nil: none yet
-	lastLeaderPing    atomic.Pointer[leaderPing]    // the leader's last answer to a ping; nil: none yet
-	knownHosts        atomic.Int64                  // number of hosts, from the leader's last answer that has it; 0: unknown
-	forwardSlots      chan struct{}                 // holds one element for each submission that is being forwarded
-	servedSlots       chan struct{}                 // holds one element for each forwarded submission that this host stores as leader
-	recentForwards    recentCounter                 // submissions sent to the leader
-	returns           returnCounter
-	admission         admission
-	invalidWorkerKeys sync.Map // keys of worker entries that could not be decoded; each is logged once
+	yieldedEarlyAt atomic.Int64
+	leaderPending  atomic.Pointer[pendingCounts] // from the leader's last answer to a ping; nil: none yet
+	lastLeaderPing atomic.Pointer[leaderPing]    // the leader's last answer to a ping; nil: none yet
+	// leaderPingInterval is the interval, in ns, at which the leader asks to be pinged, from its last answer.
+	leaderPingInterval atomic.Int64
+	knownHosts         atomic.Int64  // number of hosts, from the leader's last answer that has it; 0: unknown
+	forwardSlots       chan struct{} // holds one element for each submission that is being forwarded
+	servedSlots        chan struct{} // holds one element for each forwarded submission that this host stores as leader
+	recentForwards     recentCounter // submissions sent to the leader
+	returns            returnCounter
+	admission          admission
+	invalidWorkerKeys  sync.Map // keys of worker entries that could not be decoded; each is logged once
 
 	mu         sync.Mutex  // guards the fields below
 	term       term        // newest term that this host has read or written
--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -34,6 +34,12 @@
 	// yieldingPingInterval replaces pingInterval on hosts that leave the next campaign to stronger ones. In a
 	// large deployment most hosts are of this kind, and the leader answers all pings.
 	yieldingPingInterval = 500 * time.Millisecond
+	// maxPingInterval bounds the interval that a leader asks for. Hosts report the number of pending jobs of the
+	// leader's last answer, which may be maxPendingAge old.
+	maxPingInterval = time.Second
+	// pingsPerCore is the rate of pings that a leader answers for each core that it may use. A ping takes about 80
+	// microseconds, so that pings use up to a tenth of the leader's processor.
+	pingsPerCore = 1250
 	// pingTimeout is several times the round trip between failure domains, so that an
 	// overloaded leader still answers in time.
 	pingTimeout = 500 * time.Millisecond
@@ -43,6 +49,9 @@
 	// stronger ones. All hosts read head at the same time, and the platform allows 2,000 reads a
 	// second for all of them: at headPollInterval, 300 hosts would take all of these.
 	yieldingHeadPollInterval = 500 * time.Millisecond
+	// headReadsPerSecond is the rate at which all hosts together read head. 300 hosts of equal processors, each at
+	// headPollInterval, took all reads of the store, also those of the leader that had been late, and of the next one.
+	headReadsPerSecond = 400
 	// If the leader's host refuses connections, a host campaigns after head has stayed
 	// unchanged for refusedElectionTimeout. It is longer than headWriteInterval, to allow for
 	// a slow answer of the store.
@@ -98,6 +107,17 @@
 	since    time.Time
 }
 
+// minPingInterval returns the interval at which a leader that may use so many cores asks each of the other hosts to
+// ping it. The hosts' pings are spread over the interval, so that the first host that finds a leader gone finds it as
+// early as with fewer hosts.
+func minPingInterval(hosts int, processorShare float64) time.Duration {
+	d := time.Duration(float64(hosts) / (pingsPerCore * processorShare) * float64(time.Second))
+	if d <= pingInterval {
+		return 0
+	}
+	return min(d, maxPingInterval)
+}
+
 // monitorLeader checks the leader while this host does not lead, and campaigns if the leader
 // has failed. It also probes a store that has been silent.
 func (c *Coordinator) monitorLeader(ctx context.Context) {
@@ -108,6 +128,11 @@
 		if c.currentLeadership() == nil && !c.leaving.Load() {
 			pause = c.checkLeader(ctx, &o)
 		}
+		for pause > pingInterval && ctx.Err() == nil {
+			sleep(ctx, pingInterval)
+			pause -= pingInterval
+			c.probeStore(ctx)
+		}
 		sleep(ctx, pause)
 	}
 }
@@ -134,7 +159,7 @@
 		return termRetryDelay
 	}
 	p, err := c.pingLeader(ctx, t)
-	electionTimeout := silentElectionTimeout
+	electionTimeout := silenceTimeout(time.Duration(c.leaderPingInterval.Load()))
 	var notSent *messenger.NotSentError
 	switch {
 	case err == nil && p.Process != t.Process, err == nil && !p.Leading:
@@ -145,10 +170,11 @@
 		return termRetryDelay
 	case err == nil && p.StoreSilence < maxLeaderStoreAnswerAge:
 		*o = headObservation{}
+		base := pingInterval
 		if c.yieldsCampaign(t) {
-			return yieldingPingInterval
+			base = yieldingPingInterval
 		}
-		return pingInterval
+		return max(base, time.Duration(c.leaderPingInterval.Load()))
 	case errors.As(err, &notSent): // usually because the leader's host refused the connection
 		electionTimeout = refusedElectionTimeout
 	}
@@ -158,10 +184,7 @@
 // checkHead reads head, and campaigns if head has not changed for electionTimeout. It returns
 // the pause before the next check.
 func (c *Coordinator) checkHead(ctx context.Context, t term, o *headObservation, electionTimeout time.Duration) time.Duration {
-	pause := headPollInterval
-	if c.yieldsCampaign(t) {
-		pause = yieldingHeadPollInterval
-	}
+	pause := headPollPause(int(c.knownHosts.Load()), c.yieldsCampaign(t))
 	entries, _, err := c.store.List(ctx, prefixLeader)
 	if err != nil {
 		*o = headObservation{} // head may have changed while the store did not answer
@@ -192,6 +215,26 @@
 	return pause
 }
 
+// silenceTimeout returns how long a leader may be silent that asks to be pinged at the given interval. Such a leader is weak
+// for its fleet: a collection of garbage keeps it from writing for up to 2 s, and its successor would have to reach all
+// workers with as little processor.
+func silenceTimeout(interval time.Duration) time.Duration {
+	if interval <= pingInterval {
+		return silentElectionTimeout
+	}
+	return silentElectionTimeout + 3*(interval-pingInterval)
+}
+
+// headPollPause returns the pause between two reads of head in a fleet of so many hosts; 0: unknown. It is at most
+// silentElectionTimeout: each host needs only two reads to find that head has not changed for as long.
+func headPollPause(hosts int, yields bool) time.Duration {
+	pause := headPollInterval
+	if yields {
+		pause = yieldingHeadPollInterval
+	}
+	return max(pause, min(silentElectionTimeout, time.Duration(hosts)*time.Second/headReadsPerSecond))
+}
+
 func (c *Coordinator) currentTerm() (term, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/coordinator/election_test.go
+++ b/internal/coordinator/election_test.go
@@ -134,7 +134,7 @@
 			for ld.c.checkingTerm.Load() {
 				time.Sleep(time.Millisecond)
 			}
-			p.send(orchestrator.StartRun{Worker: "w0"}) // decided before
+			p.send(command{orchestrator.StartRun{Worker: "w0"}, time.Now()}) // decided before
 			is.Equal(workers.starts, 0)
 			_, ok := ld.nextPoll("w0")
 			is.True(!ok)
@@ -211,3 +211,42 @@
 		})
 	}
 }
+
+// 300 hosts ping a leader that may use 0.16 of a core. Guards against pings that use up the processor of a leader whose
+// fleet is large, and against hosts of a small fleet that find a lost leader late.
+func TestPingsFollowFleet(t *testing.T) {
+	is := is.New(t)
+	const pingCost = 80 * time.Microsecond
+	for _, c := range []struct {
+		hosts int
+		share float64
+	}{{6, 0.16}, {35, 0.8}, {146, 0.8}, {300, 0.16}, {990, 0.8}} {
+		d := max(pingInterval, minPingInterval(c.hosts, c.share))
+		is.True(d <= maxPingInterval)
+		if d < maxPingInterval {
+			is.True(float64(c.hosts)*pingCost.Seconds()/d.Seconds() <= 0.11*c.share)
+		}
+		is.True(d+pingTimeout < maxPendingAge)
+		is.True(d+pingTimeout < maxHostSilence)
+	}
+	is.Equal(minPingInterval(6, 0.16), time.Duration(0))
+	is.Equal(minPingInterval(146, 0.8), time.Duration(0))
+	is.Equal(minPingInterval(300, 0.16), maxPingInterval)
+	is.Equal(silenceTimeout(minPingInterval(146, 0.8)), silentElectionTimeout)
+	// Leases end 8 s after a leader's last write. Its successor needs the rest of that time to reach the workers.
+	is.True(2*silenceTimeout(maxPingInterval) < runLeaseDuration)
+}
+
+// All hosts of a fleet read head while their leader is late. Guards against reads that take all that the store serves: the
+// leader's writes were refused, and each next leader was deposed too.
+func TestHeadReadsFollowFleet(t *testing.T) {
+	is := is.New(t)
+	for _, hosts := range []int{0, 1, 7, 36, 60, 147, 301, 800} {
+		for _, yields := range []bool{false, true} {
+			pause := headPollPause(hosts, yields)
+			is.True(pause <= silentElectionTimeout)
+			is.True(float64(hosts)/pause.Seconds() <= 900) // under half of the store's 2,000 reads a second
+			is.True(hosts > 60 || yields || pause == headPollInterval)
+		}
+	}
+}
--- a/internal/coordinator/forward.go
+++ b/internal/coordinator/forward.go
@@ -25,8 +25,10 @@
 	// forwardAnswerMargin is the part of the caller's time that is left for this host's own answer.
 	forwardAnswerMargin = 50 * time.Millisecond
 	// maxLeaderPingAge is the age up to which the leader's answer to a ping is relied on. It allows for one
-	// yieldingPingInterval and the answer.
-	maxLeaderPingAge = 600 * time.Millisecond
+	// yieldingPingInterval and the answer. Where the leader asks for a longer interval, that one replaces it.
+	maxLeaderPingAge = yieldingPingInterval + pingAnswerTime
+	// pingAnswerTime is the time within which the answer to a ping is expected.
+	pingAnswerTime = 100 * time.Millisecond
 	// maxForwardStoreSilence is how long the store may not have served the leader. An idle leader writes each
 	// headWriteInterval.
 	maxForwardStoreSilence = 500 * time.Millisecond
@@ -97,7 +99,7 @@
 	if p == nil {
 		return term{}, "the leader has answered no ping"
 	}
-	if age := timekeeper.Now().Sub(p.sent); age >= maxLeaderPingAge {
+	if age := timekeeper.Now().Sub(p.sent); age >= max(maxLeaderPingAge, time.Duration(c.leaderPingInterval.Load())+pingAnswerTime) {
 		return term{}, "the leader's last answer to a ping is " + age.Round(time.Millisecond).String() + " old"
 	}
 	switch a := p.answer; {
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -50,9 +50,11 @@
 	StoreSilence time.Duration
 	Version      uint64
 	Pending      map[string]int
-	// Hosts is the number of hosts that the leader hears of, with itself; 0: the settings don't need it.
-	Hosts   int    `msgpack:",omitempty"`
-	Outlook []byte `msgpack:",omitempty"` // see admitter.Outlook.Encode; empty: none
+	// Hosts is the number of hosts that the leader hears of, with itself; 0: unknown.
+	Hosts int `msgpack:",omitempty"`
+	// PingInterval is the shortest interval at which a host should ping this leader; 0: any.
+	PingInterval time.Duration `msgpack:",omitempty"`
+	Outlook      []byte        `msgpack:",omitempty"` // see admitter.Outlook.Encode; empty: none
 }
 
 // notice informs the leader of a job or cancel request that a host has stored.
@@ -102,9 +104,8 @@
 			ProcessorShare: p.Share, Ready: p.Ready, Uptime: p.Uptime, Forwarded: p.Forwarded, RefusedCallers: p.RefusedCallers}, timekeeper.Now())
 		a.Leading, a.Epoch, a.Pending = true, ld.term.Revision, ld.pending()
 		a.Loaded = a.Pending != nil
-		if c.settings.ReturnRate() > 0 {
-			a.Hosts = ld.hosts.count(timekeeper.Now()) + 1
-		}
+		a.Hosts = ld.hosts.count(timekeeper.Now()) + 1
+		a.PingInterval = minPingInterval(a.Hosts-1, c.settings.ProcessorShare)
 		a.Outlook = ld.encodedOutlook()
 		a.StoreSilence = max(a.StoreSilence, ld.timeSinceConfirmedWrite())
 		if p.Ready && c.settings.ProcessorShare < minProcessorShareRatio*p.Share {
@@ -141,6 +142,7 @@
 	}
 	c.noteOtherHostsVersion(a.Version)
 	c.lastLeaderPing.Store(&leaderPing{answer: a, term: t, sent: sent})
+	c.leaderPingInterval.Store(int64(min(a.PingInterval, maxPingInterval)))
 	if a.Hosts > 0 {
 		c.knownHosts.Store(int64(a.Hosts))
 	}
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -75,8 +75,10 @@
 
 // hostTable holds the hosts that have pinged a leader. It is safe for concurrent use.
 type hostTable struct {
-	mu    sync.Mutex
-	hosts map[string]heardHost
+	mu        sync.Mutex // guards the fields below
+	hosts     map[string]heardHost
+	counted   int // result of count at countedAt
+	countedAt time.Time
 }
 
 type heardHost struct {
@@ -102,16 +104,23 @@
 	t.hosts[h.Name] = heardHost{status: h, at: now, restarts: restarts}
 }
 
+// hostCountMaxAge bounds the age of a cached number of hosts. Each ping asks for it.
+const hostCountMaxAge = 100 * time.Millisecond
+
 // count returns the number of hosts that are not silent.
 func (t *hostTable) count(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Sub(t.countedAt) < hostCountMaxAge {
+		return t.counted
+	}
 	n := 0
 	for _, h := range t.hosts {
 		if now.Sub(h.at) < maxHostSilence {
 			n++
 		}
 	}
+	t.counted, t.countedAt = n, now
 	return n
 }
 
