coordinator: a leader reaches its workers as its processor allows

Cause, on 0.16 cores with 3,000 workers: connections to all of them at once and 3,000 polls a second keep a new leader from writing; two idle senders and a queue of 256 commands for each worker are 9,000 goroutines and 48 MB, whose collection takes over 2 s; then the leader is deposed, and its successor begins anew.

Change: - Workers named by records of unfinished jobs are polled first, the others at 2,000 a second and core; connects at once follow the processor share. - Polls wait up to three times as long while the leader is behind. A poll that found no connection on this host does not count. - A start that has waited for 0.5 s, or whose worker drains, is decided again.

Red before: TestWorkerThatWasNotPolledIsNotGivenUp (two starts), TestLateStartIsDecidedAgain.

--- a/cmd/peridotpitch/entry.go
+++ b/cmd/peridotpitch/entry.go
@@ -46,7 +46,7 @@
 	defer flush()
 	store, closeStore := platform.NewStore(s.StoreAddress, storeTimeout)
 	defer closeStore()
-	workers, closeWorkers := platform.NewWorkerClient(s.AdviceAddress, commandTimeout, adviceTimeout, connector.NewBudget(connector.Descriptors()))
+	workers, closeWorkers := platform.NewWorkerClient(s.AdviceAddress, commandTimeout, adviceTimeout, connector.NewBudget(connector.Descriptors(), s.ProcessorShare))
 	defer closeWorkers()
 	keys := coordinator.StoreKeys{Configuration: platform.ConfigurationKey, Workers: platform.WorkerKeyPrefix}
 	if s.EvacuationDeadline > 0 {
--- a/internal/connector/budget.go
+++ b/internal/connector/budget.go
@@ -21,6 +21,12 @@
 	// minLimit is the smallest limit of a budget, so that a process whose descriptors others have used up still
 	// reaches workers.
 	minLimit = 32
+	// connectsPerCore is the number of first connections to workers that are opened at the same time, for each core
+	// that the process may use. A new leader that opens thousands at once has no processor time left for the store
+	// and for other hosts, and is deposed before it has reached its workers.
+	connectsPerCore = 200
+	// minConcurrentConnects bounds it from below.
+	minConcurrentConnects = 16
 	// defaultDescriptors is assumed if the limit of the process is not known.
 	defaultDescriptors = 4096
 )
@@ -58,6 +64,8 @@
 // the process is told, and other connections count too, so the budget shrinks when descriptors run out and grows again
 // afterwards. It is safe for concurrent use.
 type Budget struct {
+	connects int // see ConcurrentConnects
+
 	mu      sync.Mutex // guards the fields below
 	maximum float64    // limit while descriptors have not run out
 	limit   float64    // as of limitAt
@@ -66,12 +74,15 @@
 	polls   int // long polls with a place of their own
 }
 
-// NewBudget returns the budget of a process that may have as many file descriptors.
-func NewBudget(descriptors int) *Budget {
+// NewBudget returns the budget of a process that may have so many file descriptors and use so many processor cores.
+func NewBudget(descriptors int, processors float64) *Budget {
 	m := max(minLimit, (1-reservedShare)*float64(descriptors))
-	return &Budget{maximum: m, limit: m}
+	return &Budget{maximum: m, limit: m, connects: max(minConcurrentConnects, int(connectsPerCore*processors))}
 }
 
+// ConcurrentConnects returns the number of first connections to workers that may be opened at the same time.
+func (b *Budget) ConcurrentConnects() int { return b.connects }
+
 // Acquire counts a connection that is about to be opened, unless the limit has been reached. The caller must call
 // Release when the connection has been closed or could not be opened.
 func (b *Budget) Acquire(now time.Time) bool {
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -32,7 +32,7 @@
 func TestBudgetLeavesDescriptors(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	b := connector.NewBudget(4100)
+	b := connector.NewBudget(4100, 0.16)
 	polls := 0
 	for range 4100 {
 		if b.AcquirePoll(now) {
@@ -55,7 +55,7 @@
 func TestBudgetFindsLimit(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	b := connector.NewBudget(10000)
+	b := connector.NewBudget(10000, 0.16)
 	is.Equal(acquire(b, 1000, now), 1000)
 	is.Equal(b.Exhausted(now), 900)
 	is.Equal(b.Exhausted(now), 900) // of another connection at the same time
--- a/internal/coordinator/command_test.go
+++ b/internal/coordinator/command_test.go
@@ -60,6 +60,6 @@
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	recorder := &pollRecorder{poller: p}
 	ld.c.deps.Workers = recorder
-	p.run()
+	p.run(true)
 	is.Equal(recorder.request.Lag, 1200*time.Millisecond)
 }
--- a/internal/coordinator/evacuations_test.go
+++ b/internal/coordinator/evacuations_test.go
@@ -184,11 +184,27 @@
 	is.Equal(start.FailureDomain, "north")
 	is.NoErr(ld.readEvacuations(context.Background()))
 	p := &poller{ld: ld, target: Target{ID: "w0"}, ctx: context.Background()}
-	p.send(start)
+	p.send(command{start, time.Now()})
 	is.Equal(workers.starts, 0)
 	is.True(strings.Contains(log(), `msg=StartRefused Job=j1 Task=j1.0.0.0 Run=33 Worker=w0 Outcome="not sent"`))
 	start.FailureDomain = "south"
-	p.send(start)
+	p.send(command{start, time.Now()})
+	is.Equal(workers.starts, 1)
+}
+
+// A start waits in a sender's queue, because the leader is late. Guards against a start that is sent when what was known of
+// its worker no longer holds: workers that had begun to drain 4 s before got tasks.
+func TestLateStartIsDecidedAgain(t *testing.T) {
+	is := is.New(t)
+	ld, log := newEvacuationLeadership(nil)
+	workers := &countingWorkers{}
+	ld.c.deps.Workers = workers
+	start := decideStart(t, ld)
+	p := &poller{ld: ld, target: Target{ID: "w0"}, ctx: context.Background()}
+	p.send(command{start, time.Now().Add(-maxStartDelay - time.Millisecond)})
+	is.Equal(workers.starts, 0)
+	is.True(strings.Contains(log(), "msg=StartDeferred Job=j1 Task=j1.0.0.0 Run=33 Worker=w0"))
+	p.send(command{start, time.Now()})
 	is.Equal(workers.starts, 1)
 }
 
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"peridotpitch/internal/admitter"
 	"peridotpitch/internal/orchestrator"
@@ -53,11 +54,11 @@
 	workerWatchRetryDelay = 200 * time.Millisecond
 	// workerRelistInterval is the interval at which the whole list is read again.
 	workerRelistInterval = 6 * time.Second
-	// loadRetryDelay is the pause after a failed read of the state that earlier leaders stored.
 	// The interval grows by relistPausePerWorker for each worker beyond relistedWorkers. The list of 3,000 workers has a
 	// megabyte, and reading it takes a weak host's processor for half a second.
 	relistedWorkers      = 1000
 	relistPausePerWorker = 6 * time.Millisecond
+	// loadRetryDelay is the pause after a failed read of the state that earlier leaders stored.
 	loadRetryDelay = 100 * time.Millisecond
 	// pendingCacheTime is how long a count of pending jobs is kept. Each ping asks for it, and a count goes through
 	// all jobs. Together with maxPendingAge it is below the 2 s that the platform allows.
@@ -78,6 +79,7 @@
 	lagLoggedAt time.Time     // of the last LeaderBehind; used by runTicker only
 	processors  processorMeter
 	hosts       hostTable
+	firstPolls  *rate.Limiter // of workers that records don't name
 
 	mu                 sync.Mutex // guards the fields below
 	orch               *orchestrator.Orchestrator
@@ -94,13 +96,14 @@
 	outlookKnown       bool             // lastOutlook is set
 	outlookMeasuredAt  time.Time
 
-	evacuations evacuationList           // used by load, and then by watchEvacuations only
-	evacuated   atomic.Pointer[[]string] // evacuated failure domains, sorted; nil: not read
 	decodedWorkers map[string]decodedWorker // of the last list, by key; used by watchWorkers only
 
+	evacuations evacuationList           // used by load, and then by watchEvacuations only
+	evacuated   atomic.Pointer[[]string] // evacuated failure domains, sorted; nil: not read
 
 	deposed           atomic.Bool  // another host has been elected: nothing is sent any more
 	lag               atomic.Int64 // how late the last Tick was applied, ns
+	meanLag           atomic.Int64 // moving average of lag, ns
 	lastConfirmedSent atomic.Int64 // timekeeper time at which the last confirmed write was sent, in Unix ns
 
 	writeMu      sync.Mutex // held during a write of the leader; guards headRevision
@@ -115,6 +118,7 @@
 		c: c, term: t, cancel: cancel, done: make(chan struct{}), writeWakeup: make(chan struct{}, 1),
 		orch:    orchestrator.New(c.orchestratorSettings(t.Revision, sent, timekeeper.Now())),
 		pollers: make(map[string]*poller), headRevision: t.Revision, electedAt: timekeeper.Now(), inheritedHandedOff: handedOff,
+		firstPolls: rate.NewLimiter(rate.Limit(firstPollsPerCore*c.settings.ProcessorShare), firstPollsAtOnce),
 	}
 	ld.lastConfirmedSent.Store(sent.UnixNano())
 	ld.evacuations.revision = t.Revision // reads from before the election are out of date
@@ -206,7 +210,7 @@
 	case orchestrator.ThrottleRun:
 		ld.enqueueCommand(a.Worker, a)
 	case orchestrator.StartPolling:
-		ld.startPoller(a.Worker)
+		ld.startPoller(a.Worker, a.Recorded)
 	case orchestrator.StopPolling:
 		ld.stopPoller(a.ID)
 	case orchestrator.RequestAdvice:
@@ -238,9 +242,18 @@
 	}
 }
 
+// lagWeight is the weight of one measurement in the average of the leader's lag: about the last second counts.
+const lagWeight = 0.05
+
+// averageLag returns the moving average of the leader's lag after a measurement.
+func averageLag(average, lag time.Duration) time.Duration {
+	return average + time.Duration(lagWeight*float64(lag-average))
+}
+
 // recordLag records how late a Tick was applied, and logs it if the leader is behind.
 func (ld *leadership) recordLag(lag time.Duration) {
 	ld.lag.Store(int64(lag))
+	ld.meanLag.Store(int64(averageLag(time.Duration(ld.meanLag.Load()), lag)))
 	ld.c.metrics.leaderLag.Set(lag.Seconds())
 	if lag < minLoggedLag || time.Since(ld.lagLoggedAt) < lagLogInterval {
 		return
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
+	"peridotpitch/internal/connector"
 	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/timekeeper"
 )
@@ -16,6 +18,20 @@
 	// maxShortPollWait replaces maxPollWait while the worker's measurements are needed soon.
 	// It is half of the period that the measurements cover.
 	maxShortPollWait = 500 * time.Millisecond
+	// A leader that is behind polls less often: from minStretchLag on, the waits grow with its lag, to
+	// maxPollStretch times their length at maxStretchLag. Leases last for twice the longest wait.
+	minStretchLag  = 15 * time.Millisecond
+	maxStretchLag  = 80 * time.Millisecond
+	maxPollStretch = 3.0
+	// maxStretchedShortWait bounds maxShortPollWait while the leader is behind. A task that is over its target must
+	// be found within its caller's bound.
+	maxStretchedShortWait = time.Second
+	// firstPollsPerCore is the rate at which a leader begins to poll workers, for each core that it may use. The first
+	// poll of a worker takes about 0.3 ms with its connection, so that first polls leave 40% of the processor to the
+	// store, to other hosts and to runs.
+	firstPollsPerCore = 2000
+	// firstPollsAtOnce is the number of first polls that are not paced.
+	firstPollsAtOnce = 100
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 250 * time.Millisecond
 	// maxAckWait is the maximum delay of the next poll while the ended runs of the last one
@@ -32,17 +48,30 @@
 
 // poller polls one worker and sends it commands.
 type poller struct {
-	ld       *leadership
-	target   Target
-	ctx      context.Context
-	cancel   context.CancelFunc
-	commands chan orchestrator.Action
+	ld     *leadership
+	target Target
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu       sync.Mutex // guards the fields below; taken after leadership.mu
+	commands []command
+	senders  int // goroutines that send commands; idle ones would take memory for each worker
+}
+
+// command is a command that waits to be sent.
+type command struct {
+	action    orchestrator.Action
+	decidedAt time.Time
 }
 
+// maxStartDelay is the age from which a start is not sent any more. What was known of its worker when it was decided, for
+// example that it is not draining, no longer holds then.
+const maxStartDelay = 500 * time.Millisecond
+
 // startPoller starts the poller of a worker. It replaces a poller of the same worker at
 // another address.
 // ld.mu must be held.
-func (ld *leadership) startPoller(w orchestrator.WorkerEntry) {
+func (ld *leadership) startPoller(w orchestrator.WorkerEntry, recorded bool) {
 	if p := ld.pollers[w.ID]; p != nil {
 		if p.target.Address == w.Address {
 			return
@@ -50,12 +79,9 @@
 		p.cancel()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &poller{ld: ld, target: Target{ID: w.ID, Address: w.Address}, ctx: ctx, cancel: cancel, commands: make(chan orchestrator.Action, commandQueueSize)}
+	p := &poller{ld: ld, target: Target{ID: w.ID, Address: w.Address}, ctx: ctx, cancel: cancel}
 	ld.pollers[w.ID] = p
-	go p.run()
-	for range commandSenders {
-		go p.sendCommands()
-	}
+	go p.run(recorded)
 }
 
 // stopPoller stops the poller of a worker and closes its connections. ld.mu must be held.
@@ -72,16 +98,44 @@
 // enqueueCommand queues a command for a worker. If the worker has no poller or its queue is
 // full, the command is reported as not sent. ld.mu must be held.
 func (ld *leadership) enqueueCommand(id string, a orchestrator.Action) {
-	if p := ld.pollers[id]; p != nil {
-		select {
-		case p.commands <- a:
-			return
-		default:
-		}
+	if p := ld.pollers[id]; p != nil && p.enqueue(a) {
+		return
 	}
 	go ld.reportNotSent(a)
 }
 
+// enqueue queues a command and reports whether there was room for it.
+func (p *poller) enqueue(a orchestrator.Action) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.commands) >= commandQueueSize {
+		return false
+	}
+	p.commands = append(p.commands, command{a, time.Now()})
+	if p.senders < commandSenders {
+		p.senders++
+		go p.sendCommands()
+	}
+	return true
+}
+
+// nextCommand takes the next command from the queue. Without one, or after the poller was cancelled, it returns false
+// and the calling sender must end.
+func (p *poller) nextCommand() (c command, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.commands) == 0 || p.ctx.Err() != nil {
+		p.senders--
+		return command{}, false
+	}
+	c = p.commands[0]
+	p.commands[0] = command{}
+	if p.commands = p.commands[1:]; len(p.commands) == 0 {
+		p.commands = nil
+	}
+	return c, true
+}
+
 // reportNotSent reports to the orchestrator that a command was not sent.
 func (ld *leadership) reportNotSent(a orchestrator.Action) {
 	switch a := a.(type) {
@@ -94,20 +148,20 @@
 	}
 }
 
-// run polls the worker until the poller is cancelled or the orchestrator drops the worker.
-func (p *poller) run() {
+// run polls the worker until the poller is cancelled or the orchestrator drops the worker. Unless a record names a run on
+// the worker, whose lease must be renewed, the first poll waits for its turn.
+func (p *poller) run(recorded bool) {
 	ld := p.ld
+	if !recorded && ld.firstPolls.Wait(p.ctx) != nil {
+		return
+	}
 	for p.ctx.Err() == nil {
 		r, ok := ld.nextPoll(p.target.ID)
 		if !ok {
 			return
 		}
-		wait := maxPollWait
-		if r.ShortWait {
-			wait = maxShortPollWait
-		}
 		sent := timekeeper.Now()
-		a, err := ld.c.deps.Workers.Poll(p.ctx, p.target, PollRequest{Fence: ld.term.Revision, LeaseEnd: r.LeaseEnd, AckedThrough: r.AckedThrough, Wait: wait, Lag: time.Duration(ld.lag.Load())})
+		a, err := ld.c.deps.Workers.Poll(p.ctx, p.target, PollRequest{Fence: ld.term.Revision, LeaseEnd: r.LeaseEnd, AckedThrough: r.AckedThrough, Wait: pollWait(r.ShortWait, time.Duration(ld.meanLag.Load())), Lag: time.Duration(ld.lag.Load())})
 		if p.ctx.Err() != nil {
 			return
 		}
@@ -124,6 +178,16 @@
 	}
 }
 
+// pollWait returns how long a worker may hold a poll if the leader's average lag is lag.
+func pollWait(short bool, lag time.Duration) time.Duration {
+	behind := min(1, max(0, float64(lag-minStretchLag)/float64(maxStretchLag-minStretchLag)))
+	stretch := 1 + (maxPollStretch-1)*behind
+	if short {
+		return min(maxStretchedShortWait, time.Duration(stretch*float64(maxShortPollWait)))
+	}
+	return time.Duration(stretch * float64(maxPollWait))
+}
+
 // nextPoll returns the parameters of the next poll of a worker, and false if it must not be polled any
 // more.
 func (ld *leadership) nextPoll(id string) (orchestrator.PollRequest, bool) {
@@ -149,6 +213,11 @@
 }
 
 func (p *poller) handlePollFailure(err error) {
+	var exhausted *connector.ExhaustedError
+	if errors.As(err, &exhausted) { // says nothing about the worker
+		sleep(p.ctx, pollRetryDelay)
+		return
+	}
 	f := orchestrator.PollFailed{Worker: p.target.ID}
 	var refused *RefusedError
 	if errors.As(err, &refused) {
@@ -159,28 +228,27 @@
 	sleep(p.ctx, pollRetryDelay)
 }
 
-// sendCommands sends queued commands one after the other until the poller is cancelled.
+// sendCommands sends queued commands one after the other until none is left or the poller is cancelled.
 func (p *poller) sendCommands() {
-	for {
-		select {
-		case <-p.ctx.Done():
-			return
-		case a := <-p.commands:
-			p.send(a)
-		}
+	for c, ok := p.nextCommand(); ok; c, ok = p.nextCommand() {
+		p.send(c)
 	}
 }
 
 // send sends a command, unless another host has been elected since the command was decided, or the command is a
 // start in a failure domain whose evacuation has become known since.
-func (p *poller) send(a orchestrator.Action) {
+func (p *poller) send(c command) {
 	ld, begin := p.ld, time.Now()
 	if ld.deposed.Load() {
 		return
 	}
 	fence := ld.term.Revision
-	switch a := a.(type) {
+	switch a := c.action.(type) {
 	case orchestrator.StartRun:
+		if begin.Sub(c.decidedAt) > maxStartDelay {
+			ld.apply(orchestrator.StartAnswered{Worker: a.Worker, Task: a.Task, Run: a.Run, Outcome: orchestrator.StartDeferred})
+			return
+		}
 		if ld.evacuates(a.FailureDomain) {
 			ld.reportNotSent(a)
 			return
--- /dev/null
+++ b/internal/coordinator/poller_test.go
@@ -0,0 +1,28 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A leader with 0.16 of a core has 3,000 workers, and each poll takes 120 microseconds. Guards against polls that use up
+// the processor: the leader was silent for others, deposed after 2 s, and its successors too.
+func TestPollsFollowLag(t *testing.T) {
+	is := is.New(t)
+	const workers, share, pollCost = 3000, 0.16, 120e-6
+	step := 50 * time.Millisecond
+	var lag, average time.Duration
+	for range 600 {
+		load := workers / pollWait(false, average).Seconds() * pollCost
+		lag = max(0, lag+time.Duration((load/share-1)*float64(step)))
+		average = averageLag(average, lag)
+	}
+	is.True(lag < maxStretchLag)
+	is.True(workers/pollWait(false, average).Seconds()*pollCost <= 1.05*share)
+	is.Equal(pollWait(false, 10*time.Millisecond), maxPollWait) // a leader that keeps up
+	is.Equal(pollWait(true, 10*time.Millisecond), maxShortPollWait)
+	is.Equal(pollWait(true, time.Minute), maxStretchedShortWait)
+	is.True(2*pollWait(false, time.Minute) < runLeaseDuration)
+}
--- a/internal/orchestrator/action.go
+++ b/internal/orchestrator/action.go
@@ -35,7 +35,10 @@
 }
 
 // StartPolling starts polling a worker, or changes its address.
-type StartPolling struct{ Worker WorkerEntry }
+type StartPolling struct {
+	Worker   WorkerEntry
+	Recorded bool // the record of an unfinished job names a run on the worker
+}
 
 // StopPolling stops polling a worker.
 type StopPolling struct{ ID string }
--- a/internal/orchestrator/deferral_test.go
+++ b/internal/orchestrator/deferral_test.go
@@ -51,3 +51,39 @@
 	is.Equal(w.starts, 0)
 	is.True(w.state("j").Final())
 }
+
+// A task ends while its leader is frozen, and the next leader is too slow to poll the worker before the leases of the
+// worker's runs have ended. Guards against a second run of a task whose end the worker lists: with 3,000 workers on hosts of
+// 0.16 cores, tasks that had ended as done began again.
+func TestWorkerThatWasNotPolledIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 2, cores(8, 32))
+	w.submit(simpleJob("j1", 1, cores(2, 2)))
+	w.run(500 * time.Millisecond)
+	is.Equal(len(w.runningOn("j1")), 1)
+	k := w.workers[w.runningOn("j1")[0]]
+	w.leader().frozen = true
+	next := w.elect(false)
+	k.waitsFor = next
+	w.run(20 * time.Second)
+	is.Equal(w.starts, 1)
+	k.waitsFor = nil
+	w.run(2 * time.Second)
+	is.Equal(w.starts, 1)
+	is.Equal(w.state("j1"), orchestrator.StateSucceeded)
+}
+
+// The same with a worker that the next leader polls in vain. Guards against a task that waits for a lost worker forever.
+func TestWorkerThatWasPolledInVainIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 2, cores(8, 32))
+	w.submit(simpleJob("j1", 1, cores(2, 2)))
+	w.run(500 * time.Millisecond)
+	is.Equal(len(w.runningOn("j1")), 1)
+	k := w.workers[w.runningOn("j1")[0]]
+	w.leader().frozen = true
+	k.unreachableFrom[w.elect(false)] = true
+	w.run(20 * time.Second)
+	is.Equal(w.starts, 2)
+	is.Equal(w.state("j1"), orchestrator.StateSucceeded)
+}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -80,9 +80,9 @@
 	passDue          bool                   // a scheduling pass is due, because a change may let a task start
 	loadNotedAt      time.Time              // when noteLoad last ran
 	work             passWork               // of the scheduling passes since loadNotedAt
-	movedOutAt       time.Time              // when moveOutOfEvacuated last looked for moves
 	deferrals        int                    // deferred starts since deferralNotedAt
 	deferralNotedAt  time.Time              // when deferred starts were last noted
+	movedOutAt       time.Time              // when moveOutOfEvacuated last looked for moves
 	lastWork         passWork               // of the scheduling passes before loadNotedAt, since the note before
 	tickOffset       int                    // index of the first worker of the last tick
 	lastPassAt       time.Time              // of the last scheduling pass
@@ -355,6 +355,7 @@
 			o.cancelJob(ij.Job.ID)
 		}
 	}
+	recorded := o.recordedWorkers()
 	for _, r := range e.Roster.Workers {
 		w := o.worker(r.ID)
 		w.Service, w.provenIdle = r.Service, r.Idle
@@ -367,9 +368,26 @@
 		}
 		if !w.pollingRequested && w.Address.IsValid() {
 			w.pollingRequested = true
-			o.emit(StartPolling{Worker: w.WorkerEntry})
+			o.emit(StartPolling{Worker: w.WorkerEntry, Recorded: recorded[r.ID]})
+		}
+	}
+}
+
+// recordedWorkers returns the workers on which records of earlier leaders name runs of unfinished tasks.
+func (o *Orchestrator) recordedWorkers() map[string]bool {
+	recorded := make(map[string]bool)
+	for _, j := range o.jobs {
+		for _, oc := range j.occurrences {
+			for _, s := range oc.steps {
+				for _, t := range s.tasks {
+					for _, id := range t.recordedWorkers {
+						recorded[id] = true
+					}
+				}
+			}
 		}
 	}
+	return recorded
 }
 
 // acceptJob adds a job whose acceptance is in the store.
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -232,7 +232,7 @@
 		return
 	}
 	o.emit(Note{Event: EventStartDeferred, Job: r.task.job().ID, Task: r.task.name, Run: r.number, Worker: r.worker.ID, Outcome: "it is sent again",
-		Reason: "this host has no connection left for commands", Age: o.now.Sub(r.startedAt), Figures: fmt.Sprintf("Deferred=%d", o.deferrals)})
+		Reason: "this host has too many connections, or is too late", Age: o.now.Sub(r.startedAt), Figures: fmt.Sprintf("Deferred=%d", o.deferrals)})
 	o.deferralNotedAt, o.deferrals = o.now, 0
 }
 
@@ -279,6 +279,9 @@
 	}
 	command := ""
 	switch {
+	case r.phase == phaseStarting && !r.startUnanswered && !o.mayStart(w):
+		o.startNotExecuted(r)
+		return
 	case r.phase == phaseStarting:
 		command = "start"
 		o.sendStart(r)
@@ -292,6 +295,12 @@
 	}
 }
 
+// mayStart reports whether a start that was decided earlier may still be sent to a worker. An unreachable worker may: its
+// start is sent again when it answers.
+func (o *Orchestrator) mayStart(w *worker) bool {
+	return !w.Draining && !o.evacuations.Evacuates(w.FailureDomain)
+}
+
 // stop begins to stop a run. The run is removed once its worker lists its end.
 func (o *Orchestrator) stop(r *run, reason string) {
 	if r.phase == phaseStopping {
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -86,6 +86,7 @@
 	reportedThrough  int // ends up to this number have been listed to a leader
 	endsBeforeExpiry int // the lease has expired after the ends up to this number
 	unreachableFrom  map[*simulatedLeader]bool
+	waitsFor         *simulatedLeader // a slow leader that has not polled it yet
 	dead             bool
 	replaced         bool // another worker answers at its address
 	failsTasks       bool // each run ends as failed
@@ -532,7 +533,7 @@
 func (l *simulatedLeader) poll(k *simulatedWorker) {
 	w := l.w
 	r, ok := l.o.NextPoll(k.entry.ID, w.now)
-	if !ok || l.deposed || l.frozen {
+	if !ok || l.deposed || l.frozen || k.waitsFor == l {
 		return
 	}
 	if k.dead || k.unreachableFrom[l] {
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -498,7 +498,8 @@
 // tickWorker expires a worker's leases, updates its roster entry and resends commands.
 func (o *Orchestrator) tickWorker(w *worker) {
 	o.expireLostRuns(w)
-	unreachable := w.unreachable || !w.hasClock
+	// A worker that a slow leader has not polled yet may run tasks, and list ends that are not acknowledged.
+	unreachable := w.unreachable || !w.hasClock && !w.pollingRequested
 	// A later leader may have reached the worker and extended its leases. The leases have
 	// certainly ended only if this leader was confirmed after their end.
 	if unreachable && !w.provenIdle && o.now.After(w.leasesEnd) && o.confirmedAt.After(w.leasesEnd) {
