platform: two builds side by side

Cause: nothing named the version in production, no test ran two builds, and a host refused to start on a section or key of its settings that its build does not know, so that a template rendered too early, or a step back, stopped it. All hosts showed the same version ("development") in the status.

Unknown sections and keys of the settings are ignored, logged at start and counted in the status; -check refuses them as before. The version is the linker's, else the revision, else the build ID.

Two builds: the ping has one more optional field; the older build's ping without it counts as no unknown settings.

--- a/cmd/peridotpitch/entry.go
+++ b/cmd/peridotpitch/entry.go
@@ -36,7 +36,7 @@
 // runEntryHost runs an entry host on the users' platform (package platform) until ctx ends. path
 // is the path of the settings file.
 func runEntryHost(ctx context.Context, path string) error {
-	s, err := platform.LoadSettings(path)
+	s, unknown, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
@@ -44,6 +44,9 @@
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory)))
 	log, flush := logger.Stdout(slog.LevelInfo)
 	defer flush()
+	for _, u := range unknown {
+		log.Warn("SettingUnknown", "Path", path, "Fault", u.String(), "Outcome", "ignored")
+	}
 	store, closeStore := platform.NewStore(s.StoreAddress, storeTimeout)
 	defer closeStore()
 	workers, closeWorkers := platform.NewWorkerClient(s.AdviceAddress, commandTimeout, adviceTimeout, connector.NewBudget(connector.Descriptors(), s.ProcessorShare))
@@ -53,7 +56,7 @@
 		keys.Evacuations = platform.EvacuationKeyPrefix
 	}
 	c := coordinator.New(s, coordinator.Dependencies{
-		Store: store, Workers: workers, Decoder: platform.Decoder{}, Keys: keys, Program: version,
+		Store: store, Workers: workers, Decoder: platform.Decoder{}, Keys: keys, Program: programVersion(), UnknownSettings: len(unknown),
 	}, log)
 	shutdown, err := platform.ServeCallers(s.CallerAddress, s.ReadyAddress, c, log)
 	if err != nil {
@@ -77,8 +80,7 @@
 
 // checkEntrySettings checks the settings file of an entry host.
 func checkEntrySettings(path string) error {
-	_, err := platform.LoadSettings(path)
-	return err
+	return platform.CheckSettings(path)
 }
 
 // shutdownTimeout limits the wait for requests in flight when the process ends. Requests
@@ -96,7 +98,7 @@
 // change: addresses and names cannot change while the process runs, and everything else that
 // operators may change is in the store.
 func reload(path string, old coordinator.Settings, log *slog.Logger) {
-	s, err := platform.LoadSettings(path)
+	s, _, err := platform.LoadSettings(path)
 	if err != nil {
 		log.Error("Reload", "Outcome", "refused", "Cause", err.Error())
 		return
--- a/cmd/peridotpitch/main.go
+++ b/cmd/peridotpitch/main.go
@@ -14,8 +14,8 @@
 	"peridotpitch/platform"
 )
 
-// version is set by the linker.
-var version = "development"
+// version is set by the linker. Without it, programVersion tells builds apart.
+var version = ""
 
 func main() {
 	os.Exit(run())
@@ -38,11 +38,11 @@
 		CheckEntry: checkEntrySettings,
 		// The platform passes the path of the settings file in this environment variable.
 		SettingsVariable: platform.SettingsVariable,
-		Version:          version,
+		Version:          programVersion(),
 	}
 }
 
 // runServer runs an entry host of package server until ctx ends.
 func runServer(ctx context.Context, s loader.Settings) error {
-	return server.Run(ctx, s, version)
+	return server.Run(ctx, s, programVersion())
 }
--- a/internal/commandline/fleet.go
+++ b/internal/commandline/fleet.go
@@ -196,6 +196,9 @@
 		if h.RefusedCallers > 0 {
 			reasons = append(reasons, fmt.Sprintf("%d refused callers not due yet", h.RefusedCallers))
 		}
+		if h.UnknownSettings > 0 {
+			reasons = append(reasons, fmt.Sprintf("%d unknown settings", h.UnknownSettings))
+		}
 		if len(reasons) == 0 {
 			continue
 		}
--- a/internal/configurator/check.go
+++ b/internal/configurator/check.go
@@ -40,7 +40,7 @@
 	if !ok {
 		line = k.lines[position{kind, name, ""}]
 	}
-	k.faults = append(k.faults, Fault{line, Section{Kind: kind, Name: name}.Header(), key, fmt.Sprintf(format, args...), allowed})
+	k.faults = append(k.faults, Fault{line, Section{Kind: kind, Name: name}.Header(), key, fmt.Sprintf(format, args...), allowed, false})
 }
 
 // hasValidValues reports whether the section has all of the keys, with values that are
--- a/internal/configurator/fault.go
+++ b/internal/configurator/fault.go
@@ -12,6 +12,8 @@
 	Key     string // empty if the fault concerns the whole section
 	Problem string
 	Allowed string // what is accepted instead; empty if Problem makes it clear
+	// Unknown is set if the fault is a section or a key of which this program knows nothing. A newer program may know it.
+	Unknown bool `json:"-" msgpack:"-"`
 }
 
 func (f Fault) String() string {
--- a/internal/configurator/table.go
+++ b/internal/configurator/table.go
@@ -64,7 +64,7 @@
 	var faults []Fault
 	for _, e := range s.Entries {
 		if !slices.ContainsFunc(t.Keys, func(k Key[T]) bool { return k.Name == e.Key }) {
-			faults = append(faults, Fault{e.Line, s.Header(), e.Key, "unknown key", t.keyNames()})
+			faults = append(faults, Fault{e.Line, s.Header(), e.Key, "unknown key", t.keyNames(), true})
 		}
 	}
 	for _, k := range t.Keys {
@@ -74,13 +74,13 @@
 		case i >= 0:
 			value, line = s.Entries[i].Value, s.Entries[i].Line
 		case k.Required:
-			faults = append(faults, Fault{line, s.Header(), k.Name, "key is missing", k.Allowed})
+			faults = append(faults, Fault{line, s.Header(), k.Name, "key is missing", k.Allowed, false})
 			continue
 		case value == "":
 			continue
 		}
 		if err := k.Set(v, value); err != nil {
-			faults = append(faults, Fault{line, s.Header(), k.Name, err.Error(), k.Allowed})
+			faults = append(faults, Fault{line, s.Header(), k.Name, err.Error(), k.Allowed, false})
 		}
 	}
 	return faults
@@ -119,11 +119,11 @@
 			continue
 		}
 		if d.Named != (s.Name != "") {
-			return Fault{s.Line, s.Header(), "", "section has a malformed header", header}, true
+			return Fault{s.Line, s.Header(), "", "section has a malformed header", header, false}, true
 		}
 		return Fault{}, false
 	}
-	return Fault{s.Line, s.Header(), "", "unknown section", strings.Join(headers, ", ")}, true
+	return Fault{s.Line, s.Header(), "", "unknown section", strings.Join(headers, ", "), true}, true
 }
 
 // MissingSections returns a fault for each required kind that no section has.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -43,6 +43,8 @@
 	Keys    StoreKeys
 	// Program is the version of the program, which the status shows.
 	Program string
+	// UnknownSettings is the number of sections and keys of the settings file that the program does not know.
+	UnknownSettings int
 }
 
 // Coordinator runs one entry host and, while it is elected, the leader.
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -35,8 +35,9 @@
 	Uptime        time.Duration // of the host's process
 	// See HostStatus. They are left out while 0, so that the message is the same as before while the settings don't
 	// switch forwarding and readmission on.
-	Forwarded      int `msgpack:",omitempty"`
-	RefusedCallers int `msgpack:",omitempty"`
+	Forwarded       int `msgpack:",omitempty"`
+	RefusedCallers  int `msgpack:",omitempty"`
+	UnknownSettings int `msgpack:",omitempty"`
 }
 
 // pingAnswer describes the host that was pinged.
@@ -101,7 +102,8 @@
 			c.checkTerm()
 		}
 		ld.hosts.record(HostStatus{Name: p.Host, FailureDomain: p.FailureDomain, Program: p.Program, ConfigurationVersion: p.Version,
-			ProcessorShare: p.Share, Ready: p.Ready, Uptime: p.Uptime, Forwarded: p.Forwarded, RefusedCallers: p.RefusedCallers}, timekeeper.Now())
+			ProcessorShare: p.Share, Ready: p.Ready, Uptime: p.Uptime, Forwarded: p.Forwarded, RefusedCallers: p.RefusedCallers,
+			UnknownSettings: p.UnknownSettings}, timekeeper.Now())
 		a.Leading, a.Epoch, a.Pending = true, ld.term.Revision, ld.pending()
 		a.Loaded = a.Pending != nil
 		a.Hosts = ld.hosts.count(timekeeper.Now()) + 1
@@ -136,7 +138,7 @@
 	err := c.client(t.address()).Invoke(ctx, pingTimeout, methodPing,
 		&pingRequest{Host: c.settings.Name, FailureDomain: c.settings.FailureDomain, Program: c.deps.Program, Epoch: t.Revision,
 			Version: c.configVersion(), Share: c.settings.ProcessorShare, Ready: c.Ready(),
-			Uptime: sent.Sub(c.startedAt), Forwarded: c.recentForwards.count(sent), RefusedCallers: c.returns.waiting(sent)}, &a)
+			Uptime: sent.Sub(c.startedAt), Forwarded: c.recentForwards.count(sent), RefusedCallers: c.returns.waiting(sent), UnknownSettings: c.deps.UnknownSettings}, &a)
 	if err != nil {
 		return pingAnswer{}, err
 	}
--- a/internal/coordinator/status.go
+++ b/internal/coordinator/status.go
@@ -56,6 +56,8 @@
 	// its last ping, and 0 for silent hosts and while the settings don't switch forwarding and readmission on.
 	Forwarded      int `msgpack:",omitempty" json:",omitempty"`
 	RefusedCallers int `msgpack:",omitempty" json:",omitempty"`
+	// UnknownSettings is the number of sections and keys of its settings file that its program does not know.
+	UnknownSettings int `msgpack:",omitempty" json:",omitempty"`
 }
 
 // LeaderStatus is the leader's view of the fleet.
@@ -235,7 +237,7 @@
 	now := timekeeper.Now()
 	return HostStatus{
 		Name: c.settings.Name, FailureDomain: c.settings.FailureDomain, Program: c.deps.Program, ConfigurationVersion: c.configVersion(),
-		ProcessorShare: c.settings.ProcessorShare, Ready: c.Ready(), Uptime: now.Sub(c.startedAt),
+		ProcessorShare: c.settings.ProcessorShare, Ready: c.Ready(), Uptime: now.Sub(c.startedAt), UnknownSettings: c.deps.UnknownSettings,
 		Forwarded: c.recentForwards.count(now), RefusedCallers: c.returns.waiting(now),
 	}
 }
