orchestrator: move throttled tasks only while none waits

Change: while a pass has found no worker for a best-effort task of the service within the last 0.5 s, halted tasks stay. Mechanism moves-without-queue.

Other ways tried and not kept: no moves, moves by expected gain (docs/design/shifted-work.md).

--- a/internal/orchestrator/mechanism_test.go
+++ b/internal/orchestrator/mechanism_test.go
@@ -49,6 +49,8 @@
 	orchestrator.MechanismCrashIsolation:  tasksBesideCrashingOnesEnd,
 	orchestrator.MechanismEvacuationMoves: longRunningTasksLeaveEvacuatedDomain,
 	orchestrator.MechanismSlowRunCauses:   longTasksAreNotRestarted,
+
+	orchestrator.MechanismMovesWithoutQueue: haltedTaskStaysWhileOthersWait,
 }
 
 // Guards against a mechanism that no longer answers its load, and against one that the load
@@ -105,6 +107,29 @@
 	return slices.Equal(w.runningOn("loud"), []string{"w1"})
 }
 
+// A best-effort task is halted beside a service, and a worker with room is added while a job waits whose tasks fit on no
+// worker. The halted task must not move: the work that it has done would be lost for a place that a waiting task can take.
+// Without the waiting job, haltedTaskMovesToFreeWorker wants the opposite of the same cluster.
+func haltedTaskStaysWhileOthersWait(t *testing.T, disabled orchestrator.MechanismSet) bool {
+	w := newClusterWithout(t, disabled, 1, cores(16, 64))
+	w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+	w.submit(latencyCriticalJob("s1", "web", 1, cores(8, 8)))
+	w.run(time.Second)
+	w.submit(bestEffortJob("loud", "loud", 1, cores(3, 2)))
+	w.submit(bestEffortJob("waiting", "calm", 4, cores(3, 100)))
+	step := func(n int) {
+		for range n {
+			w.setTailLatencies()
+			w.run(50 * time.Millisecond)
+		}
+	}
+	step(60)
+	w.addWorker("w1", cores(16, 64), "r0")
+	w.leader().step(orchestrator.WorkersListed{Workers: w.listedWorkers()})
+	step(60)
+	return slices.Equal(w.runningOn("loud"), []string{"w0"})
+}
+
 // Batch jobs arrive at twice the rate that the workers can process. Two thirds of those that
 // they can process must end in time.
 func overloadFinishesBegunJobs(t *testing.T, disabled orchestrator.MechanismSet) bool {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -58,6 +58,7 @@
 	queueStats    map[string]*queueStats // by queue
 	interference  interferenceModel
 	evacuations   evacuator.Evacuator
+	unplacedAt    map[string]time.Time // by service: when a pass last found no worker for a best-effort task
 	outlookMeter  outlookMeter
 	loadsBuffer   []imageLoad    // reused by bestEffortLoads
 	rankingBuffer []rankedWorker // reused by rank
@@ -206,6 +207,7 @@
 		interference: newInterferenceModel(),
 		dirty:        make(map[string]*job),
 		lapsed:       make(map[netip.AddrPort]lapsedWorker),
+		unplacedAt:   make(map[string]time.Time),
 	}
 }
 
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -103,6 +103,9 @@
 			continue
 		}
 		if w == nil {
+			if s.Fills {
+				o.unplacedAt[s.occurrence.job.Policy.Service] = o.now
+			}
 			if bySizeOnly {
 				p.unplaced[s.unplacedKey()] = s.Size
 			}
@@ -122,6 +125,7 @@
 func (o *Orchestrator) waitForCapacity(p *pass, s *step) {
 	const reason = "no worker has room"
 	if s.Fills {
+		o.unplacedAt[s.occurrence.job.Policy.Service] = o.now
 		o.noteWait(s, reason)
 		return
 	}
--- a/internal/orchestrator/throttle.go
+++ b/internal/orchestrator/throttle.go
@@ -48,6 +48,8 @@
 	// moveMaxProgress is the progress in percent up to which a throttled task without
 	// checkpoints is moved.
 	moveMaxProgress = 30
+	// queueMemory is how long after a pass that found no worker for a best-effort task others count as waiting.
+	queueMemory = 500 * time.Millisecond
 	// moveMinHeadroom is the headroom that must remain on the other worker after the move.
 	moveMinHeadroom = 0.02
 
@@ -160,6 +162,9 @@
 	if !s.Checkpoints && r.progressPercent > moveMaxProgress || !o.moveSearchDue(r) {
 		return
 	}
+	if o.enabled(MechanismMovesWithoutQueue) && o.now.Sub(o.unplacedAt[t.job().Policy.Service]) < queueMemory {
+		return
+	}
 	workers, _ := o.candidates(s)
 	for _, w := range workers {
 		if w != r.worker && !o.evacuations.Settles(w.FailureDomain, o.now) && o.fits(t, w) && w.unusedCPU() >= s.Size.CPU && (o.headroomWith(s, w) > moveMinHeadroom || o.harmless(s, w)) {
