--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -236,7 +236,8 @@
 }
 
 // send sends a command, unless another host has been elected since the command was decided, or the command is a
-// start in a failure domain whose evacuation has become known since.
+// start in a failure domain whose evacuation has become known since. A start that has waited for maxStartDelay is
+// deferred.
 func (p *poller) send(c command) {
 	ld, begin := p.ld, time.Now()
 	if ld.deposed.Load() {
