--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -37,8 +37,8 @@
 	// maxPingInterval bounds the interval that a leader asks for. Hosts report the number of pending jobs of the
 	// leader's last answer, which may be maxPendingAge old.
 	maxPingInterval = time.Second
-	// pingsPerCore is the rate of pings that a leader answers for each core that it may use. A ping takes about 80
-	// microseconds, so that pings use up to a tenth of the leader's processor.
+	// pingsPerCore is the rate of pings that a leader answers for each core that it may use. If a ping takes
+	// 80 microseconds, pings use up to a tenth of the leader's processor.
 	pingsPerCore = 1250
 	// pingTimeout is several times the round trip between failure domains, so that an
 	// overloaded leader still answers in time.
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -54,8 +54,8 @@
 	workerWatchRetryDelay = 200 * time.Millisecond
 	// workerRelistInterval is the interval at which the whole list is read again.
 	workerRelistInterval = 6 * time.Second
-	// The interval grows by relistPausePerWorker for each worker beyond relistedWorkers. The list of 3,000 workers has a
-	// megabyte, and reading it takes a weak host's processor for half a second.
+	// The interval grows by relistPausePerWorker for each worker beyond relistedWorkers. The list of 3,000 workers
+	// is large for a weak host to read, and changes come by the watch.
 	relistedWorkers      = 1000
 	relistPausePerWorker = 6 * time.Millisecond
 	// loadRetryDelay is the pause after a failed read of the state that earlier leaders stored.
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -26,9 +26,9 @@
 	// maxStretchedShortWait bounds maxShortPollWait while the leader is behind. A task that is over its target must
 	// be found within its caller's bound.
 	maxStretchedShortWait = time.Second
-	// firstPollsPerCore is the rate at which a leader begins to poll workers, for each core that it may use. The first
-	// poll of a worker takes about 0.3 ms with its connection, so that first polls leave 40% of the processor to the
-	// store, to other hosts and to runs.
+	// firstPollsPerCore is the rate at which a leader begins to poll workers, for each core that it may use. If the
+	// first poll of a worker takes 0.3 ms with its connection, first polls leave 40% of the processor to the store, to
+	// other hosts and to runs.
 	firstPollsPerCore = 2000
 	// firstPollsAtOnce is the number of first polls that are not paced.
 	firstPollsAtOnce = 100
