converter: conversions of numbers out of range don't depend on the machine

Cause: minPingInterval divides by the host's processor share, which is 0 where settings leave it out. The language leaves the conversion of an infinite number to the machine: the quotient became a negative duration on x86-64, so that hosts pinged at once, and the longest one on arm64, so that they pinged once a second. A leader without a share also never polled more than its first 100 workers, as the rate of first polls was 0 (TestFirstPollsWithoutShare).

Class: float64 to an integer type without a bound. internal/converter bounds it, and replaces the conversions that can be infinite, negative or NaN by what callers, operators or peers send (estimates, stretch, rates, Retry-After). A leader whose share is unknown asks for no pause and paces nothing.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"peridotpitch/internal/converter"
 )
 
 const (
@@ -34,7 +36,7 @@
 // Objective returns the time from submission within which the caller wants the job to end. ratio is that of
 // measured run times to estimates.
 func (r Request) Objective(ratio float64) time.Duration {
-	return time.Duration(max(1, r.Stretch)*ratio*float64(r.Chain)) + r.TargetDuration
+	return converter.Scale(r.Chain, max(1, r.Stretch)*ratio) + r.TargetDuration
 }
 
 // Decision is the answer to a request.
@@ -168,7 +170,7 @@
 	}
 	// The leader computes deadlines by measured run times; callers may count by estimates. The later limit holds.
 	limit := valueFactor * r.Objective(max(1, ratio))
-	chain := time.Duration(ratio * float64(r.Chain))
+	chain := converter.Scale(r.Chain, ratio)
 	before := e.before(chain)
 	end := max(seconds(before/e.Rate)+chain, seconds((before+ratio*r.Work)/e.Rate))
 	d := Decision{Accept: end <= limit, Reason: "expected to end in time", End: end, Limit: limit}
@@ -180,4 +182,4 @@
 }
 
 // seconds converts a number of seconds; it is bounded, so that sums do not overflow.
-func seconds(s float64) time.Duration { return time.Duration(min(s, 1e6) * float64(time.Second)) }
+func seconds(s float64) time.Duration { return converter.Seconds(min(s, 1e6)) }
--- a/internal/admitter/outlook.go
+++ b/internal/admitter/outlook.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"peridotpitch/internal/converter"
 )
 
 // MaxAge is the age from which an outlook no longer counts. Hosts ping the leader at least every 500 ms, so that
@@ -59,13 +61,13 @@
 	if remaining <= time.Second {
 		return 0
 	}
-	return min(buckets-1, int(math.Ceil(2*math.Log2(remaining.Seconds()))))
+	return min(buckets-1, converter.Int(math.Ceil(2*math.Log2(remaining.Seconds()))))
 }
 
 // AddOwn adds core-seconds of a job of the entry's priority. remaining is the expected run time of its longest chain of
 // unfinished steps, 0 if it has begun: of jobs with the same priority, those with the least go first when time is short.
 func (e *Entry) AddOwn(remaining time.Duration, work float64) {
-	e.Own[bucket(remaining)] += int(math.Round(work))
+	e.Own[bucket(remaining)] += converter.Int(math.Round(work))
 }
 
 // before returns the work that is expected to go before a job with a remaining run time: all that is more urgent, and
--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"peridotpitch/internal/converter"
 	"peridotpitch/internal/messenger"
 	"peridotpitch/internal/storer"
 	"peridotpitch/internal/timekeeper"
@@ -109,9 +110,12 @@
 
 // minPingInterval returns the interval at which a leader that may use so many cores asks each of the other hosts to
 // ping it. The hosts' pings are spread over the interval, so that the first host that finds a leader gone finds it as
-// early as with fewer hosts.
+// early as with fewer hosts. A leader whose share is unknown asks for no pause.
 func minPingInterval(hosts int, processorShare float64) time.Duration {
-	d := time.Duration(float64(hosts) / (pingsPerCore * processorShare) * float64(time.Second))
+	if processorShare <= 0 {
+		return 0
+	}
+	d := converter.Seconds(float64(hosts) / (pingsPerCore * processorShare))
 	if d <= pingInterval {
 		return 0
 	}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"peridotpitch/internal/admitter"
+	"peridotpitch/internal/converter"
 	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/timekeeper"
 )
@@ -118,7 +119,7 @@
 		c: c, term: t, cancel: cancel, done: make(chan struct{}), writeWakeup: make(chan struct{}, 1),
 		orch:    orchestrator.New(c.orchestratorSettings(t.Revision, sent, timekeeper.Now())),
 		pollers: make(map[string]*poller), headRevision: t.Revision, electedAt: timekeeper.Now(), inheritedHandedOff: handedOff,
-		firstPolls: rate.NewLimiter(rate.Limit(firstPollsPerCore*c.settings.ProcessorShare), firstPollsAtOnce),
+		firstPolls: rate.NewLimiter(firstPollRate(c.settings.ProcessorShare), firstPollsAtOnce),
 	}
 	ld.lastConfirmedSent.Store(sent.UnixNano())
 	ld.evacuations.revision = t.Revision // reads from before the election are out of date
@@ -138,6 +139,15 @@
 	}()
 }
 
+// firstPollRate returns the rate at which a leader with a processor share begins to poll workers. A leader whose share is
+// unknown is not paced.
+func firstPollRate(processorShare float64) rate.Limit {
+	if processorShare <= 0 {
+		return rate.Inf
+	}
+	return rate.Limit(firstPollsPerCore * processorShare)
+}
+
 func (ld *leadership) run(ctx context.Context, handedOff bool) {
 	inputRevision, err := ld.load(ctx, handedOff)
 	if err != nil {
@@ -247,7 +257,7 @@
 
 // averageLag returns the moving average of the leader's lag after a measurement.
 func averageLag(average, lag time.Duration) time.Duration {
-	return average + time.Duration(lagWeight*float64(lag-average))
+	return average + converter.Scale(lag-average, lagWeight)
 }
 
 // recordLag records how late a Tick was applied, and logs it if the leader is behind.
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"peridotpitch/internal/connector"
+	"peridotpitch/internal/converter"
 	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/timekeeper"
 )
@@ -183,9 +184,9 @@
 	behind := min(1, max(0, float64(lag-minStretchLag)/float64(maxStretchLag-minStretchLag)))
 	stretch := 1 + (maxPollStretch-1)*behind
 	if short {
-		return min(maxStretchedShortWait, time.Duration(stretch*float64(maxShortPollWait)))
+		return min(maxStretchedShortWait, converter.Scale(maxShortPollWait, stretch))
 	}
-	return time.Duration(stretch * float64(maxPollWait))
+	return converter.Scale(maxPollWait, stretch)
 }
 
 // nextPoll returns the parameters of the next poll of a worker, and false if it must not be polled any
--- a/internal/coordinator/poller_test.go
+++ b/internal/coordinator/poller_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/time/rate"
 )
 
 // A leader with 0.16 of a core has 3,000 workers, and each poll takes 120 microseconds. Guards against polls that use up
@@ -26,3 +27,11 @@
 	is.Equal(pollWait(true, time.Minute), maxStretchedShortWait)
 	is.True(2*pollWait(false, time.Minute) < runLeaseDuration)
 }
+
+// Settings may leave out the host's share of the processor. Guards against a leader that begins to poll only the first
+// workers, because the pace of first polls follows from the share.
+func TestFirstPollsWithoutShare(t *testing.T) {
+	is := is.New(t)
+	is.Equal(firstPollRate(0), rate.Inf)
+	is.Equal(firstPollRate(0.5), rate.Limit(1000))
+}
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"slices"
 	"time"
+
+	"peridotpitch/internal/converter"
 )
 
 // queueItem is a waiting request.
@@ -153,7 +155,7 @@
 		}
 		ahead += min(float64(len(t.items)), float64(own+1)*t.weight/weight)
 	}
-	return time.Duration(ahead * float64(mean) / float64(len(s.running))), true
+	return converter.Duration(ahead * float64(mean) / float64(len(s.running))), true
 }
 
 // queueCapacity returns the number of requests that may wait, which is the backlog of
@@ -233,6 +235,6 @@
 	if len(s.running) == 0 || mean <= 0 {
 		return minRetryAfter
 	}
-	drain := time.Duration(float64(len(s.waiting)) * float64(mean) / float64(len(s.running)))
+	drain := converter.Duration(float64(len(s.waiting)) * float64(mean) / float64(len(s.running)))
 	return min(max(drain, minRetryAfter), maxRetryAfter)
 }
--- a/internal/limiter/times.go
+++ b/internal/limiter/times.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"peridotpitch/internal/converter"
 )
 
 const (
@@ -69,7 +71,7 @@
 
 // requiredTime returns the time that must remain until a queued request's deadline.
 func (t *serviceTimes) requiredTime(now time.Time) time.Duration {
-	return t.decayed(time.Duration(float64(t.highTime)*max(1, t.safetyFactor)), now)
+	return t.decayed(converter.Scale(t.highTime, max(1, t.safetyFactor)), now)
 }
 
 // adjustSafetyFactor updates the safety factor after a request that was queued before it
--- a/internal/loadgenerator/callers.go
+++ b/internal/loadgenerator/callers.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"peridotpitch/internal/converter"
 	"peridotpitch/internal/emulator"
 )
 
@@ -177,7 +178,7 @@
 func (c *callers) generateArrivals(ctx context.Context, rnd *rand.Rand) {
 	next := time.Now()
 	for n := range c.options.Count {
-		next = next.Add(time.Duration(rnd.ExpFloat64() / c.options.Rate * float64(time.Second)))
+		next = next.Add(converter.Seconds(rnd.ExpFloat64() / c.options.Rate))
 		t := time.NewTimer(time.Until(next))
 		select {
 		case <-t.C:
--- a/internal/loadgenerator/jobs.go
+++ b/internal/loadgenerator/jobs.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"peridotpitch/internal/configurator"
+	"peridotpitch/internal/converter"
 	"peridotpitch/internal/scheduler"
 )
 
@@ -82,11 +83,11 @@
 		if !sleepUntil(ctx, next) {
 			return
 		}
-		next = next.Add(time.Duration(float64(time.Second) / s.options.Rate))
+		next = next.Add(converter.Seconds(1 / s.options.Rate))
 		spec := scheduler.JobSpec{
 			Name: fmt.Sprintf("%s-job-%d", s.options.Run, n), Class: s.options.Classes.Draw(s.rng), Team: s.options.Teams.Draw(s.rng),
 			Urgent: s.rng.Float64() < s.options.Urgent, Declared: s.options.Declared,
-			Duration: time.Duration((0.5 + s.rng.Float64()) * float64(s.options.Duration)),
+			Duration: converter.Scale(s.options.Duration, 0.5+s.rng.Float64()),
 		}
 		s.submit(ctx, spec, n)
 	}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"peridotpitch/internal/classifier"
+	"peridotpitch/internal/converter"
 	"peridotpitch/internal/evacuator"
 )
 
@@ -408,7 +409,7 @@
 func (o *Orchestrator) addJob(spec Job, revision uint64, r *Record) {
 	j := &job{Job: spec, inherited: spec.Epoch < o.settings.Epoch, state: StateQueued}
 	o.jobs[j.ID] = j
-	j.deadline = j.Submitted.Add(time.Duration(max(1, j.Policy.Stretch)*float64(o.longestChain(j))) + j.Policy.TargetDuration)
+	j.deadline = j.Submitted.Add(converter.Scale(o.longestChain(j), max(1, j.Policy.Stretch)) + j.Policy.TargetDuration)
 	if r != nil {
 		o.restore(j, r, o.now)
 		j.started = j.state == StateRunning || len(r.Done) > 0 || len(r.Tasks) > 0 || len(r.Finished) > 0
@@ -431,7 +432,7 @@
 		for _, a := range s.After {
 			ends[i] = max(ends[i], ends[a])
 		}
-		ends[i] += time.Duration(qs.runTimeRatio * qs.longestFactor(s.Count) * float64(s.Estimate))
+		ends[i] += converter.Scale(s.Estimate, qs.runTimeRatio*qs.longestFactor(s.Count))
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"peridotpitch/internal/converter"
 )
 
 const (
@@ -360,7 +362,7 @@
 		return obstacleShortJobReserve
 	}
 	if s.RackAffinity != "" && w.Rack != s.RackAffinity {
-		wait := time.Duration(rackWaitShare * float64(s.expectedRunTime(o.stats(s.occurrence.job.Policy.Queue).runTimeRatio)))
+		wait := converter.Scale(s.expectedRunTime(o.stats(s.occurrence.job.Policy.Queue).runTimeRatio), rackWaitShare)
 		if o.now.Sub(t.waitingSince) < wait && o.rackExists(s) {
 			return obstacleRack
 		}
@@ -563,7 +565,7 @@
 			fit += n
 		}
 		if fit >= s.Count {
-			return time.Duration((o.settings.RemoteSlowdown - 1) * float64(s.expectedRunTime(o.stats(s.occurrence.job.Policy.Queue).runTimeRatio)))
+			return converter.Scale(s.expectedRunTime(o.stats(s.occurrence.job.Policy.Queue).runTimeRatio), o.settings.RemoteSlowdown-1)
 		}
 	}
 	return 0
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"peridotpitch/internal/converter"
 )
 
 // pass is the state of one scheduling pass, in which the leader tries to start the waiting
@@ -195,7 +197,7 @@
 			ends[i] = max(ends[i], ends[a])
 		}
 		if s.unfinished > 0 {
-			took := time.Duration(qs.longestFactor(s.unfinished) * float64(s.expectedRunTime(qs.runTimeRatio)))
+			took := converter.Scale(s.expectedRunTime(qs.runTimeRatio), qs.longestFactor(s.unfinished))
 			if s.unfinished < s.Count {
 				took /= 2 // some tasks have succeeded already
 			}
@@ -205,7 +207,7 @@
 	}
 	expected := oc.remainingRunTime
 	if !oc.begun() {
-		expected = time.Duration(unstartedDelayFactor * float64(expected))
+		expected = converter.Scale(expected, unstartedDelayFactor)
 	}
 	end := o.now.Add(expected)
 	oc.forecastAt = o.now
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"peridotpitch/internal/converter"
 )
 
 // phase is the state of a run.
@@ -547,7 +549,7 @@
 	if s.runTimeSamples > 0 {
 		return s.meanRunTime
 	}
-	return time.Duration(ratio * float64(s.Estimate))
+	return converter.Scale(s.Estimate, ratio)
 }
 
 // longestFactor returns the expected run time of the longest of n tasks of a step as a
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"peridotpitch/internal/classifier"
+	"peridotpitch/internal/converter"
 )
 
 const (
@@ -113,7 +114,7 @@
 // maxLeaseTime returns the longest real time that a lease can last: that on a worker with the
 // slowest clock.
 func maxLeaseTime(lease time.Duration) time.Duration {
-	return time.Duration(float64(lease)/(1-clockDrift)) + leaseSlack
+	return converter.Duration(float64(lease)/(1-clockDrift)) + leaseSlack
 }
 
 func parseAddress(text string) netip.AddrPort {
--- a/internal/readmitter/readmitter.go
+++ b/internal/readmitter/readmitter.go
@@ -7,6 +7,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"peridotpitch/internal/converter"
 )
 
 const (
@@ -109,7 +111,7 @@
 			share /= 2
 		}
 		w := window{skipped: min(before.skipped+1, longest-1)}
-		needed := int(min(math.Ceil(own/share), float64(longest)))
+		needed := converter.Int(min(math.Ceil(own/share), float64(longest)))
 		w.seconds = min(max(needed, grown), longest-w.skipped)
 		if rank > 0 && w.cycle() < before.cycle() {
 			// Bounded by MaxWait, the callers would retry more often than more urgent ones. The second half of the
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"peridotpitch/internal/converter"
 )
 
 // Defaults of Options.
@@ -176,7 +178,7 @@
 func answerOf(resp *fasthttp.Response) Answer {
 	a := Answer{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
 	if s, err := strconv.ParseFloat(string(resp.Header.Peek("Retry-After")), 64); err == nil && s > 0 {
-		a.RetryAfter = time.Duration(s * float64(time.Second))
+		a.RetryAfter = converter.Seconds(s)
 	}
 	return a
 }
