coordinator: log where the leader's time goes

LeaderWork, once a second: for each kind of event the number, the wait for the state machine and the time it took; how long goroutines waited for a processor; garbage collection; writes and their records. Load also has the time of the passes, ends that were listed again, and what is not written yet. JobStarted and job_start_seconds{queue} show the time to the first accepted start, order_wait_seconds the time from a decision until its command is sent. No behaviour is changed: the lines are one a second, and one for each job.

--- a/internal/coordinator/decision_log.go
+++ b/internal/coordinator/decision_log.go
@@ -11,7 +11,10 @@
 // logDecision logs a decision of the orchestrator and counts it.
 func (c *Coordinator) logDecision(n orchestrator.Note) {
 	c.metrics.decisions.WithLabelValues(n.Event).Inc()
-	if n.Event == orchestrator.EventJobFinished {
+	switch n.Event {
+	case orchestrator.EventJobStarted:
+		c.metrics.jobStart.WithLabelValues(n.Queue).Observe(n.Age.Seconds())
+	case orchestrator.EventJobFinished:
 		c.metrics.jobDuration.WithLabelValues(n.Queue, n.Outcome).Observe(n.Age.Seconds())
 	}
 	attrs := make([]slog.Attr, 0, 8)
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -79,6 +79,7 @@
 	electedAt   time.Time     // when this host learned that it had won the election
 	lagLoggedAt time.Time     // of the last LeaderBehind; used by runTicker only
 	processors  processorMeter
+	runtime     runtimeMeter // used by runTicker only
 	hosts       hostTable
 	firstPolls  *rate.Limiter // of workers that records don't name
 
@@ -93,6 +94,7 @@
 	pollers            map[string]*poller
 	pendingJobs        map[string]int // result of orch.Pending at pendingAt; replaced, never changed
 	pendingAt          time.Time
+	work               workMeter
 	lastOutlook        admitter.Outlook // as of outlookMeasuredAt
 	outlookKnown       bool             // lastOutlook is set
 	outlookMeasuredAt  time.Time
@@ -107,6 +109,7 @@
 	meanLag           atomic.Int64 // moving average of lag, ns
 	lastConfirmedSent atomic.Int64 // timekeeper time at which the last confirmed write was sent, in Unix ns
 
+	writes       writeMeter
 	writeMu      sync.Mutex // held during a write of the leader; guards headRevision
 	headRevision uint64     // revision of keyHead
 }
@@ -172,11 +175,14 @@
 
 // apply passes an event to the orchestrator and executes the resulting actions.
 func (ld *leadership) apply(e orchestrator.Event) {
+	arrived := time.Now()
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	if ld.failed || ld.deposed.Load() {
 		return
 	}
+	begin := time.Now()
+	defer func() { ld.work.record(orchestrator.EventKind(e), begin.Sub(arrived), time.Since(begin)) }()
 	defer ld.recoverPanic(e)
 	for _, a := range ld.orch.Apply(e, timekeeper.Now()) {
 		ld.execute(a)
@@ -246,6 +252,7 @@
 			ld.recordLag(lag)
 			ld.outlook() // the averages need regular measurements
 			ld.processors.sample(timekeeper.Now())
+			ld.reportWork(timekeeper.Now())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -19,7 +19,12 @@
 	requestDuration *prometheus.HistogramVec
 	decisions       *prometheus.CounterVec
 	commandDuration *prometheus.HistogramVec
+	commandWait     prometheus.Histogram
 	jobDuration     *prometheus.HistogramVec
+	jobStart        *prometheus.HistogramVec
+	events          *prometheus.CounterVec
+	eventWait       *prometheus.CounterVec
+	eventWork       *prometheus.CounterVec
 	admissions      *prometheus.CounterVec
 	taskStarts      prometheus.Counter
 	polls           prometheus.Counter
@@ -47,14 +52,22 @@
 	histogram := func(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
 		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "peridotpitch", Name: name, Help: help, Buckets: buckets}, labels)
 	}
+	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "peridotpitch", Name: name, Help: help}, labels)
+	}
 	m := &metrics{
 		registry:        prometheus.NewRegistry(),
 		requestDuration: histogram("request_seconds", "Time to answer callers, by call, queue and outcome.", prometheus.ExponentialBuckets(0.002, 2, 12), "call", "queue", "outcome"),
 		commandDuration: histogram("order_seconds", "Time until workers answer orders.", prometheus.ExponentialBuckets(0.001, 2, 10), "order"),
 		jobDuration:     histogram("job_seconds", "Time from a job's submission to its final state, by queue and state.", prometheus.ExponentialBuckets(0.25, 2, 12), "queue", "state"),
-		decisions:       prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "peridotpitch", Name: "decisions_total", Help: "Decisions, by event."}, []string{"event"}),
-		admissions: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "peridotpitch", Name: "admission_decisions_total",
-			Help: "Decisions on submissions by what can still end in time, by queue and outcome."}, []string{"queue", "outcome"}),
+		jobStart:        histogram("job_start_seconds", "Time from a job's submission until a worker has accepted its first task, by queue.", prometheus.ExponentialBuckets(0.005, 2, 12), "queue"),
+		commandWait: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "peridotpitch", Name: "order_wait_seconds",
+			Help: "Time from the decision on an order until it is sent.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}),
+		events:          counters("leader_events_total", "Events that the leader has applied, by event.", "event"),
+		eventWait:       counters("leader_event_wait_seconds_total", "Time that events waited until the leader applied them, by event.", "event"),
+		eventWork:       counters("leader_event_work_seconds_total", "Time that the leader took to apply events, with the passes that they caused, by event.", "event"),
+		decisions:       counters("decisions_total", "Decisions, by event.", "event"),
+		admissions:      counters("admission_decisions_total", "Decisions on submissions by what can still end in time, by queue and outcome.", "queue", "outcome"),
 		taskStarts:      counter("starts_total", "Starts of tasks sent to workers."),
 		polls:           counter("looks_total", "Looks that workers answered."),
 		leaderWrites:    counter("leader_writes_total", "Writes of the leader to the store."),
@@ -70,7 +83,7 @@
 		configReads:     histogram("configuration_read_seconds", "Time of the store's answers to reads and watches of the configuration, by call and outcome.", prometheus.ExponentialBuckets(0.004, 2, 12), "call", "outcome"),
 		evacuated:       gauge("evacuated_failure_domains", "Failure domains that operators evacuate, as this host knows while it leads."),
 	}
-	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.jobDuration, m.decisions, m.admissions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures,
+	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.commandWait, m.jobDuration, m.jobStart, m.events, m.eventWait, m.eventWork, m.decisions, m.admissions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures,
 		m.evacuated, m.panics, m.retryAfter, m.forwardOutcomes, m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return m
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -245,6 +245,7 @@
 		return
 	}
 	fence := ld.term.Revision
+	ld.c.metrics.commandWait.Observe(begin.Sub(c.decidedAt).Seconds())
 	switch a := c.action.(type) {
 	case orchestrator.StartRun:
 		if begin.Sub(c.decidedAt) > maxStartDelay {
--- /dev/null
+++ b/internal/coordinator/work_meter_test.go
@@ -0,0 +1,45 @@
+package coordinator
+
+import (
+	"bytes"
+	"log/slog"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a leader whose log doesn't tell what it does and what waits for it, and against a line for each event.
+func TestLeaderWorkIsLogged(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	c := New(Settings{Name: "a"}, Dependencies{}, slog.New(slog.NewTextHandler(&log, nil)))
+	ld := &leadership{c: c, term: term{Revision: 7}}
+	now := time.Unix(1e9, 0)
+	ld.reportWork(now)
+	log.Reset()
+	ld.work.record("Tick", 2*time.Millisecond, 30*time.Millisecond)
+	ld.work.record("PollAnswered", 4*time.Millisecond, 40*time.Millisecond)
+	ld.work.record("PollAnswered", 8*time.Millisecond, 50*time.Millisecond)
+	ld.writes.add(9, 20*time.Millisecond)
+	ld.writes.add(3, 40*time.Millisecond)
+	for i := range 21 {
+		ld.reportWork(now.Add(time.Duration(i) * workReportInterval / 20))
+	}
+	is.Equal(strings.Count(log.String(), "msg=LeaderWork"), 1)
+	is.True(strings.Contains(log.String(), `Events="PollAnswered=2/6ms/8ms/90ms Tick=1/2ms/2ms/30ms"`))
+	is.True(strings.Contains(log.String(), "Writes=2 Records=12 WriteTime=30ms"))
+}
+
+// Guards against a wait that is read from the wrong bucket of the runtime's histogram, whose outer bounds are infinite.
+func TestQuantileOfBuckets(t *testing.T) {
+	is := is.New(t)
+	bounds := []float64{math.Inf(-1), 0, 0.001, 0.010, 0.100, math.Inf(1)}
+	is.Equal(quantile([]uint64{0, 0, 0, 0, 0}, bounds, 0.5), time.Duration(0))
+	is.Equal(quantile([]uint64{0, 98, 1, 1, 0}, bounds, 0.5), time.Duration(0))
+	is.Equal(quantile([]uint64{0, 98, 1, 1, 0}, bounds, 0.99), time.Millisecond)
+	is.Equal(quantile([]uint64{0, 0, 0, 0, 1}, bounds, 0.5), 100*time.Millisecond)
+	is.Equal(quantile([]uint64{1, 0, 0, 0, 0}, bounds, 0.5), time.Duration(0))
+}
--- a/internal/coordinator/write.go
+++ b/internal/coordinator/write.go
@@ -79,6 +79,7 @@
 	sent := timekeeper.Now()
 	revision, err := ld.c.store.Commit(ctx, tx)
 	ld.c.metrics.leaderWrites.Inc()
+	ld.writes.add(len(batch.Entries), timekeeper.Now().Sub(sent))
 	var conflict *storer.ConflictError
 	var unknown *storer.UnknownOutcomeError
 	switch {
--- a/internal/orchestrator/event_names.go
+++ b/internal/orchestrator/event_names.go
@@ -3,6 +3,7 @@
 // Values of Note.Event. docs/OPERATIONS.md explains each.
 const (
 	EventJobAdded          = "JobAdded"
+	EventJobStarted        = "JobStarted"
 	EventJobFinished       = "JobFinished"
 	EventStart             = "Start"
 	EventStartRefused      = "StartRefused"
@@ -29,7 +30,41 @@
 // Events returns all values of Note.Event.
 func Events() []string {
 	return []string{
-		EventJobAdded, EventJobFinished, EventStart, EventStartRefused, EventStartDeferred, EventStop, EventCopy, EventEnd, EventAdopt,
+		EventJobAdded, EventJobStarted, EventJobFinished, EventStart, EventStartRefused, EventStartDeferred, EventStop, EventCopy, EventEnd, EventAdopt,
 		EventRunLost, EventResend, EventCrash, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined, EventEvacuation, EventSlowRun,
 	}
 }
+
+// EventKind returns the name of an event's type.
+func EventKind(e Event) string {
+	switch e.(type) {
+	case Inherited:
+		return "Inherited"
+	case JobAccepted:
+		return "JobAccepted"
+	case CancelRequested:
+		return "CancelRequested"
+	case WorkersListed, WorkerListed, WorkerUnlisted, WorkersWatched:
+		return "Workers"
+	case EvacuationsListed:
+		return "Evacuations"
+	case PollAnswered:
+		return "PollAnswered"
+	case PollFailed:
+		return "PollFailed"
+	case StartAnswered:
+		return "StartAnswered"
+	case StopAnswered:
+		return "StopAnswered"
+	case ThrottleAnswered:
+		return "ThrottleAnswered"
+	case Confirmed, Written:
+		return "Written"
+	case AdviceAnswered:
+		return "AdviceAnswered"
+	case Tick:
+		return "Tick"
+	default:
+		return "Other"
+	}
+}
--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -23,11 +23,16 @@
 	// Scheduling passes, starts, checks whether a task may start on a worker, and ready steps that
 	// a pass left to the next one, in the last interval of at least loadNoteInterval.
 	Passes, Starts, Scored, PutOffSteps int
+	PassTime                            time.Duration // of these passes
+	RepeatedEnds                        int           // ends that workers listed again in that interval, because they were not acknowledged yet
+	UnwrittenJobs                       int           // jobs with changes that are not in the store
+	UnwrittenFor                        time.Duration // age of the oldest of these changes
 }
 
 func (l Load) String() string {
-	return fmt.Sprintf("Workers=%d Cores=%d Counted=%d Serving=%d Filling=%d Unused=%d Jobs=%d WaitingTasks=%d WaitingCores=%d Passes=%d Starts=%d Scored=%d PutOffSteps=%d",
-		l.Workers, l.Cores, l.Counted, l.Serving, l.Filling, l.Unused, l.Jobs, l.WaitingTasks, l.WaitingCores, l.Passes, l.Starts, l.Scored, l.PutOffSteps)
+	return fmt.Sprintf("Workers=%d Cores=%d Counted=%d Serving=%d Filling=%d Unused=%d Jobs=%d WaitingTasks=%d WaitingCores=%d Passes=%d Starts=%d Scored=%d PutOffSteps=%d PassTime=%s RepeatedEnds=%d UnwrittenJobs=%d UnwrittenFor=%s",
+		l.Workers, l.Cores, l.Counted, l.Serving, l.Filling, l.Unused, l.Jobs, l.WaitingTasks, l.WaitingCores, l.Passes, l.Starts, l.Scored, l.PutOffSteps,
+		l.PassTime.Round(time.Millisecond), l.RepeatedEnds, l.UnwrittenJobs, l.UnwrittenFor.Round(time.Millisecond))
 }
 
 // noteLoad notes the capacity and the use of the usable workers and the size of the queue.
@@ -38,7 +43,11 @@
 
 // load returns the present load, with the work of the passes before the last note.
 func (o *Orchestrator) load() Load {
-	l := Load{Jobs: len(o.jobs), Passes: o.lastWork.passes, Starts: o.lastWork.starts, Scored: o.lastWork.scored, PutOffSteps: o.lastWork.putOffSteps}
+	l := Load{Jobs: len(o.jobs), Passes: o.lastWork.passes, Starts: o.lastWork.starts, Scored: o.lastWork.scored, PutOffSteps: o.lastWork.putOffSteps,
+		PassTime: o.lastWork.took, RepeatedEnds: o.lastWork.repeatedEnds, UnwrittenJobs: len(o.dirty)}
+	for _, j := range o.dirty {
+		l.UnwrittenFor = max(l.UnwrittenFor, o.now.Sub(j.changedAt))
+	}
 	for _, w := range o.workers {
 		if ok, _ := o.usable(w); !ok {
 			continue
@@ -64,10 +73,13 @@
 	return l
 }
 
-// passWork is the work of the scheduling passes since the last note on the load.
+// passWork is the work of the scheduling passes, and of answers that had to be read again, since the last note on the load.
 type passWork struct {
 	passes      int
 	starts      int
 	scored      int // checks whether a task may start on a worker
 	putOffSteps int // ready steps that a pass left to the next one, because it had reached maxStartsPerPass
+	took        time.Duration
+	// repeatedEnds is the number of ends that workers listed although they had been applied.
+	repeatedEnds int
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -263,6 +263,7 @@
 	if o.passDue && o.inheritedApplied && !o.steppedDown && o.now.Sub(o.lastPassAt) >= o.passPause() {
 		o.passDue, o.lastPassAt = false, o.now
 		o.lastPassTook = o.measure(o.schedule)
+		o.work.took += o.lastPassTook
 	}
 	return o.actions
 }
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -254,6 +254,7 @@
 	}
 	if !j.started {
 		j.started = true
+		o.emit(Note{Event: EventJobStarted, Job: j.ID, Queue: j.Policy.Queue, Task: r.task.name, Age: o.now.Sub(j.Submitted)})
 		if j.state == StateQueued {
 			j.state = StateRunning
 		}
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -325,10 +325,12 @@
 		w.drainRemaining, w.drainRemainingAt = e.DrainRemaining, o.now
 	}
 	for _, row := range e.Ended {
-		if row.Number > w.lastAppliedEnd {
-			w.lastAppliedEnd = row.Number
-			o.applyEnd(w, row)
+		if row.Number <= w.lastAppliedEnd {
+			o.work.repeatedEnds++
+			continue
 		}
+		w.lastAppliedEnd = row.Number
+		o.applyEnd(w, row)
 	}
 	o.advanceAcks(w)
 	o.applyRunning(w, e)
