--- /dev/null
+++ b/internal/coordinator/late_leader_test.go
@@ -0,0 +1,333 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/time/rate"
+
+	"peridotpitch/internal/orchestrator"
+	"peridotpitch/internal/storer"
+	"peridotpitch/internal/timekeeper"
+)
+
+// delayedStore is a store in memory whose transactions take a time, as those of a leader do that is short of processor time.
+type delayedStore struct {
+	storer.TransactionalStore
+	delay func() time.Duration // of one transaction, half of it before it is executed
+	// lose, if set, reports whether a transaction gets no answer. It is executed lateBy later, if its conditions still hold.
+	lose   func(t storer.Transaction) bool
+	lateBy time.Duration
+
+	mu       sync.Mutex // guards the fields below
+	revision uint64
+	entries  map[string]storer.Entry
+	commits  int
+	inFlight int
+	most     int                                               // transactions in flight at the same time
+	executed func(t storer.Transaction, old map[string][]byte) // called for each executed transaction with the former values
+}
+
+func newDelayedStore(delay time.Duration) *delayedStore {
+	s := &delayedStore{delay: func() time.Duration { return delay }, revision: 1, entries: make(map[string]storer.Entry)}
+	s.entries[keyTerm] = storer.Entry{Key: keyTerm, Revision: 1}
+	s.entries[keyHead] = storer.Entry{Key: keyHead, Revision: 1}
+	return s
+}
+
+func (s *delayedStore) Commit(_ context.Context, t storer.Transaction) (uint64, error) {
+	d := s.delay()
+	s.mu.Lock()
+	s.commits++
+	s.inFlight++
+	s.most = max(s.most, s.inFlight)
+	s.mu.Unlock()
+	time.Sleep(d / 2)
+	if s.lose != nil && s.lose(t) {
+		go func() {
+			time.Sleep(s.lateBy)
+			_, _ = s.execute(t) // its answer is lost
+		}()
+		time.Sleep(d / 2)
+		s.finish()
+		return 0, &storer.UnknownOutcomeError{Key: "transaction", Reason: "no answer"}
+	}
+	revision, err := s.execute(t)
+	time.Sleep(d / 2)
+	s.finish()
+	return revision, err
+}
+
+func (s *delayedStore) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+}
+
+func (s *delayedStore) execute(t storer.Transaction) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conflict := &storer.ConflictError{}
+	met := true
+	for _, c := range t.Conditions {
+		met = met && s.entries[c.Key].Revision == c.Revision
+		conflict.Entries = append(conflict.Entries, storer.Entry{Key: c.Key, Value: s.entries[c.Key].Value, Revision: s.entries[c.Key].Revision})
+	}
+	if !met {
+		return 0, conflict
+	}
+	s.revision++
+	old := make(map[string][]byte)
+	for _, e := range t.Puts {
+		old[e.Key] = s.entries[e.Key].Value
+		s.entries[e.Key] = storer.Entry{Key: e.Key, Value: e.Value, Revision: s.revision}
+	}
+	for _, k := range t.Deletes {
+		delete(s.entries, k)
+	}
+	if s.executed != nil {
+		s.executed(t, old)
+	}
+	return s.revision, nil
+}
+
+func (s *delayedStore) Get(_ context.Context, key string) (storer.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.entries[key]; ok {
+		return e, nil
+	}
+	return storer.Entry{Key: key}, nil
+}
+
+func (s *delayedStore) List(_ context.Context, prefix string) ([]storer.Entry, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var es []storer.Entry
+	for _, k := range slices.Sorted(maps.Keys(s.entries)) {
+		if strings.HasPrefix(k, prefix) {
+			es = append(es, s.entries[k])
+		}
+	}
+	return es, s.revision, nil
+}
+
+// pollStep is how often a memoryWorkers checks whether a waiting poll can be answered.
+const pollStep = 10 * time.Millisecond
+
+// memoryWorkers are workers in memory. A poll returns at once if an end is not acknowledged.
+type memoryWorkers struct {
+	WorkerClient
+	runTime time.Duration
+	delay   time.Duration // until the answer to a start arrives
+
+	mu      sync.Mutex // guards the fields below
+	workers map[string]*memoryWorker
+	rows    int // ends that have been listed, also repeatedly
+	ends    int
+}
+
+type memoryWorker struct {
+	runs  map[string]memoryRun // by task
+	ended []orchestrator.EndedRun
+	count int // of ends
+	polls int
+}
+
+type memoryRun struct {
+	number int
+	endsAt time.Time
+}
+
+// worker returns a worker after its due runs have ended. mu must be held.
+func (m *memoryWorkers) worker(id string) *memoryWorker {
+	w := m.workers[id]
+	if w == nil {
+		w = &memoryWorker{runs: make(map[string]memoryRun)}
+		m.workers[id] = w
+	}
+	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
+		if r := w.runs[task]; !time.Now().Before(r.endsAt) {
+			delete(w.runs, task)
+			w.count++
+			m.ends++
+			w.ended = append(w.ended, orchestrator.EndedRun{Number: w.count, Task: task, Run: r.number, How: orchestrator.EndDone})
+		}
+	}
+	return w
+}
+
+func (m *memoryWorkers) Poll(ctx context.Context, t Target, l PollRequest) (orchestrator.PollAnswered, error) {
+	for deadline := time.Now().Add(l.Wait); ; time.Sleep(pollStep) {
+		m.mu.Lock()
+		w := m.worker(t.ID)
+		w.ended = slices.DeleteFunc(w.ended, func(e orchestrator.EndedRun) bool { return e.Number <= l.AckedThrough })
+		if len(w.ended) > 0 || !time.Now().Before(deadline) || ctx.Err() != nil {
+			defer m.mu.Unlock()
+			w.polls++
+			a := orchestrator.PollAnswered{Incarnation: 1, Clock: time.Since(time.Unix(0, 0)), Ended: slices.Clone(w.ended)}
+			for task, r := range w.runs {
+				a.Running = append(a.Running, orchestrator.RunningRun{Task: task, Run: r.number, Percent: 1})
+			}
+			m.rows += len(w.ended)
+			return a, nil
+		}
+		m.mu.Unlock()
+	}
+}
+
+func (m *memoryWorkers) Start(_ context.Context, t Target, _ uint64, s orchestrator.StartRun) orchestrator.StartOutcome {
+	time.Sleep(m.delay)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.worker(t.ID).runs[s.Task] = memoryRun{number: s.Run, endsAt: time.Now().Add(m.runTime)}
+	return orchestrator.StartAccepted
+}
+
+func (m *memoryWorkers) Stop(_ context.Context, t Target, _ uint64, s orchestrator.StopRun) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.worker(t.ID).runs, s.Task)
+	return nil
+}
+
+func (m *memoryWorkers) CloseConnections(netip.AddrPort) {}
+
+// lateLeader is a leadership in virtual time, with a store and workers in memory.
+type lateLeader struct {
+	*leadership
+	store   *delayedStore
+	workers *memoryWorkers
+}
+
+// newLateLeader returns a leader of n workers that it has polled, and a function that ends it. It must be called in a bubble
+// of testing/synctest.
+func newLateLeader(t *testing.T, n int, store *delayedStore, workers *memoryWorkers) (lateLeader, func()) {
+	t.Helper()
+	restore := timekeeper.Replace(time.Now)
+	workers.workers = make(map[string]*memoryWorker)
+	ld, _ := newTestLeadership(store)
+	ld.c.settings.MaxLease, ld.c.settings.StatusRetention, ld.c.settings.FarFactor = 10*time.Second, time.Hour, 3
+	ld.orch = orchestrator.New(ld.c.orchestratorSettings(1, timekeeper.Now(), timekeeper.Now()))
+	ld.c.deps.Workers = workers
+	ld.firstPolls, ld.headRevision = rate.NewLimiter(rate.Inf, 1), 1
+	ctx, cancel := context.WithCancel(context.Background())
+	ld.apply(orchestrator.Inherited{})
+	ld.loaded = true
+	var entries []orchestrator.WorkerEntry
+	for i := range n {
+		entries = append(entries, orchestrator.WorkerEntry{ID: fmt.Sprintf("w%03d", i), Service: "s", Rack: "r", Labels: []string{"a", "r"},
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80), Capacity: orchestrator.Resources{CPU: 32000, Memory: 128000}})
+	}
+	ld.apply(orchestrator.WorkersListed{Workers: entries, SentAt: timekeeper.Now()})
+	var group sync.WaitGroup
+	group.Go(func() { ld.runWriter(ctx) })
+	group.Go(func() { ld.runTicker(ctx) })
+	time.Sleep(2 * time.Second)
+	return lateLeader{ld, store, workers}, func() {
+		cancel()
+		ld.mu.Lock()
+		for _, p := range ld.pollers {
+			p.cancel()
+		}
+		ld.mu.Unlock()
+		group.Wait()
+		ld.cancel()
+		time.Sleep(time.Minute) // polls and late transactions end
+		restore()
+	}
+}
+
+// submit adds a job that is in the store.
+func (l lateLeader) submit(id string, tasks int) {
+	l.store.mu.Lock()
+	l.store.entries[prefixJob+id] = storer.Entry{Key: prefixJob + id, Revision: l.store.revision}
+	l.store.mu.Unlock()
+	l.apply(orchestrator.JobAccepted{Job: orchestrator.Job{
+		ID: id, Epoch: 1, Submitted: timekeeper.Now(), Policy: orchestrator.Policy{Queue: "q", Service: "s", Attempts: 3, Guarded: true},
+		Steps: []orchestrator.Step{{Count: tasks, Size: orchestrator.Resources{CPU: 500, Memory: 100}, Estimate: time.Second}},
+	}, Revision: 2})
+}
+
+// finalJobs returns how many jobs have a final record in the store.
+func (l lateLeader) finalJobs(is *is.I) int {
+	es, _, err := l.store.List(context.Background(), prefixRecord)
+	is.NoErr(err)
+	n := 0
+	for _, e := range es {
+		r, err := orchestrator.DecodeRecord(e.Value)
+		is.NoErr(err)
+		if r.State.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// largeJobRate is the rate of jobs of the large deployment by its sheet: 24.1 + 19.6 + 1.19 a second.
+	largeJobRate = 45
+	// visibleTime is how long the platform's description gives a change until callers see it (visible_ms).
+	visibleTime = 3 * time.Second
+)
+
+// Each call to the store takes 250 ms, because the leader is short of processor time. Guards against states and ends that
+// reach the store later and later: one transaction after the other took 36 jobs a second while 45 ended, so that quick jobs
+// were shown as succeeded seconds late, and changes that are not final were not written at all.
+func TestSlowWritesKeepUpWithEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l, closeLeader := newLateLeader(t, 50, newDelayedStore(250*time.Millisecond), &memoryWorkers{runTime: 640 * time.Millisecond})
+		defer closeLeader()
+		const seconds = 30
+		var worst time.Duration
+		for i := range seconds * largeJobRate {
+			l.submit(fmt.Sprintf("j%04d", i), 1+i%8)
+			time.Sleep(time.Second / largeJobRate)
+			l.mu.Lock()
+			worst = max(worst, l.orch.Status(timekeeper.Now()).Load.UnwrittenFor)
+			l.mu.Unlock()
+		}
+		if worst > visibleTime {
+			t.Errorf("changes were up to %v old before they were in the store, at most %v are allowed", worst, visibleTime)
+		}
+		time.Sleep(time.Second + visibleTime)
+		is.Equal(l.finalJobs(is), seconds*largeJobRate)
+	})
+}
+
+// Each call to the store takes 2 s. Guards against a worker that is polled again and again for the same ends while their
+// records are not in the store: the answers took the processor time that the writes needed.
+func TestKnownEndsAreNotPolledAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, closeLeader := newLateLeader(t, 1, newDelayedStore(2*time.Second), &memoryWorkers{runTime: time.Second})
+		defer closeLeader()
+		time.Sleep(5 * time.Second) // the roster is in the store
+		l.workers.mu.Lock()
+		before := l.workers.worker("w000").polls
+		l.workers.mu.Unlock()
+		const seconds, jobs = 20, 10
+		for i := range jobs {
+			l.submit(fmt.Sprintf("j%02d", i), 2)
+			time.Sleep(seconds / jobs * time.Second)
+		}
+		l.workers.mu.Lock()
+		defer l.workers.mu.Unlock()
+		// One poll for each interval after which an idle worker answers, and one for the ends of each job.
+		if n := l.workers.worker("w000").polls - before; n > seconds*int(time.Second/maxShortPollWait)+2*jobs {
+			t.Errorf("%d polls in %d s with the ends of %d jobs", n, seconds, jobs)
+		}
+		if l.workers.ends < 2*jobs-2 {
+			t.Errorf("only %d runs have ended", l.workers.ends)
+		}
+	})
+}
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -3,6 +3,7 @@
 package timekeeper
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -24,9 +25,24 @@
 	return time.Duration(t.Nano())
 }
 
+// replacement is the clock that Replace has set, nil without one.
+var replacement atomic.Pointer[func() time.Time]
+
+// Replace makes Now return the time of another clock until the returned function is called, so that tests can run in
+// virtual time.
+func Replace(now func() time.Time) func() {
+	replacement.Store(&now)
+	return func() { replacement.Store(nil) }
+}
+
 // Now returns the time of a clock that never steps back and advances while the host is
 // suspended. At the start of the process it equals the time of day.
-func Now() time.Time { return startWallTime.Add(sinceBoot() - startSinceBoot) }
+func Now() time.Time {
+	if now := replacement.Load(); now != nil {
+		return (*now)()
+	}
+	return startWallTime.Add(sinceBoot() - startSinceBoot)
+}
 
 // WallOffset returns how far the time of day is ahead of Now.
 func WallOffset() time.Duration { return time.Now().Round(0).Sub(Now()) }
