coordinator: poll no worker again and again for ends that are not stored yet

Cause: a worker answers a poll at once if it has an end that is not acknowledged, and an end is acknowledged once its record is in the store. The leader waited 160 ms for that and polled again. With writes a few seconds late, each of 1,100 workers answered several polls a second with all its ends of those seconds: 15,000 to 200,000 listed ends a second beside 2,000 new ones, which took the processor time that the writes needed. The state keeps itself up until the load ends (metastable failure by repeated work).

Now a worker with known ends is polled no more often than one without news: the pause takes the place of the worker's wait, and ends as before as soon as the ends are stored.

--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -35,12 +35,10 @@
 	firstPollsAtOnce = 100
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 250 * time.Millisecond
-	// maxAckWait is the maximum delay of the next poll while the ended runs of the last one
-	// are being stored. A poll that does not acknowledge them would return at once with the
-	// same ended runs.
-	maxAckWait = 160 * time.Millisecond
-	// ackChecks is the number of checks within maxAckWait.
-	ackChecks = 4
+	// minAckCheckInterval and maxAckCheckInterval bound the pause between two checks whether the ended runs of the last poll
+	// are stored. It doubles with each check.
+	minAckCheckInterval = 40 * time.Millisecond
+	maxAckCheckInterval = 160 * time.Millisecond
 	// commandSenders is the number of concurrent commands to one worker.
 	commandSenders = 2
 	// commandQueueSize bounds the commands that wait for one worker.
@@ -200,16 +198,21 @@
 	return ld.orch.NextPoll(id, timekeeper.Now())
 }
 
-// waitForAck waits until the ended runs of the last poll are stored, at most maxAckWait.
+// waitForAck waits until the ended runs of the last poll are stored, but no longer than a worker without news would hold a
+// poll. A poll that does not acknowledge them returns at once with the same ended runs. If such polls came more often, a
+// leader that is late to store them would be kept late by their answers.
 func (p *poller) waitForAck() {
-	for range ackChecks {
-		sleep(p.ctx, maxAckWait/ackChecks)
+	limit := pollWait(true, time.Duration(p.ld.meanLag.Load()))
+	pause := minAckCheckInterval
+	for begin := time.Now(); time.Since(begin) < limit && p.ctx.Err() == nil; {
+		sleep(p.ctx, pause)
 		p.ld.mu.Lock()
 		done := p.ld.orch.Acknowledged(p.target.ID)
 		p.ld.mu.Unlock()
 		if done {
 			return
 		}
+		pause = min(2*pause, maxAckCheckInterval)
 	}
 }
 
