coordinator: writes keep up with ends while each of them is slow

Cause: the leader wrote one transaction after the other, each with at most 9 final records. A leader that is short of processor time gets the store's answer after 250 ms instead of 4, so that it stored 36 final states a second while 45 jobs ended; what was not final came last and was not written at all, its ends were not acknowledged and were listed again in each poll, which kept the leader short of time.

Now up to 8 further transactions with other jobs follow each write of head at the same time, as many as writes take multiples of 20 ms: a leader with quick writes makes one after the other as before, and a late one makes no more a second than that. They hold only while head is as that write has left it, so that one of them that is executed late has no effect after the next write of head. A third of a batch's keys goes to changes that are not final, and final records of urgent queues go first. Keys and formats are the same; the build in production reads them, and as a leader goes on as before.

Measured: TestSlowWritesKeepUpWithEnds, 6.6 s before, passes (bound 3 s, visible_ms).

--- a/internal/coordinator/late_leader_test.go
+++ b/internal/coordinator/late_leader_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/bits"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -26,7 +28,7 @@
 	delay func() time.Duration // of one transaction, half of it before it is executed
 	// lose, if set, reports whether a transaction gets no answer. It is executed lateBy later, if its conditions still hold.
 	lose   func(t storer.Transaction) bool
-	lateBy time.Duration
+	lateBy func() time.Duration
 
 	mu       sync.Mutex // guards the fields below
 	revision uint64
@@ -54,7 +56,7 @@
 	time.Sleep(d / 2)
 	if s.lose != nil && s.lose(t) {
 		go func() {
-			time.Sleep(s.lateBy)
+			time.Sleep(s.lateBy())
 			_, _ = s.execute(t) // its answer is lost
 		}()
 		time.Sleep(d / 2)
@@ -128,6 +130,7 @@
 type memoryWorkers struct {
 	WorkerClient
 	runTime time.Duration
+	spread  time.Duration // by which a task runs longer than the one before it in its step
 	delay   time.Duration // until the answer to a start arrives
 
 	mu      sync.Mutex // guards the fields below
@@ -189,7 +192,7 @@
 	time.Sleep(m.delay)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.worker(t.ID).runs[s.Task] = memoryRun{number: s.Run, endsAt: time.Now().Add(m.runTime)}
+	m.worker(t.ID).runs[s.Task] = memoryRun{number: s.Run, endsAt: time.Now().Add(m.runTime + time.Duration(s.Task[len(s.Task)-1]-'0')*m.spread)}
 	return orchestrator.StartAccepted
 }
 
@@ -233,7 +236,7 @@
 	group.Go(func() { ld.runWriter(ctx) })
 	group.Go(func() { ld.runTicker(ctx) })
 	time.Sleep(2 * time.Second)
-	return lateLeader{ld, store, workers}, func() {
+	return lateLeader{ld, store, workers}, sync.OnceFunc(func() {
 		cancel()
 		ld.mu.Lock()
 		for _, p := range ld.pollers {
@@ -244,7 +247,7 @@
 		ld.cancel()
 		time.Sleep(time.Minute) // polls and late transactions end
 		restore()
-	}
+	})
 }
 
 // submit adds a job that is in the store.
@@ -331,3 +334,75 @@
 		}
 	})
 }
+
+// One in five transactions gets no answer and is executed up to 3 s later, if its conditions still hold, while others are in
+// flight at the same time. Guards against a late transaction that replaces a newer record by an older one: the next leader
+// would start tasks again that have ended.
+func TestLateWritesReplaceNoNewerRecords(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testLateWrites(t, seed) })
+		})
+	}
+}
+
+func testLateWrites(t *testing.T, seed uint64) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	var mu sync.Mutex // guards rnd, lost and reverted
+	draw := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return rnd.IntN(n)
+	}
+	store := newDelayedStore(0)
+	store.delay = func() time.Duration { return time.Duration(100+draw(200)) * time.Millisecond }
+	store.lateBy = func() time.Duration { return time.Duration(draw(3000)) * time.Millisecond }
+	lost, reverted := 0, 0
+	store.lose = func(tx storer.Transaction) bool {
+		if len(tx.Deletes)+len(tx.Puts) < 5 || draw(5) > 0 {
+			return false
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		lost++
+		return true
+	}
+	store.executed = func(tx storer.Transaction, old map[string][]byte) {
+		for _, e := range tx.Puts {
+			if !strings.HasPrefix(e.Key, prefixRecord) || old[e.Key] == nil {
+				continue
+			}
+			before, err := orchestrator.DecodeRecord(old[e.Key])
+			is.NoErr(err)
+			after, err := orchestrator.DecodeRecord(e.Value)
+			is.NoErr(err)
+			if before.State.Final() && !after.State.Final() || !after.State.Final() && doneTasks(after) < doneTasks(before) {
+				reverted++
+			}
+		}
+	}
+	l, closeLeader := newLateLeader(t, 50, store, &memoryWorkers{runTime: 640 * time.Millisecond, spread: 200 * time.Millisecond})
+	defer closeLeader()
+	for i := range 10 * largeJobRate {
+		l.submit(fmt.Sprintf("j%04d", i), 1+i%8)
+		time.Sleep(time.Second / largeJobRate)
+	}
+	time.Sleep(20 * time.Second)
+	is.Equal(l.finalJobs(is), 10*largeJobRate)
+	closeLeader()
+	is.Equal(reverted, 0)
+	is.True(lost > 5)       // else the test says nothing
+	is.True(store.most > 2) // writes at the same time
+}
+
+// doneTasks returns how many tasks have succeeded by a record.
+func doneTasks(r orchestrator.Record) int {
+	n := 0
+	for _, d := range r.Done {
+		for _, b := range d.Bits {
+			n += bits.OnesCount8(b)
+		}
+	}
+	return n
+}
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -110,8 +110,9 @@
 	lastConfirmedSent atomic.Int64 // timekeeper time at which the last confirmed write was sent, in Unix ns
 
 	writes       writeMeter
-	writeMu      sync.Mutex // held during a write of the leader; guards headRevision
-	headRevision uint64     // revision of keyHead
+	writeMu      sync.Mutex    // held during writes of the leader; guards the fields below
+	headRevision uint64        // revision of keyHead
+	writeTime    time.Duration // of the last confirmed write of head, until the store's answer
 }
 
 // startLeadership makes this host the leader of term t. The leadership ends when another
--- a/internal/coordinator/write.go
+++ b/internal/coordinator/write.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -63,33 +65,71 @@
 	}
 }
 
-// writeBatch writes the most urgent changes. If all is set, the batch includes changes that would
-// otherwise wait for a later one.
+const (
+	// writePace is the time for one write from which further ones are made at the same time. All hosts share the store's rate
+	// of writes; a leader whose writes take longer makes no more of them in a second than one whose writes take this long.
+	writePace = 20 * time.Millisecond
+	// maxParallelWrites bounds the writes that follow one write of head at the same time.
+	maxParallelWrites = 8
+)
+
+// parallelWrites returns how many further writes may follow a write of head at the same time if a write takes so long.
+func parallelWrites(took time.Duration) int { return int(min(maxParallelWrites, took/writePace)) }
+
+// writeBatch writes the most urgent changes. If all is set, they include changes that would otherwise wait for a later one.
+//
+// The first write rewrites head. If more changes are due and writes are slow, further writes with other jobs follow, all at the
+// same time. They hold only while head is as the first write has left it: one of them that is executed late, after the next
+// write of head, has no effect.
 func (ld *leadership) writeBatch(ctx context.Context, all bool) writeResult {
 	ld.writeMu.Lock()
 	defer ld.writeMu.Unlock()
 	ld.mu.Lock()
-	batch := ld.orch.NextBatch(maxBatchKeys, all, timekeeper.Now())
+	batches := ld.orch.NextBatches(1+parallelWrites(ld.writeTime), maxBatchKeys, all, timekeeper.Now())
 	ld.mu.Unlock()
+	begin := timekeeper.Now()
+	if !ld.commitHead(ctx, batches[0]) {
+		return writeFailed
+	}
+	ld.writeTime = timekeeper.Now().Sub(begin)
+	var failed atomic.Bool
+	var group sync.WaitGroup
+	for _, b := range batches[1:] {
+		group.Go(func() {
+			if !ld.commitBeside(ctx, b) {
+				failed.Store(true)
+			}
+		})
+	}
+	group.Wait()
+	switch {
+	case failed.Load():
+		return writeFailed
+	case batches[len(batches)-1].More:
+		return writePartial
+	}
+	return writeConfirmed
+}
+
+// commitHead writes a batch and head, and reports whether that was confirmed. ld.writeMu must be held.
+func (ld *leadership) commitHead(ctx context.Context, batch orchestrator.Batch) bool {
 	tx, err := ld.transaction(batch)
+	if err == nil {
+		err = ld.addHead(&tx)
+	}
 	if err != nil {
 		ld.c.log.Error("WriteFailed", "Cause", err.Error())
-		return writeFailed
+		return false
 	}
 	sent := timekeeper.Now()
-	revision, err := ld.c.store.Commit(ctx, tx)
-	ld.c.metrics.leaderWrites.Inc()
-	ld.writes.add(len(batch.Entries), timekeeper.Now().Sub(sent))
+	revision, err := ld.commit(ctx, tx, batch)
 	var conflict *storer.ConflictError
 	var unknown *storer.UnknownOutcomeError
 	switch {
 	case err == nil:
 		ld.headRevision = revision
 		ld.recordConfirmedWrite(sent, batch)
-		if batch.More {
-			return writePartial
-		}
-		return writeConfirmed
+		return true
 	case errors.As(err, &conflict):
 		ld.resolveConflict(conflict)
 	case errors.As(err, &unknown):
@@ -97,11 +137,47 @@
 	default:
 		ld.c.log.Debug("WriteRefused", "Cause", err.Error())
 	}
-	return writeFailed
+	return false
+}
+
+// commitBeside writes a batch without head, and reports whether that was confirmed. Without an answer its changes stay due:
+// they are written again after the next write of head. ld.writeMu must be held.
+func (ld *leadership) commitBeside(ctx context.Context, batch orchestrator.Batch) bool {
+	tx, err := ld.transaction(batch)
+	if err != nil {
+		ld.c.log.Error("WriteFailed", "Cause", err.Error())
+		return false
+	}
+	sent := timekeeper.Now()
+	_, err = ld.commit(ctx, tx, batch)
+	var conflict *storer.ConflictError
+	switch {
+	case err == nil:
+		ld.recordConfirmedWrite(sent, batch)
+		return true
+	case errors.As(err, &conflict):
+		if r := conflict.Revision(keyTerm); r != ld.term.Revision {
+			ld.depose(errOtherHostElected.Error(), r)
+		}
+	default:
+		ld.c.log.Debug("WriteRefused", "Cause", err.Error())
+	}
+	return false
+}
+
+// commit sends a transaction with a batch to the store and measures it.
+func (ld *leadership) commit(ctx context.Context, tx storer.Transaction, batch orchestrator.Batch) (uint64, error) {
+	sent := timekeeper.Now()
+	revision, err := ld.c.store.Commit(ctx, tx)
+	ld.c.metrics.leaderWrites.Inc()
+	ld.writes.add(len(batch.Entries), timekeeper.Now().Sub(sent))
+	return revision, err
 }
 
 func (ld *leadership) recordConfirmedWrite(sent time.Time, batch orchestrator.Batch) {
-	ld.lastConfirmedSent.Store(sent.UnixNano())
+	for last := ld.lastConfirmedSent.Load(); last < sent.UnixNano() && !ld.lastConfirmedSent.CompareAndSwap(last, sent.UnixNano()); {
+		last = ld.lastConfirmedSent.Load()
+	}
 	ld.apply(orchestrator.Confirmed{SentAt: sent})
 	ld.apply(orchestrator.Written{Batch: batch})
 }
@@ -111,17 +187,9 @@
 	return timekeeper.Now().Sub(time.Unix(0, ld.lastConfirmedSent.Load()))
 }
 
-// transaction returns the transaction that writes a batch. Its value of head is unique, so
-// that resolveUnknownOutcome can check whether it was executed.
+// transaction returns the transaction that writes a batch while term and head are as this leader knows them.
 func (ld *leadership) transaction(batch orchestrator.Batch) (storer.Transaction, error) {
-	head, err := msgpack.Marshal([]any{ld.c.processID, timekeeper.Now().UnixNano()})
-	if err != nil {
-		return storer.Transaction{}, err
-	}
-	tx := storer.Transaction{
-		Conditions: []storer.Condition{{Key: keyTerm, Revision: ld.term.Revision}, {Key: keyHead, Revision: ld.headRevision}},
-		Puts:       []storer.Entry{{Key: keyHead, Value: head}},
-	}
+	tx := storer.Transaction{Conditions: []storer.Condition{{Key: keyTerm, Revision: ld.term.Revision}, {Key: keyHead, Revision: ld.headRevision}}}
 	for _, e := range batch.Entries {
 		key := prefixRecord + e.Record.ID
 		if e.Delete {
@@ -154,6 +222,17 @@
 	return tx, nil
 }
 
+// addHead adds a new value of head to a transaction. It is unique, so that resolveUnknownOutcome can check whether the
+// transaction was executed.
+func (ld *leadership) addHead(tx *storer.Transaction) error {
+	head, err := msgpack.Marshal([]any{ld.c.processID, timekeeper.Now().UnixNano()})
+	if err != nil {
+		return err
+	}
+	tx.Puts = append(tx.Puts, storer.Entry{Key: keyHead, Value: head})
+	return nil
+}
+
 // resolveConflict ends the leadership if another host was elected. Otherwise an earlier
 // write with an unknown outcome was executed, and its revision of head is adopted.
 func (ld *leadership) resolveConflict(conflict *storer.ConflictError) {
@@ -180,7 +259,7 @@
 		}
 	}
 	for _, e := range entries {
-		if e.Key == keyHead && bytes.Equal(e.Value, tx.Puts[0].Value) {
+		if e.Key == keyHead && bytes.Equal(e.Value, tx.Puts[len(tx.Puts)-1].Value) {
 			ld.headRevision = e.Revision
 			ld.recordConfirmedWrite(sent, batch)
 		}
--- a/internal/orchestrator/batch.go
+++ b/internal/orchestrator/batch.go
@@ -41,40 +41,68 @@
 // job and the request to cancel it.
 const finalRecordKeys = 3
 
-// NextBatch returns the most urgent changes, which change at most limit keys of records and jobs.
-// all includes changes that are
-// younger than batchDelay. Final records go first, because callers wait for them, and then the
-// others by the age of their changes.
+// reservedKeyShare is the share of a batch's keys that final records leave to other changes. Ends of runs are acknowledged
+// once they are stored; without a share, a leader with many final records would never acknowledge the ends of other jobs.
+const reservedKeyShare = 1.0 / 3
+
+// NextBatch returns the first of NextBatches.
 func (o *Orchestrator) NextBatch(limit int, all bool, now time.Time) Batch {
-	var b Batch
-	due := make([]*job, 0, len(o.dirty))
-	for _, j := range o.dirty {
-		if j.state.Final() || all || now.Sub(j.changedAt) >= batchDelay {
-			due = append(due, j)
-		}
-	}
-	slices.SortFunc(due, func(a, b *job) int {
-		if a.state.Final() != b.state.Final() {
-			if a.state.Final() {
-				return -1
+	return o.NextBatches(1, limit, all, now)[0]
+}
+
+// NextBatches returns the most urgent changes in one batch to count batches, each of which changes at most limit keys of
+// records and jobs. No job is in two of them, so that they can be written at the same time; roster, statistics
+// and deletions are in the first one. all includes changes that are younger than batchDelay. Final records go first, because
+// callers wait for them, those of urgent queues before others, but leave reservedKeyShare to other changes, of which the
+// oldest go first.
+func (o *Orchestrator) NextBatches(count, limit int, all bool, now time.Time) []Batch {
+	final, other := o.dueChanges(all, now)
+	var batches []Batch
+	for len(batches) == 0 || len(batches) < count && len(final)+len(other) > 0 {
+		var b Batch
+		left := limit
+		take := func(jobs []*job, keys, reserved int) []*job {
+			for len(jobs) > 0 && left-reserved >= keys {
+				b.Entries = append(b.Entries, BatchEntry{Record: jobs[0].record(), version: jobs[0].version})
+				left -= keys
+				jobs = jobs[1:]
 			}
-			return 1
+			return jobs
 		}
-		return cmp.Or(a.changedAt.Compare(b.changedAt), cmp.Compare(a.ID, b.ID))
-	})
-	for _, j := range due {
-		keys := 1
-		if j.state.Final() {
-			keys = finalRecordKeys
+		final = take(final, finalRecordKeys, min(len(other), int(reservedKeyShare*float64(limit))))
+		other = take(other, 1, 0)
+		final = take(final, finalRecordKeys, 0)
+		if len(batches) == 0 {
+			o.addSharedChanges(&b, left, all, now)
 		}
-		if keys > limit {
-			b.More = true
-			break
+		batches = append(batches, b)
+	}
+	batches[len(batches)-1].More = len(final)+len(other) > 0
+	return batches
+}
+
+// dueChanges returns the jobs whose changes are to be written now, those with a final record apart from the others, each in
+// the order in which they are written.
+func (o *Orchestrator) dueChanges(all bool, now time.Time) (final, other []*job) {
+	for _, j := range o.dirty {
+		switch {
+		case j.state.Final():
+			final = append(final, j)
+		case all || now.Sub(j.changedAt) >= batchDelay:
+			other = append(other, j)
 		}
-		limit -= keys
-		b.Entries = append(b.Entries, BatchEntry{Record: j.record(), version: j.version})
 	}
-	for _, id := range o.expired[:min(len(o.expired), limit)] {
+	byAge := func(a, b *job) int { return cmp.Or(a.changedAt.Compare(b.changedAt), cmp.Compare(a.ID, b.ID)) }
+	slices.SortFunc(final, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.Policy.Priority, b.Policy.Priority), byAge(a, b))
+	})
+	slices.SortFunc(other, byAge)
+	return final, other
+}
+
+// addSharedChanges adds the changes that are not of one job's progress to a batch with left keys.
+func (o *Orchestrator) addSharedChanges(b *Batch, left int, all bool, now time.Time) {
+	for _, id := range o.expired[:min(len(o.expired), left)] {
 		b.Entries = append(b.Entries, BatchEntry{Record: Record{ID: id}, Delete: true})
 	}
 	if o.rosterWritten < o.rosterVersion && (all || now.Sub(o.rosterBatchAt) >= time.Duration(len(o.workers))*rosterPausePerWorker) {
@@ -95,7 +123,6 @@
 		o.statisticsAt = now
 		b.Statistics = o.workloadStatistics()
 	}
-	return b
 }
 
 // HasUnwrittenChanges reports whether records or the roster have changes that are not in the
