platform, coordinator: odd entries among those of the workers

Operators of another system saw machines that read the list end again and again, or stop following it, after another writer had left one odd entry (deep nesting, a number too large, a port out of range).

Here, by raw bytes: deep nesting, a port of 65536 and a cpu of 1e300 were refused before. A reason quotes at most 200 bytes.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -85,7 +85,7 @@
 	recentForwards     recentCounter // submissions sent to the leader
 	returns            returnCounter
 	admission          admission
-	invalidWorkerKeys  sync.Map // keys of worker entries that could not be decoded; each is logged once
+	invalidWorkerKeys  keySet // of worker entries that could not be decoded
 
 	mu         sync.Mutex  // guards the fields below
 	term       term        // newest term that this host has read or written
--- a/internal/coordinator/decision_log.go
+++ b/internal/coordinator/decision_log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"peridotpitch/internal/orchestrator"
@@ -39,10 +40,33 @@
 	c.log.LogAttrs(context.Background(), slog.LevelInfo, n.Event, attrs...)
 }
 
+// maxLoggedKeys bounds the keys of invalid entries that are remembered.
+const maxLoggedKeys = 1000
+
+// keySet is a set of at most maxLoggedKeys keys. It is safe for concurrent use.
+type keySet struct {
+	mu   sync.Mutex // guards keys
+	keys map[string]bool
+}
+
+// add adds a key, and reports whether it was new. A full set is emptied first.
+func (k *keySet) add(key string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.keys[key] {
+		return false
+	}
+	if k.keys == nil || len(k.keys) >= maxLoggedKeys {
+		k.keys = make(map[string]bool)
+	}
+	k.keys[key] = true
+	return true
+}
+
 // logInvalidWorkerEntry logs an entry under the workers' prefix that does not describe a
-// worker, once for each key.
+// worker, once for each key as long as there are not more than maxLoggedKeys of them.
 func (c *Coordinator) logInvalidWorkerEntry(key string, err error) {
-	if _, seen := c.invalidWorkerKeys.LoadOrStore(key, true); !seen {
+	if c.invalidWorkerKeys.add(key) {
 		c.log.Warn("EntryIgnored", "Key", key, "Cause", err.Error())
 	}
 }
--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -251,7 +252,7 @@
 	for _, e := range es {
 		d, ok := ld.decodedWorkers[e.Key]
 		if !ok || d.revision != e.Revision {
-			w, err := ld.c.deps.Decoder.Worker(e.Key, e.Value)
+			w, err := ld.c.decodeWorker(e)
 			if err != nil {
 				ld.c.logInvalidWorkerEntry(e.Key, err)
 				continue
@@ -266,15 +267,35 @@
 	return revision, nil
 }
 
+// applyWorkerEvent passes a changed entry to the orchestrator. An entry that names no worker is as good as none, as in the
+// whole list: a worker whose entry another program has overwritten stays usable until it has had time to write it again.
 func (ld *leadership) applyWorkerEvent(e storer.Entry) {
-	if e.Deleted {
-		ld.apply(orchestrator.WorkerUnlisted{ID: strings.TrimPrefix(e.Key, ld.c.deps.Keys.Workers)})
-		return
-	}
-	w, err := ld.c.deps.Decoder.Worker(e.Key, e.Value)
-	if err != nil {
+	if !e.Deleted {
+		w, err := ld.c.decodeWorker(e)
+		if err == nil {
+			ld.apply(orchestrator.WorkerListed{Worker: w})
+			return
+		}
 		ld.c.logInvalidWorkerEntry(e.Key, err)
-		return
 	}
-	ld.apply(orchestrator.WorkerListed{Worker: w})
+	ld.apply(orchestrator.WorkerUnlisted{ID: strings.TrimPrefix(e.Key, ld.c.deps.Keys.Workers)})
+}
+
+// decoderPanicError reports a panic of the decoder of workers' entries.
+type decoderPanicError struct{ Value any }
+
+func (e *decoderPanicError) Error() string {
+	return fmt.Sprintf("the decoder panicked: %.200v", e.Value)
+}
+
+// decodeWorker decodes a worker's entry. A panic of the decoder is an error: any program may write entries, and each leader
+// in turn would end with the one that reads it.
+func (c *Coordinator) decodeWorker(e storer.Entry) (w orchestrator.WorkerEntry, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.metrics.panics.Inc()
+			err = &decoderPanicError{p}
+		}
+	}()
+	return c.deps.Decoder.Worker(e.Key, e.Value)
 }
--- a/internal/coordinator/late_leader_test.go
+++ b/internal/coordinator/late_leader_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -228,8 +229,7 @@
 	ld.loaded = true
 	var entries []orchestrator.WorkerEntry
 	for i := range n {
-		entries = append(entries, orchestrator.WorkerEntry{ID: fmt.Sprintf("w%03d", i), Service: "s", Rack: "r", Labels: []string{"a", "r"},
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80), Capacity: orchestrator.Resources{CPU: 32000, Memory: 128000}})
+		entries = append(entries, workerEntry(fmt.Sprintf("w%03d", i)))
 	}
 	ld.apply(orchestrator.WorkersListed{Workers: entries, SentAt: timekeeper.Now()})
 	var group sync.WaitGroup
@@ -250,6 +250,13 @@
 	})
 }
 
+// workerEntry returns the entry of a worker with the ID w and a number of three digits.
+func workerEntry(id string) orchestrator.WorkerEntry {
+	n, _ := strconv.Atoi(id[1:])
+	return orchestrator.WorkerEntry{ID: id, Service: "s", Rack: "r", Labels: []string{"a", "r"},
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80), Capacity: orchestrator.Resources{CPU: 32000, Memory: 128000}}
+}
+
 // submit adds a job that is in the store.
 func (l lateLeader) submit(id string, tasks int) {
 	l.store.mu.Lock()
