--- a/internal/orchestrator/occurrence.go
+++ b/internal/orchestrator/occurrence.go
@@ -116,6 +116,7 @@
 		return
 	}
 	t.done = true
+	t.step.waitingKnown = false
 	s, oc := t.step, t.step.occurrence
 	s.unfinished--
 	if s.unfinished > 0 {
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -23,16 +23,19 @@
 func (o *Orchestrator) schedule() {
 	o.lightlyLoaded = o.updateLoad()
 	o.updateReturning()
+	o.work.passes++
+	queue := o.queue()
+	o.lastPassSteps = len(queue)
+	if len(queue) == 0 {
+		return
+	}
 	p := &pass{candidates: make(map[string][]*worker), reasons: make(map[string]string), unplaced: make(map[string]Resources)}
 	for _, w := range o.workersByID() {
 		if w.unreached() {
 			p.unreached = append(p.unreached, w)
 		}
 	}
-	o.work.passes++
 	starts := 0
-	queue := o.queue()
-	o.lastPassSteps = len(queue)
 	for i, u := range queue {
 		if starts >= maxStartsPerPass {
 			o.passDue = true // the next pass continues
@@ -54,7 +57,7 @@
 	o.returning = make(map[string][]Resources)
 	for s := range o.ready {
 		service := s.occurrence.job.Policy.Service
-		if !s.LongRunning || slices.Contains(o.returning[service], s.countedSize()) {
+		if !s.LongRunning || !s.hasWaitingTasks() || slices.Contains(o.returning[service], s.countedSize()) {
 			continue
 		}
 		if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.returning() && o.now.Sub(t.waitingSince) < maxPrecedence }) {
@@ -105,7 +108,11 @@
 
 // hasWaitingTasks reports whether a task of the step neither runs nor has succeeded.
 func (s *step) hasWaitingTasks() bool {
-	return slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.done && len(t.runs) == 0 })
+	if !s.waitingKnown {
+		s.waiting = slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.done && len(t.runs) == 0 })
+		s.waitingKnown = true
+	}
+	return s.waiting
 }
 
 // placedBySizeOnly reports whether only service and size, and the image of a best-effort step, decide
--- a/internal/orchestrator/record.go
+++ b/internal/orchestrator/record.go
@@ -138,7 +138,7 @@
 		}
 		for i, t := range s.tasks {
 			if i/8 < len(d.Bits) && d.Bits[i/8]&(1<<(i%8)) != 0 {
-				t.done = true
+				t.done, t.step.waitingKnown = true, false
 			}
 		}
 	}
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -65,6 +65,7 @@
 func (o *Orchestrator) addRun(t *task, w *worker, number int, p phase) *run {
 	r := &run{task: t, worker: w, number: number, phase: p, sentAt: o.now, startedAt: o.now, progressAt: o.now, confirmedSpeed: 100, targetSpeed: 100, ownLoad: defaultOwnLoad}
 	t.runs = append(t.runs, r)
+	t.step.waitingKnown = false
 	t.nextRun, t.observed = max(t.nextRun, number+1), true
 	w.runs = append(w.runs, r)
 	w.runByKey[r.key()] = r
@@ -119,6 +120,7 @@
 	w.addUsage(t.step.Step, -1)
 	w.removeSuspect(r)
 	t.runs = slices.DeleteFunc(t.runs, func(k *run) bool { return k == r })
+	t.step.waitingKnown = false
 	if r.begun {
 		// The wait of a task whose start was refused goes on.
 		t.waitingSince, t.lastRunEnd = o.now, o.now
