coordinator: the leader's lag includes the wait for a processor

The leader polls less often, pauses between passes and extends its timeouts by its lag.

TestLagShowsWaitForProcessor: 200 goroutines on one processor.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -80,6 +80,7 @@
 	lagLoggedAt time.Time     // of the last LeaderBehind; used by runTicker only
 	processors  processorMeter
 	runtime     runtimeMeter // used by runTicker only
+	waits       waitMeter    // used by runTicker only
 	hosts       hostTable
 	firstPolls  *rate.Limiter // of workers that records don't name
 
@@ -105,7 +106,7 @@
 	evacuated   atomic.Pointer[[]string] // evacuated failure domains, sorted; nil: not read
 
 	deposed           atomic.Bool  // another host has been elected: nothing is sent any more
-	lag               atomic.Int64 // how late the last Tick was applied, ns
+	lag               atomic.Int64 // how late this leader was at the last Tick, ns: the longer of the Tick's delay and the wait for a processor
 	meanLag           atomic.Int64 // moving average of lag, ns
 	lastConfirmedSent atomic.Int64 // timekeeper time at which the last confirmed write was sent, in Unix ns
 
@@ -249,7 +250,7 @@
 		select {
 		case due := <-t.C:
 			ld.apply(orchestrator.Tick{WallOffset: timekeeper.WallOffset(), Lag: lag})
-			lag = time.Since(due)
+			lag = max(time.Since(due), ld.waits.lag())
 			ld.recordLag(lag)
 			ld.outlook() // the averages need regular measurements
 			ld.processors.sample(timekeeper.Now())
@@ -268,7 +269,7 @@
 	return average + converter.Scale(lag-average, lagWeight)
 }
 
-// recordLag records how late a Tick was applied, and logs it if the leader is behind.
+// recordLag records how late this leader is, and logs it if it is behind.
 func (ld *leadership) recordLag(lag time.Duration) {
 	ld.lag.Store(int64(lag))
 	ld.meanLag.Store(int64(averageLag(time.Duration(ld.meanLag.Load()), lag)))
--- a/internal/coordinator/runtime_meter.go
+++ b/internal/coordinator/runtime_meter.go
@@ -2,6 +2,7 @@
 
 import (
 	runtimemetrics "runtime/metrics"
+	"slices"
 	"time"
 
 	"peridotpitch/internal/converter"
@@ -15,50 +16,77 @@
 	metricGoroutines        = "/sched/goroutines:goroutines"
 )
 
-// runtimeMeter measures how long goroutines of this process wait for a processor. A host that is short of processor time
-// answers late although no lock is held and no queue is long. Its methods must not be called concurrently.
+// waitMeter measures how long goroutines of this process wait for a processor. A host that is short of processor time
+// answers late although no lock is held and no queue is long, and a ticker does not show it: the runtime runs the goroutine of
+// a timer before those that wait. Its methods must not be called concurrently.
+type waitMeter struct {
+	samples []runtimemetrics.Sample
+	counts  []uint64 // of the buckets as of the last call
+}
+
+// take returns the waits since the last call: the number of waits by bucket, and the bounds of the buckets in seconds.
+func (m *waitMeter) take() (counts []uint64, bounds []float64) {
+	if m.samples == nil {
+		m.samples = []runtimemetrics.Sample{{Name: metricScheduleLatencies}}
+	}
+	runtimemetrics.Read(m.samples)
+	v := m.samples[0].Value
+	if v.Kind() != runtimemetrics.KindFloat64Histogram {
+		return nil, nil
+	}
+	h := v.Float64Histogram()
+	counts = slices.Clone(h.Counts)
+	for i := range m.counts {
+		counts[i] -= m.counts[i]
+	}
+	m.counts = append(m.counts[:0], h.Counts...)
+	return counts, h.Buckets
+}
+
+// lagQuantile is the quantile of the waits that counts as this process's lag. Most waits are hand-overs between goroutines,
+// which are short on a late process too; those for the network are the long ones.
+const lagQuantile = 0.9
+
+// lag returns how long goroutines waited for a processor since the last call.
+func (m *waitMeter) lag() time.Duration {
+	counts, bounds := m.take()
+	return quantile(counts, bounds, lagQuantile)
+}
+
+// runtimeMeter measures the process. Its methods must not be called concurrently.
 type runtimeMeter struct {
+	waits     waitMeter
 	samples   []runtimemetrics.Sample
-	latencies []uint64 // counts of the buckets as of the last call
-	collector float64  // seconds of garbage collection as of the last call
+	collector float64 // seconds of garbage collection as of the last call
 }
 
 // runtimeWork describes the process since the last call of runtimeMeter.take.
 type runtimeWork struct {
-	MedianWait, HighWait time.Duration // of goroutines for a processor: half and 99 of 100 waited less
-	Collector            time.Duration // processor time of the garbage collection
-	HeapBytes            uint64
-	Goroutines           uint64
+	// Waits of goroutines for a processor: half, 90 and 99 of 100 waited less.
+	MedianWait, HighWait, LongestWait time.Duration
+	Collector                         time.Duration // processor time of the garbage collection
+	HeapBytes                         uint64
+	Goroutines                        uint64
 }
 
 func (m *runtimeMeter) take() runtimeWork {
 	if m.samples == nil {
-		for _, name := range []string{metricScheduleLatencies, metricCollectorSeconds, metricHeapObjects, metricGoroutines} {
+		for _, name := range []string{metricCollectorSeconds, metricHeapObjects, metricGoroutines} {
 			m.samples = append(m.samples, runtimemetrics.Sample{Name: name})
 		}
 	}
 	runtimemetrics.Read(m.samples)
 	var w runtimeWork
-	if v := m.samples[0].Value; v.Kind() == runtimemetrics.KindFloat64Histogram {
-		h := v.Float64Histogram()
-		counts := make([]uint64, len(h.Counts))
-		for i, n := range h.Counts {
-			counts[i] = n
-			if i < len(m.latencies) {
-				counts[i] -= m.latencies[i]
-			}
-		}
-		m.latencies = append(m.latencies[:0], h.Counts...)
-		w.MedianWait, w.HighWait = quantile(counts, h.Buckets, 0.5), quantile(counts, h.Buckets, 0.99)
-	}
-	if v := m.samples[1].Value; v.Kind() == runtimemetrics.KindFloat64 {
+	counts, bounds := m.waits.take()
+	w.MedianWait, w.HighWait, w.LongestWait = quantile(counts, bounds, 0.5), quantile(counts, bounds, lagQuantile), quantile(counts, bounds, 0.99)
+	if v := m.samples[0].Value; v.Kind() == runtimemetrics.KindFloat64 {
 		w.Collector = converter.Seconds(v.Float64() - m.collector)
 		m.collector = v.Float64()
 	}
-	if v := m.samples[2].Value; v.Kind() == runtimemetrics.KindUint64 {
+	if v := m.samples[1].Value; v.Kind() == runtimemetrics.KindUint64 {
 		w.HeapBytes = v.Uint64()
 	}
-	if v := m.samples[3].Value; v.Kind() == runtimemetrics.KindUint64 {
+	if v := m.samples[2].Value; v.Kind() == runtimemetrics.KindUint64 {
 		w.Goroutines = v.Uint64()
 	}
 	return w
--- a/internal/coordinator/work_meter.go
+++ b/internal/coordinator/work_meter.go
@@ -107,6 +107,6 @@
 	r := ld.runtime.take()
 	ld.c.log.Info("LeaderWork", "Epoch", ld.term.Revision, "Lag", time.Duration(ld.lag.Load()).Round(time.Millisecond).String(),
 		"Processors", fmt.Sprintf("%.2f", ld.processors.processors()), "Writes", writes, "Records", records,
-		"WriteTime", writeTime.Round(time.Millisecond).String(), "ScheduleWait", fmt.Sprintf("%s/%s", r.MedianWait.Round(10*time.Microsecond), r.HighWait.Round(100*time.Microsecond)),
+		"WriteTime", writeTime.Round(time.Millisecond).String(), "ScheduleWait", fmt.Sprintf("%s/%s/%s", r.MedianWait.Round(10*time.Microsecond), r.HighWait.Round(10*time.Microsecond), r.LongestWait.Round(100*time.Microsecond)),
 		"Collector", r.Collector.Round(time.Millisecond).String(), "HeapMB", r.HeapBytes>>20, "Goroutines", r.Goroutines, "Events", formatWork(events))
 }
--- a/internal/coordinator/work_meter_test.go
+++ b/internal/coordinator/work_meter_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"log/slog"
 	"math"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -43,3 +45,31 @@
 	is.Equal(quantile([]uint64{0, 0, 0, 0, 1}, bounds, 0.5), 100*time.Millisecond)
 	is.Equal(quantile([]uint64{1, 0, 0, 0, 0}, bounds, 0.5), time.Duration(0))
 }
+
+// Many goroutines become runnable at once on one processor. Guards against a leader that takes itself for punctual while
+// its events wait for the processor: its Ticks are on time, and nothing that follows its lag eases its work.
+func TestLagShowsWaitForProcessor(t *testing.T) {
+	is := is.New(t)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const goroutines, work = 200, time.Millisecond
+	var m waitMeter
+	m.lag()
+	begin := make(chan struct{})
+	var group sync.WaitGroup
+	for range goroutines {
+		group.Go(func() {
+			for range 10 {
+				<-begin
+				for started := time.Now(); time.Since(started) < work; {
+				}
+				runtime.Gosched()
+			}
+		})
+	}
+	close(begin)
+	group.Wait()
+	is.True(m.lag() > goroutines*work/4)
+	time.Sleep(20 * time.Millisecond)
+	m.lag()
+	is.Equal(quantile(nil, nil, lagQuantile), time.Duration(0))
+}
--- a/internal/orchestrator/event.go
+++ b/internal/orchestrator/event.go
@@ -186,7 +186,7 @@
 	// WallOffset is how far the time of day, to which schedules refer, is ahead of the time
 	// of events.
 	WallOffset time.Duration
-	// Lag is how late the last Tick was applied.
+	// Lag is how late the leader is: its events wait that long until they are applied.
 	Lag time.Duration
 }
 
