coordinator: repeat the notice of a cancel request

Cause: the notice was sent once, with 400 ms for the answer, to a leader whose goroutines waited as long for the processor; and its own read of the requests, once a second, gave up after 501 ms for the same reason. Class: a timeout that is shorter than the lateness of the one that waits.

Now the notice has 2 s, and that of a cancel is repeated, to the leader of the time, up to 5 times within 3.1 s and the times for the answers. The read of the requests waits as much longer as the leader is late, 2 s at most.

Measured: TestNoticeOfCancelReachesLateLeader fails with one try.

--- a/internal/coordinator/forward_test.go
+++ b/internal/coordinator/forward_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -431,3 +432,41 @@
 	c.settings.StoreWriteRate = 0
 	is.Equal(told(), map[int]map[time.Duration]int{0: {time.Second: 30}, 1: {time.Second: 30}})
 }
+
+// The leader is late: connections to it fail for a second, and it answers 600 ms late after that. Guards against a cancel that
+// is acknowledged to its caller and of which the leader learns only by its own read of the store, which is late too: tasks of
+// the job began 5 to 9 s after the acknowledgement.
+func TestNoticeOfCancelReachesLateLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwardingPair(t)
+		f.leader.apply(orchestrator.JobAccepted{Job: orchestrator.Job{ID: "j1", Steps: []orchestrator.Step{{Count: 1}}}})
+		f.host.closeClients()
+		f.host.clients = make(map[netip.AddrPort]*messenger.Client)
+		dial, late := f.host.dialHost, time.Now().Add(time.Second)
+		f.host.dialHost = func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+			if time.Now().Before(late) {
+				return nil, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+			}
+			c, err := dial(ctx, a)
+			return &lateConn{Conn: c, delay: 600 * time.Millisecond}, err
+		}
+		f.host.notifyLeader(notice{Cancel: "j1"})
+		time.Sleep(5 * time.Second)
+		s, known, _ := f.leader.state("j1")
+		is.True(known)
+		is.Equal(s, orchestrator.StateCancelled)
+	})
+}
+
+// lateConn is a connection whose answers arrive late.
+type lateConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c *lateConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	time.Sleep(c.delay)
+	return n, err
+}
--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -161,11 +161,15 @@
 	}
 }
 
+// maxInputWait bounds what the lag of this host adds to the wait for inputs.
+const maxInputWait = 2 * time.Second
+
 // pollInputsOnce applies the inputs that the store reports from a position on. Most of them are known
 // already, and applying these again has no effect.
 func (ld *leadership) pollInputsOnce(ctx context.Context, position *watchPosition) error {
 	begin := time.Now()
-	es, err := ld.c.store.Watch(ctx, prefixInput, position.start(), time.Millisecond)
+	// The wait allows for a late leader, which would take the answer for missing. There is an answer at once if there are changes.
+	es, err := ld.c.store.Watch(ctx, prefixInput, position.start(), time.Millisecond+min(maxInputWait, time.Duration(ld.lag.Load())))
 	if err != nil {
 		return err
 	}
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -66,6 +66,16 @@
 	Cancel   string // ID of the job to be cancelled; empty: none
 }
 
+const (
+	// noticeTimeout bounds one try to send a notice. No caller waits for it, so that it allows for a leader that is late.
+	noticeTimeout = 2 * time.Second
+	// cancelNoticeTries is the number of tries to send the notice of a cancel request. It is acknowledged to its caller,
+	// and nothing of the job may start afterwards; a late leader may be as late with its own read of the requests.
+	cancelNoticeTries = 6
+	// noticeRetryDelay is the pause after the first try. It doubles with each further one.
+	noticeRetryDelay = 100 * time.Millisecond
+)
+
 type stateRequest struct{ ID string }
 
 type stateAnswer struct {
@@ -182,19 +192,44 @@
 }
 
 // notifyLeader sends a notice to the leader without waiting for the answer. If the notice
-// is lost, the leader finds the change in the store within inputPollInterval.
+// is lost, the leader finds the change in the store within inputPollInterval, or later if it is short of processor time: the
+// notice of a cancel request is repeated.
 func (c *Coordinator) notifyLeader(n notice) {
 	if ld := c.currentLeadership(); ld != nil {
 		ld.handleNotice(n)
 		return
 	}
-	t, known := c.currentTerm()
-	if !known || !t.address().IsValid() || n.Job != nil && n.Epoch != t.Revision {
-		return
+	tries := 1
+	if n.Cancel != "" {
+		tries = cancelNoticeTries
 	}
 	go func() {
-		if err := c.client(t.address()).Invoke(context.Background(), leaderCallTimeout, methodNotice, &n, &emptyAnswer{}); err != nil {
-			c.log.Debug("NoticeLost", "Leader", t.Host, "Cause", err.Error())
+		for i := range tries {
+			if c.sendNotice(n) {
+				return
+			}
+			sleep(context.Background(), noticeRetryDelay<<i)
 		}
 	}()
 }
+
+// sendNotice sends a notice to the present leader, which may be this host by now, and reports whether it need not be
+// repeated.
+func (c *Coordinator) sendNotice(n notice) bool {
+	if ld := c.currentLeadership(); ld != nil {
+		ld.handleNotice(n)
+		return true
+	}
+	t, known := c.currentTerm()
+	if !known || !t.address().IsValid() {
+		return false
+	}
+	if n.Job != nil && n.Epoch != t.Revision {
+		return true // this leader finds the job when it reads the state of earlier ones
+	}
+	if err := c.client(t.address()).Invoke(context.Background(), noticeTimeout, methodNotice, &n, &emptyAnswer{}); err != nil {
+		c.log.Debug("NoticeLost", "Leader", t.Host, "Cause", err.Error())
+		return false
+	}
+	return true
+}
