--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -128,6 +128,9 @@
 		gate:       make(commandGate, maxConcurrentCommands),
 		firstPolls: rate.NewLimiter(firstPollRate(c.settings.ProcessorShare), firstPollsAtOnce),
 	}
+	if c.settings.DisabledMechanisms.Contains(orchestrator.MechanismUrgentStarts) {
+		ld.gate = nil
+	}
 	ld.lastConfirmedSent.Store(sent.UnixNano())
 	ld.evacuations.revision = t.Revision // reads from before the election are out of date
 	c.mu.Lock()
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -83,7 +83,7 @@
 		o.waitForCapacity(p, s)
 		return 0
 	}
-	if s.Fills && o.now.Before(s.noWorkerUntil) {
+	if s.Fills && o.now.Before(s.noWorkerUntil) && o.enabled(MechanismSearchPause) {
 		if bySizeOnly {
 			p.unplaced[s.unplacedKey()] = s.Size // less urgent tasks don't take the room that it waits for
 		}
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -181,7 +181,7 @@
 	r.inFlight, r.sentAt = true, o.now
 	j := r.task.job()
 	o.emit(StartRun{Worker: r.worker.ID, FailureDomain: r.worker.FailureDomain, Task: r.task.name, Run: r.number, Spec: j.Spec, LeaseEnd: d, Saved: r.saved, Ticket: r.ticket,
-		Urgent: j.Policy.Priority == mostUrgentPriority && !r.task.step.LongRunning})
+		Urgent: o.enabled(MechanismUrgentStarts) && j.Policy.Priority == mostUrgentPriority && !r.task.step.LongRunning})
 }
 
 // mostUrgentPriority is the priority of the queues whose tasks go before all others.
