coordinator: commands leave in the order of their decisions again

Cause of the loss: a place is held until the answer, and a late leader reads answers late, so that the limit leaves the processor idle.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -83,7 +83,6 @@
 	waits       waitMeter    // used by runTicker only
 	hosts       hostTable
 	firstPolls  *rate.Limiter // of workers that records don't name
-	gate        commandGate
 
 	mu                 sync.Mutex // guards the fields below
 	orch               *orchestrator.Orchestrator
@@ -125,12 +124,8 @@
 		c: c, term: t, cancel: cancel, done: make(chan struct{}), writeWakeup: make(chan struct{}, 1),
 		orch:    orchestrator.New(c.orchestratorSettings(t.Revision, sent, timekeeper.Now())),
 		pollers: make(map[string]*poller), headRevision: t.Revision, electedAt: timekeeper.Now(), inheritedHandedOff: handedOff,
-		gate:       make(commandGate, maxConcurrentCommands),
 		firstPolls: rate.NewLimiter(firstPollRate(c.settings.ProcessorShare), firstPollsAtOnce),
 	}
-	if c.settings.DisabledMechanisms.Contains(orchestrator.MechanismUrgentStarts) {
-		ld.gate = nil
-	}
 	ld.lastConfirmedSent.Store(sent.UnixNano())
 	ld.evacuations.revision = t.Revision // reads from before the election are out of date
 	c.mu.Lock()
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -103,13 +103,8 @@
 	go ld.reportNotSent(a)
 }
 
-// enqueue queues a command and reports whether there was room for it. An urgent start doesn't wait behind other commands to
-// its worker.
+// enqueue queues a command and reports whether there was room for it.
 func (p *poller) enqueue(a orchestrator.Action) bool {
-	if s, ok := a.(orchestrator.StartRun); ok && s.Urgent {
-		go p.send(command{a, time.Now()})
-		return true
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.commands) >= commandQueueSize {
@@ -248,15 +243,7 @@
 // start in a failure domain whose evacuation has become known since. A start that has waited for maxStartDelay is
 // deferred.
 func (p *poller) send(c command) {
-	ld := p.ld
-	if !urgent(c.action) {
-		release, ok := ld.gate.acquire(p.ctx)
-		if !ok {
-			return
-		}
-		defer release()
-	}
-	begin := time.Now()
+	ld, begin := p.ld, time.Now()
 	if ld.deposed.Load() {
 		return
 	}
--- a/internal/orchestrator/action.go
+++ b/internal/orchestrator/action.go
@@ -16,7 +16,6 @@
 	LeaseEnd      time.Duration // on the worker's clock
 	Saved         string        // checkpoint to start from; empty: none
 	Ticket        string        // of the outside policy; empty: none
-	Urgent        bool          // a caller waits for the task, which is of the most urgent priority and does not run for long
 }
 
 // StopRun stops a run. The answer comes back as StopAnswered.
--- a/internal/orchestrator/mechanism.go
+++ b/internal/orchestrator/mechanism.go
@@ -22,8 +22,6 @@
 	// MechanismMovesAfterQueue lets best-effort tasks that wait take room before throttled ones move there. Otherwise the
 	// moved task only takes the place of one that waits, and loses the work that it has done.
 	MechanismMovesAfterQueue Mechanism = "moves-after-queue"
-	// MechanismUrgentStarts sends starts of urgent queues before other commands, and bounds those in flight.
-	MechanismUrgentStarts Mechanism = "urgent-starts"
 	// MechanismSearchPause searches for a worker for a best-effort step only once in bestEffortSearchPause after a search that
 	// found none.
 	MechanismSearchPause Mechanism = "search-pause"
@@ -52,7 +50,7 @@
 var Mechanisms = []Mechanism{
 	MechanismStepLoad, MechanismImageSeparation, MechanismThrottledMoves, MechanismForecastOrder,
 	MechanismShortJobReserve, MechanismPreemption, MechanismReservations, MechanismQuarantine, MechanismStragglers, MechanismCrashIsolation,
-	MechanismEvacuationMoves, MechanismSlowRunCauses, MechanismMovesAfterQueue, MechanismUrgentStarts, MechanismSearchPause,
+	MechanismEvacuationMoves, MechanismSlowRunCauses, MechanismMovesAfterQueue, MechanismSearchPause,
 }
 
 // MechanismSet is a set of mechanisms. The zero value is empty.
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -179,14 +179,9 @@
 		return // resendCommands sends it once the leadership has been confirmed
 	}
 	r.inFlight, r.sentAt = true, o.now
-	j := r.task.job()
-	o.emit(StartRun{Worker: r.worker.ID, FailureDomain: r.worker.FailureDomain, Task: r.task.name, Run: r.number, Spec: j.Spec, LeaseEnd: d, Saved: r.saved, Ticket: r.ticket,
-		Urgent: o.enabled(MechanismUrgentStarts) && j.Policy.Priority == mostUrgentPriority && !r.task.step.LongRunning})
+	o.emit(StartRun{Worker: r.worker.ID, FailureDomain: r.worker.FailureDomain, Task: r.task.name, Run: r.number, Spec: r.task.job().Spec, LeaseEnd: d, Saved: r.saved, Ticket: r.ticket})
 }
 
-// mostUrgentPriority is the priority of the queues whose tasks go before all others.
-const mostUrgentPriority = 0
-
 func (o *Orchestrator) startAnswered(e StartAnswered) {
 	r := o.findRun(e.Worker, e.Task, e.Run)
 	if r == nil {
