--- a/internal/coordinator/doc.go
+++ b/internal/coordinator/doc.go
@@ -15,8 +15,9 @@
 //	                       state deletes the two keys above
 //
 // Each write of the leader is conditional on the revisions of term and head. A write that
-// is delayed therefore fails if another write or an election was executed before it. The
-// revision of term is the epoch; workers use it as a fencing token for commands.
+// is delayed therefore fails if another write of head or an election was executed before it. While writes
+// are slow, several follow one write of head at the same time. They do not rewrite head, and no two of them
+// write the same job. The revision of term is the epoch; workers use it as a fencing token for commands.
 //
 // The other hosts ping the leader. A host whose ping fails, or whose leader reports that
 // it cannot reach the store, polls head. If head does not change for the election timeout, the
--- a/internal/coordinator/work_meter_test.go
+++ b/internal/coordinator/work_meter_test.go
@@ -60,7 +60,9 @@
 		group.Go(func() {
 			for range 10 {
 				<-begin
-				for started := time.Now(); time.Since(started) < work; {
+				started, turns := time.Now(), 0
+				for time.Since(started) < work {
+					turns++ // busy, so that the others wait
 				}
 				runtime.Gosched()
 			}
