coordinator: polls follow an acknowledgement at once

Now the write that stores the ends lets the poll go on, without checks. Without it, the wait begins with 160 ms as before and doubles while the ends stay unacknowledged, up to that of a worker without news, so that polls for known ends stay rare while writes are late.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -93,7 +93,8 @@
 	startsSent         bool // a start of a task has been emitted
 	inheritedHandedOff bool // the earlier leader handed over cleanly
 	pollers            map[string]*poller
-	pendingJobs        map[string]int // result of orch.Pending at pendingAt; replaced, never changed
+	ackWatches         map[string]chan struct{} // see watchAck
+	pendingJobs        map[string]int           // result of orch.Pending at pendingAt; replaced, never changed
 	pendingAt          time.Time
 	work               workMeter
 	lastOutlook        admitter.Outlook // as of outlookMeasuredAt
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -35,10 +35,11 @@
 	firstPollsAtOnce = 100
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 250 * time.Millisecond
-	// minAckCheckInterval and maxAckCheckInterval bound the pause between two checks whether the ended runs of the last poll
-	// are stored. It doubles with each check.
-	minAckCheckInterval = 40 * time.Millisecond
-	maxAckCheckInterval = 160 * time.Millisecond
+	// minAckWait is how long the next poll waits at least for the ended runs of the last one to be stored, if they are not
+	// stored earlier.
+	minAckWait = 160 * time.Millisecond
+	// maxAckWaitDoublings bounds the doublings of minAckWait.
+	maxAckWaitDoublings = 4
 	// commandSenders is the number of concurrent commands to one worker.
 	commandSenders = 2
 	// commandQueueSize bounds the commands that wait for one worker.
@@ -154,6 +155,7 @@
 	if !recorded && ld.firstPolls.Wait(p.ctx) != nil {
 		return
 	}
+	unacked := 0 // polls in a row whose ended runs were not stored in time
 	for p.ctx.Err() == nil {
 		r, ok := ld.nextPoll(p.target.ID)
 		if !ok {
@@ -171,8 +173,13 @@
 		a.Worker, a.SentAt, a.ReceivedAt = p.target.ID, sent, timekeeper.Now()
 		ld.c.metrics.polls.Inc()
 		ld.apply(a)
-		if len(a.Ended) > 0 {
-			p.waitForAck()
+		switch {
+		case len(a.Ended) == 0:
+			unacked = 0
+		case p.waitForAck(ackWait(unacked, time.Duration(ld.meanLag.Load()))):
+			unacked = 0
+		default:
+			unacked++
 		}
 	}
 }
@@ -198,21 +205,64 @@
 	return ld.orch.NextPoll(id, timekeeper.Now())
 }
 
-// waitForAck waits until the ended runs of the last poll are stored, but no longer than a worker without news would hold a
-// poll. A poll that does not acknowledge them returns at once with the same ended runs. If such polls came more often, a
-// leader that is late to store them would be kept late by their answers.
-func (p *poller) waitForAck() {
-	limit := pollWait(true, time.Duration(p.ld.meanLag.Load()))
-	pause := minAckCheckInterval
-	for begin := time.Now(); time.Since(begin) < limit && p.ctx.Err() == nil; {
-		sleep(p.ctx, pause)
-		p.ld.mu.Lock()
-		done := p.ld.orch.Acknowledged(p.target.ID)
-		p.ld.mu.Unlock()
-		if done {
-			return
+// ackWait returns how long the next poll waits for ended runs to be stored if they were not after unacked polls before it:
+// minAckWait, doubled with each of them, but no longer than a worker without news would hold a poll. A poll that does not
+// acknowledge them returns at once with the same ended runs. If such polls came ever so often, a leader that is late to
+// store them would be kept late by their answers.
+func ackWait(unacked int, lag time.Duration) time.Duration {
+	return min(pollWait(true, lag), minAckWait<<min(unacked, maxAckWaitDoublings))
+}
+
+// waitForAck waits until the ended runs of the last poll are stored, and reports whether they are.
+func (p *poller) waitForAck(limit time.Duration) bool {
+	acked, stop := p.ld.watchAck(p.target.ID)
+	defer stop()
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-acked:
+		return true
+	case <-t.C:
+	case <-p.ctx.Done():
+	}
+	return false
+}
+
+// watchAck returns a channel that is closed once all ended runs that a worker has listed are stored, and a function that ends
+// the watch. A worker has one watch at a time.
+func (ld *leadership) watchAck(id string) (<-chan struct{}, func()) {
+	acked := make(chan struct{})
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	if ld.orch.Acknowledged(id) {
+		close(acked)
+		return acked, func() {}
+	}
+	if ld.ackWatches == nil {
+		ld.ackWatches = make(map[string]chan struct{})
+	}
+	ld.ackWatches[id] = acked
+	return acked, func() {
+		ld.mu.Lock()
+		defer ld.mu.Unlock()
+		if ld.ackWatches[id] == acked {
+			delete(ld.ackWatches, id)
+		}
+	}
+}
+
+// notifyAcks closes the channels of watchAck whose workers' ended runs are stored.
+func (ld *leadership) notifyAcks() {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	if ld.failed {
+		return
+	}
+	for id, acked := range ld.ackWatches {
+		if ld.orch.Acknowledged(id) {
+			close(acked)
+			delete(ld.ackWatches, id)
 		}
-		pause = min(2*pause, maxAckCheckInterval)
 	}
 }
 
--- a/internal/coordinator/poller_test.go
+++ b/internal/coordinator/poller_test.go
@@ -35,3 +35,13 @@
 	is.Equal(firstPollRate(0), rate.Inf)
 	is.Equal(firstPollRate(0.5), rate.Limit(1000))
 }
+
+// Guards against polls that come ever so often while ends of runs are not stored, and against a wait for the store that keeps
+// the leader from further ends although it is not late.
+func TestAckWaitGrows(t *testing.T) {
+	is := is.New(t)
+	is.Equal(ackWait(0, 0), minAckWait)
+	is.Equal(ackWait(1, 0), 2*minAckWait)
+	is.Equal(ackWait(2, 0), maxShortPollWait)
+	is.Equal(ackWait(1000, time.Minute), maxStretchedShortWait)
+}
--- a/internal/coordinator/write.go
+++ b/internal/coordinator/write.go
@@ -180,6 +180,7 @@
 	}
 	ld.apply(orchestrator.Confirmed{SentAt: sent})
 	ld.apply(orchestrator.Written{Batch: batch})
+	ld.notifyAcks()
 }
 
 // timeSinceConfirmedWrite returns the time since the last confirmed write was sent.
