--- a/internal/orchestrator/mechanism.go
+++ b/internal/orchestrator/mechanism.go
@@ -22,9 +22,6 @@
 	// MechanismMovesAfterQueue lets best-effort tasks that wait take room before throttled ones move there. Otherwise the
 	// moved task only takes the place of one that waits, and loses the work that it has done.
 	MechanismMovesAfterQueue Mechanism = "moves-after-queue"
-	// MechanismSearchPause searches for a worker for a best-effort step only once in bestEffortSearchPause after a search that
-	// found none.
-	MechanismSearchPause Mechanism = "search-pause"
 	// MechanismForecastOrder starts jobs first that can still meet their deadline.
 	MechanismForecastOrder Mechanism = "forecast-order"
 	// MechanismShortJobReserve keeps processors free for short jobs.
@@ -50,7 +47,7 @@
 var Mechanisms = []Mechanism{
 	MechanismStepLoad, MechanismImageSeparation, MechanismThrottledMoves, MechanismForecastOrder,
 	MechanismShortJobReserve, MechanismPreemption, MechanismReservations, MechanismQuarantine, MechanismStragglers, MechanismCrashIsolation,
-	MechanismEvacuationMoves, MechanismSlowRunCauses, MechanismMovesAfterQueue, MechanismSearchPause,
+	MechanismEvacuationMoves, MechanismSlowRunCauses, MechanismMovesAfterQueue,
 }
 
 // MechanismSet is a set of mechanisms. The zero value is empty.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -155,7 +155,6 @@
 	readyAt                time.Time
 	waitingKnown           bool          // waiting is up to date
 	waiting                bool          // see hasWaitingTasks
-	noWorkerUntil          time.Time     // no worker is searched for its best-effort tasks before, because the last search found none
 	meanRunTime            time.Duration // of the measured tasks
 	runTimeSamples         int           // number of measured tasks
 	waitNotedAt            time.Time     // when a reason for waiting was last noted
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -31,9 +31,6 @@
 	// shortJobReserveShare is the share of the processors that is kept for short jobs until a
 	// long-running task has waited for longRunningMaxWait.
 	shortJobReserveShare = 0.08
-	// bestEffortSearchPause is the pause after a search for a worker for a best-effort step that found none. A search checks
-	// hundreds of workers, and without the pause each pass makes it again, 60 times a second.
-	bestEffortSearchPause = 100 * time.Millisecond
 	// waitNoteInterval is the shortest time between two notes on why a step waits.
 	waitNoteInterval = 2 * time.Second
 	// passInterval is the pause between two scheduling passes. Without it, each answer of a
@@ -83,13 +80,6 @@
 		o.waitForCapacity(p, s)
 		return 0
 	}
-	if s.Fills && o.now.Before(s.noWorkerUntil) && o.enabled(MechanismSearchPause) {
-		if bySizeOnly {
-			p.unplaced[s.unplacedKey()] = s.Size // less urgent tasks don't take the room that it waits for
-		}
-		o.waitForCapacity(p, s)
-		return 0
-	}
 	starts := 0
 	var workers []*worker
 	waiting := s.waitingTasks()
@@ -117,7 +107,6 @@
 		if w == nil {
 			if s.Fills {
 				o.unplacedAt[s.occurrence.job.Policy.Service] = o.now
-				s.noWorkerUntil = o.now.Add(bestEffortSearchPause)
 			}
 			if bySizeOnly {
 				p.unplaced[s.unplacedKey()] = s.Size
