review: an occurrence counts as finished after its first task

A script: the leader is killed when an occurrence of a job with overlapping occurrences has just begun. The next leader adopts a run of this occurrence before it has begun it, never counts its tasks, takes it as finished at the first end, and shows the job as succeeded.

--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -40,6 +40,8 @@
 	begin time.Time
 	runs  map[string][]*taskRun // by task
 	lines []string
+	// onStart is called with each run that starts; nil: nothing is called.
+	onStart func(*taskRun)
 }
 
 func newLedger() *ledger { return &ledger{begin: time.Now(), runs: make(map[string][]*taskRun)} }
@@ -74,6 +76,15 @@
 	}
 }
 
+// notDone returns the tasks of a list of which no run has ended done.
+func (l *ledger) notDone(tasks []string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(tasks), func(task string) bool {
+		return slices.ContainsFunc(l.runs[task], func(r *taskRun) bool { return r.how == "done" })
+	})
+}
+
 // twice returns the breaks of TWICE: two runs of a task at the same time, and starts after an end done that was taken
 // note of, unless the minion's lease lapsed between the two.
 func (l *ledger) twice() []string {
@@ -241,7 +252,11 @@
 	w.live[c.Task] = r
 	w.ledger.mu.Lock()
 	w.ledger.runs[c.Task] = append(w.ledger.runs[c.Task], r.record)
+	onStart := w.ledger.onStart
 	w.ledger.mu.Unlock()
+	if onStart != nil {
+		onStart(r.record)
+	}
 	return 200, ""
 }
 
