review: ends of a minion's new life are acknowledged by the number of the old one

A script: minions crash and start again under their ids at once. A poll that follows acknowledges ends of the old life, so that the new one forgets ends that it has not listed, and the tasks start again after they have succeeded.

--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -7,11 +7,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -63,14 +65,23 @@
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, version, strings.Join(rs, ","), serviceName, guards)
 }
 
+// Ports of the hosts are below the range from which the kernel takes ports of outgoing connections.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
 // freeAddress returns an unused address on an IP.
 func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		var l net.Listener
+		if l, err = net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))); err != nil {
+			continue
+		}
+		return l.Addr().String(), l.Close()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 func newFleet(config []byte) (*fleet, error) {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -133,6 +133,7 @@
 	ledger                        *ledger
 	size                          func(task string) int // millicores
 	listener                      net.Listener
+	server                        *http.Server
 
 	mu       sync.Mutex // guards the fields below
 	born     time.Time
@@ -160,7 +161,8 @@
 	mux.HandleFunc("POST /peridotpitch/pace", w.command(func(command) (int, string) { return 200, "" }))
 	mux.HandleFunc("POST /peridotpitch/hold", w.hold)
 	mux.HandleFunc("GET /healthz", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(200) })
-	go func() { _ = http.Serve(listener, mux) }()
+	w.server = &http.Server{Handler: mux}
+	go func(s *http.Server) { _ = s.Serve(listener) }(w.server)
 	w.announce()
 	go func() {
 		beat := time.NewTicker(heartbeatTime)
@@ -190,6 +192,42 @@
 	w.store.put("servers/"+w.id, b)
 }
 
+// restart ends the minion's process and starts another one after down, under its id and at its address. The new one
+// knows nothing of before.
+func (w *worker) restart(down time.Duration) error {
+	_ = w.server.Close() // resets its connections
+	w.mu.Lock()
+	now := time.Now()
+	w.ledger.mu.Lock()
+	for _, r := range w.live {
+		r.record.endedAt, r.record.how = now, "crashed"
+	}
+	for _, e := range w.ended {
+		e.run.lapsed = true
+	}
+	w.ledger.lockedNote("%s crashes with %d runs", w.id, len(w.live))
+	w.ledger.mu.Unlock()
+	w.live, w.highest, w.ended, w.ends, w.fence, w.leaseEnd = make(map[string]*liveRun), make(map[string]int), nil, 0, 0, time.Time{}
+	close(w.changed)
+	w.changed = make(chan struct{})
+	w.mu.Unlock()
+	time.Sleep(down)
+	w.mu.Lock()
+	w.born = time.Now()
+	w.mu.Unlock()
+	l, err := net.Listen("tcp", w.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.listener, w.server = l, &http.Server{Handler: w.server.Handler}
+	server := w.server
+	w.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+	w.announce()
+	return nil
+}
+
 type command struct {
 	Task       string `json:"task"`
 	Run        int    `json:"run"`
@@ -346,6 +384,9 @@
 	w.fence = c.Fence
 	w.extend(c.DeadlineMs)
 	w.ledger.mu.Lock()
+	if c.AckedUpto > w.ends && len(w.ended) > 0 {
+		w.ledger.lockedNote("%s: ackedUpto is %d, but this life has %d ends, the first of %s run %d", w.id, c.AckedUpto, w.ends, w.ended[0].run.task, w.ended[0].run.run)
+	}
 	for len(w.ended) > 0 && w.ended[0].number <= c.AckedUpto {
 		w.ended[0].run.ackedAt = time.Now()
 		w.ended = w.ended[1:]
