review: ends of a minion's new life are acknowledged while the store is down

The script of review/5 plays fewer and longer crashes: a minion crashes when it is told to start a task, while the store is down, and is up again after 0.1 s. The start that is sent again ends in the new life, and the next poll acknowledges that end by the number of the old one.

--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -121,7 +121,7 @@
 			return err
 		}
 	}
-	deadline := time.Now().Add(15 * time.Second)
+	deadline := time.Now().Add(20 * time.Second)
 	for _, h := range f.hosts {
 		for {
 			r, err := f.client.Get("http://" + h.ready + "/peridotpitch/readyz")
@@ -132,7 +132,8 @@
 				}
 			}
 			if time.Now().After(deadline) {
-				return fmt.Errorf("%s is not ready", h.name)
+				b, _ := os.ReadFile(h.log)
+				return fmt.Errorf("%s is not ready: %s", h.name, b[max(0, len(b)-400):])
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -145,7 +146,8 @@
 	ended    []endedRun
 	ends     int
 	changed  chan struct{}
-	mostEnds int // most ends that were listed and not taken note of at one time
+	crash    chan struct{} // closed when the minion is told to start a task, in place of the start; nil: it starts
+	mostEnds int           // most ends that were listed and not taken note of at one time
 }
 
 func newWorker(s *store, l *ledger, id, service, zone, kind, rack string, cores int, address string, size func(string) int) (*worker, error) {
@@ -228,6 +230,30 @@
 	return nil
 }
 
+// crashAtStart makes the minion crash when it is next told to start a task within a time, and start again after down. It
+// reports whether it has.
+func (w *worker) crashAtStart(within, down time.Duration) (bool, error) {
+	told := make(chan struct{})
+	w.mu.Lock()
+	w.crash = told
+	w.mu.Unlock()
+	select {
+	case <-told:
+		return true, w.restart(down)
+	case <-time.After(within):
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.crash == nil { // it was told just now
+		w.mu.Unlock()
+		err := w.restart(down)
+		w.mu.Lock()
+		return true, err
+	}
+	w.crash = nil
+	return false, nil
+}
+
 type command struct {
 	Task       string `json:"task"`
 	Run        int    `json:"run"`
@@ -248,6 +274,13 @@
 			return
 		}
 		w.mu.Lock()
+		if w.crash != nil && strings.HasSuffix(r.URL.Path, "/run-start") {
+			close(w.crash)
+			w.crash = nil
+			w.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
 		status, reason := 409, "fence"
 		if c.Fence >= w.fence {
 			w.fence = c.Fence
