--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -97,48 +97,74 @@
 	return &fleet{dir: dir, store: s, ledger: newLedger(), client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}, nil
 }
 
+// hostTries is how often a host is started at most, each time at other addresses: one of them may be taken between its
+// choice and its use.
+const hostTries = 5
+
 // startHosts starts so many entry hosts, spread over the zones, and waits until all are ready.
 func (f *fleet) startHosts(n int) error {
 	for i := range n {
-		h := &host{zone: zones[i%len(zones)], ip: "127.0.0.1", ended: make(chan struct{})}
+		h := &host{zone: zones[i%len(zones)], ip: "127.0.0.1"}
 		h.name = fmt.Sprintf("front-%s-%d", h.zone, 1+i/len(zones))
-		for _, a := range []*string{&h.caller, &h.ready, &h.message, &h.metricsAddr} {
-			var err error
-			if *a, err = freeAddress(h.ip); err != nil {
-				return err
-			}
-		}
 		h.settings, h.log = filepath.Join(f.dir, h.name+".ini"), filepath.Join(f.dir, h.name+".log")
-		// deploy/entry.ini with the settings of a front machine of dbrw-sched.
-		text := fmt.Sprintf("[EntryHost]\nName = %s\nFailureDomain = %s\nCallerAddress = %s\nReadyAddress = %s\nMessageAddress = %s\nMetricsAddress = %s\n\n"+
-			"[Peers]\nStoreAddress = %s\n\n[Workers]\nMaxLease = 10000ms\nFarFactor = 3\n\n[FailureDomains]\n\n[Limits]\nMemory = 284MB\nProcessorShare = 0.16\nDrainTimeout = 6s\n",
-			h.name, h.zone, h.caller, h.ready, h.message, h.metricsAddr, f.store.address)
-		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
-			return err
-		}
 		f.hosts = append(f.hosts, h)
-		if err := h.start(); err != nil {
+		if err := f.startAnew(h); err != nil {
 			return err
 		}
 	}
-	deadline := time.Now().Add(20 * time.Second)
 	for _, h := range f.hosts {
-		for {
-			r, err := f.client.Get("http://" + h.ready + "/peridotpitch/readyz")
-			if err == nil {
-				_ = r.Body.Close()
-				if r.StatusCode == 200 {
-					break
-				}
+		if err := f.awaitReady(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startAnew gives a host new addresses and starts it.
+func (f *fleet) startAnew(h *host) error {
+	for _, a := range []*string{&h.caller, &h.ready, &h.message, &h.metricsAddr} {
+		var err error
+		if *a, err = freeAddress(h.ip); err != nil {
+			return err
+		}
+	}
+	// deploy/entry.ini with the settings of a front machine of dbrw-sched.
+	text := fmt.Sprintf("[EntryHost]\nName = %s\nFailureDomain = %s\nCallerAddress = %s\nReadyAddress = %s\nMessageAddress = %s\nMetricsAddress = %s\n\n"+
+		"[Peers]\nStoreAddress = %s\n\n[Workers]\nMaxLease = 10000ms\nFarFactor = 3\n\n[FailureDomains]\n\n[Limits]\nMemory = 284MB\nProcessorShare = 0.16\nDrainTimeout = 6s\n",
+		h.name, h.zone, h.caller, h.ready, h.message, h.metricsAddr, f.store.address)
+	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return h.start()
+}
+
+// awaitReady waits until a host is ready. A host whose process ends before is started at other addresses.
+func (f *fleet) awaitReady(h *host) error {
+	tries := 1
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-h.ended:
+			if tries == hostTries {
+				return fmt.Errorf("%s has ended %d times", h.name, tries)
 			}
-			if time.Now().After(deadline) {
-				b, _ := os.ReadFile(h.log)
-				return fmt.Errorf("%s is not ready: %s", h.name, b[max(0, len(b)-400):])
+			tries++
+			if err := f.startAnew(h); err != nil {
+				return err
 			}
-			time.Sleep(50 * time.Millisecond)
+			continue
+		default:
+		}
+		r, err := f.client.Get("http://" + h.ready + "/peridotpitch/readyz")
+		if err != nil {
+			continue
+		}
+		_ = r.Body.Close()
+		if r.StatusCode == http.StatusOK {
+			return nil
 		}
 	}
-	return nil
+	b, _ := os.ReadFile(h.log)
+	return fmt.Errorf("%s is not ready: %s", h.name, b[max(0, len(b)-400):])
 }
 
 // start starts the host's process with the command of the deploy file.
