--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,4 @@
 dir="$(cd "$(dirname "$0")" && pwd)"
 cd "$dir/../.." || exit 2
 [ -x target/peridotpitch ] && [ -x target/review/stand ] || { echo "build first: the deploy file's build, then review/build.sh" >&2; exit 2; }
-exec timeout --kill-after=5 115 target/review/stand -case occurrences -dir "$dir"
+exec target/review/stand -case occurrences -dir "$dir"
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -189,6 +189,9 @@
 
 // kill ends the host's process at once.
 func (h *host) kill() {
+	if h.command == nil || h.command.Process == nil {
+		return // it has not started
+	}
 	_ = h.command.Process.Kill()
 	<-h.ended
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -8,8 +8,11 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -25,8 +28,24 @@
 // configurations are the cases' configurations.
 var configurations = map[string][]byte{}
 
+// maxPlayTime is how long a case may take.
+const maxPlayTime = 112 * time.Second
+
 func main() { os.Exit(run()) }
 
+// abort ends the hosts and the case as one that could not run, after a signal or if it takes too long.
+func (f *fleet) abort() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(maxPlayTime):
+	}
+	fmt.Fprintln(os.Stderr, "the case was ended before it was played")
+	f.close()
+	os.Exit(exitNotRun)
+}
+
 func run() int {
 	name := flag.String("case", "", "name of the case")
 	dir := flag.String("dir", ".", "folder of record.txt")
@@ -44,6 +63,7 @@
 		return exitNotRun
 	}
 	defer f.close()
+	go f.abort()
 	breaks, err := play(f, trouble)
 	if *keep != "" {
 		_ = os.MkdirAll(*keep, 0o755)
