orchestrator: a cancel that arrives before its job is kept

Cause: cancelJob ignored requests for jobs that the leader did not know. That happens when the store has dropped its history, since the inputs are then listed in the order of their keys and "cancel/" is before "job/", and when the notice of the job is missing (accepted after a lost answer) or overtaken by that of the cancel.

Change: a leader keeps such a request until the job is added, from whichever source, for at most the retention of finished jobs. New log lines CancelEarly and InputsListed tell the two cases apart.

--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -178,6 +178,7 @@
 		if err != nil {
 			return err
 		}
+		ld.c.log.Info("InputsListed", "Inputs", len(list), "After", position.start(), "Revision", at, "Reason", "the store has dropped its history")
 		es = storer.Events{Events: list, StoreRevision: at}
 		position.restart(at, begin)
 	}
--- a/internal/coordinator/input_test.go
+++ b/internal/coordinator/input_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,3 +60,46 @@
 	p.advance(120, begin.Add(30*time.Second))
 	is.Equal(p.start(), uint64(120))
 }
+
+// compactedStore has dropped its history: each watch fails, and the inputs must be listed, in the order of their keys.
+type compactedStore struct {
+	storer.TransactionalStore
+	inputs []storer.Entry
+}
+
+func (s compactedStore) Watch(context.Context, string, uint64, time.Duration) (storer.Events, error) {
+	return storer.Events{Compacted: true}, nil
+}
+
+func (s compactedStore) List(context.Context, string) ([]storer.Entry, uint64, error) {
+	return s.inputs, 30, nil
+}
+
+// Guards against cancelled jobs that run: after the store has dropped its history, a leader lists the inputs, in which each
+// request to cancel comes before its job.
+func TestCancelListedBeforeItsJobHolds(t *testing.T) {
+	is := is.New(t)
+	ld, log := newTestLeadership(compactedStore{inputs: []storer.Entry{
+		{Key: prefixCancel + "j1", Revision: 21},
+		{Key: prefixJob + "j1", Value: encodedJob(t, "j1"), Revision: 20},
+	}})
+	ld.apply(orchestrator.Inherited{})
+	var position watchPosition
+	is.NoErr(ld.pollInputsOnce(context.Background(), &position))
+	state, known := ld.orch.State("j1")
+	is.True(known)
+	is.Equal(state, orchestrator.StateCancelled)
+	is.True(strings.Contains(log.String(), "InputsListed"))
+}
+
+// Guards against cancelled jobs that run: the notice of the cancel reaches the leader before the notice of the job.
+func TestCancelNoticeBeforeJobNoticeHolds(t *testing.T) {
+	is := is.New(t)
+	ld, _ := newTestLeadership(compactedStore{})
+	ld.apply(orchestrator.Inherited{})
+	ld.handleNotice(notice{Cancel: "j1"})
+	ld.handleNotice(notice{Epoch: 1, Job: &orchestrator.Job{ID: "j1", Epoch: 1, Steps: []orchestrator.Step{{Count: 1}}}, Revision: 20})
+	state, known := ld.orch.State("j1")
+	is.True(known)
+	is.Equal(state, orchestrator.StateCancelled)
+}
--- a/internal/orchestrator/event_names.go
+++ b/internal/orchestrator/event_names.go
@@ -5,6 +5,7 @@
 	EventJobAdded          = "JobAdded"
 	EventJobStarted        = "JobStarted"
 	EventJobFinished       = "JobFinished"
+	EventCancelEarly       = "CancelEarly"
 	EventStart             = "Start"
 	EventStartRefused      = "StartRefused"
 	EventStartDeferred     = "StartDeferred"
@@ -30,7 +31,7 @@
 // Events returns all values of Note.Event.
 func Events() []string {
 	return []string{
-		EventJobAdded, EventJobStarted, EventJobFinished, EventStart, EventStartRefused, EventStartDeferred, EventStop, EventCopy, EventEnd, EventAdopt,
+		EventJobAdded, EventJobStarted, EventJobFinished, EventCancelEarly, EventStart, EventStartRefused, EventStartDeferred, EventStop, EventCopy, EventEnd, EventAdopt,
 		EventRunLost, EventResend, EventCrash, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined, EventEvacuation, EventSlowRun,
 	}
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -67,15 +67,16 @@
 	loadsBuffer   []imageLoad    // reused by bestEffortLoads
 	rankingBuffer []rankedWorker // reused by rank
 
-	inheritedApplied bool            // Inherited has been applied
-	handedOff        bool            // the earlier leader handed over cleanly
-	capacitiesAt     time.Time       // the workers' entries are known as of this time
-	confirmedAt      time.Time       // when it was last certain that no other leader had been elected
-	statisticsAt     time.Time       // when NextBatch last returned the workload statistics
-	rosterVersion    uint64          // version of the roster after its last change
-	rosterBatchAt    time.Time       // when NextBatch last returned the roster
-	rosterWritten    uint64          // roster version that is in the store
-	dirty            map[string]*job // jobs with unwritten changes, by ID
+	inheritedApplied bool                 // Inherited has been applied
+	handedOff        bool                 // the earlier leader handed over cleanly
+	capacitiesAt     time.Time            // the workers' entries are known as of this time
+	confirmedAt      time.Time            // when it was last certain that no other leader had been elected
+	statisticsAt     time.Time            // when NextBatch last returned the workload statistics
+	rosterVersion    uint64               // version of the roster after its last change
+	rosterBatchAt    time.Time            // when NextBatch last returned the roster
+	rosterWritten    uint64               // roster version that is in the store
+	dirty            map[string]*job      // jobs with unwritten changes, by ID
+	earlyCancels     map[string]time.Time // when requests to cancel unknown jobs arrived, by ID of the job
 	lapsed           map[netip.AddrPort]lapsedWorker
 	silences         []time.Time             // when workers stopped answering, in the last crashEvidenceTime
 	expired          []string                // finished jobs whose records are to be deleted
@@ -216,6 +217,7 @@
 		queueStats:   make(map[string]*queueStats),
 		interference: newInterferenceModel(),
 		dirty:        make(map[string]*job),
+		earlyCancels: make(map[string]time.Time),
 		lapsed:       make(map[netip.AddrPort]lapsedWorker),
 		unplacedAt:   make(map[string]time.Time),
 		returning:    make(map[string][]Resources),
@@ -417,6 +419,10 @@
 	}
 	o.emit(Note{Event: EventJobAdded, Job: j.ID, Queue: j.Policy.Queue, Outcome: string(j.state),
 		Figures: fmt.Sprintf("Revision=%d Inherited=%t Steps=%d Deadline=%s", revision, j.inherited, len(j.Steps), j.deadline.Sub(o.now).Round(time.Millisecond))})
+	if _, ok := o.earlyCancels[j.ID]; ok {
+		delete(o.earlyCancels, j.ID)
+		o.cancelJob(j.ID)
+	}
 }
 
 // longestChain returns the expected run time of the job's longest chain of steps. Each step
@@ -465,15 +471,34 @@
 	o.emit(WriteSoon{})
 }
 
+// cancelJob cancels a job. The request may arrive before the job: notices of hosts overtake each other, and a list of the
+// store is in the order of keys. Such a request is kept until the job is added.
 func (o *Orchestrator) cancelJob(id string) {
 	j := o.jobs[id]
-	if j == nil || j.cancelled || j.state.Final() {
+	if j == nil {
+		o.keepEarlyCancel(id)
+		return
+	}
+	if j.cancelled || j.state.Final() {
 		return
 	}
 	j.cancelled = true
 	o.finishJob(j, StateCancelled, "cancelled by a caller")
 }
 
+// keepEarlyCancel keeps a request to cancel an unknown job, unless the job has finished. A request is only accepted while its
+// job is in the store, so the store's rate of writes bounds how many are kept. They are dropped after the retention of
+// finished jobs: a job that the store still has then is read together with its request, and a notice of it is long over.
+func (o *Orchestrator) keepEarlyCancel(id string) {
+	_, finished := o.finished[id]
+	_, kept := o.earlyCancels[id]
+	if finished || kept {
+		return
+	}
+	o.earlyCancels[id] = o.now
+	o.emit(Note{Event: EventCancelEarly, Job: id, Outcome: "kept until the job is known", Figures: fmt.Sprintf("Kept=%d", len(o.earlyCancels))})
+}
+
 // markDirty marks a job's record in the store as out of date.
 func (o *Orchestrator) markDirty(j *job) {
 	if j.version == j.writtenVersion {
@@ -492,6 +517,11 @@
 			o.expired = append(o.expired, id)
 		}
 	}
+	for id, at := range o.earlyCancels {
+		if o.now.Sub(at) > o.settings.Retention {
+			delete(o.earlyCancels, id)
+		}
+	}
 }
 
 // State returns a job's state as callers may see it: a final state only once it is in the
