orchestrator: an occurrence found by its runs is counted and opens when due

Cause: the lookup of a reported run added an occurrence that the new leader had not begun, and nobody counted its tasks. Its counts were 0, its first success took them below 0, and the whole occurrence was taken as finished. A leader has not begun an occurrence that its predecessor had if it knows fewer finished ones (the bound on begun tasks), or if its time of day is behind.

Change: lookups add nothing. A worker's report adds an occurrence and counts it at once; the occurrence stays closed until this leader begins it, when it is due and within the bound. The bound counts open occurrences only, so that known ones which are not open can't keep all others from opening. OccurrenceFound logs it.

--- a/internal/orchestrator/event_names.go
+++ b/internal/orchestrator/event_names.go
@@ -6,6 +6,7 @@
 	EventJobStarted        = "JobStarted"
 	EventJobFinished       = "JobFinished"
 	EventCancelEarly       = "CancelEarly"
+	EventOccurrenceFound   = "OccurrenceFound"
 	EventStart             = "Start"
 	EventStartRefused      = "StartRefused"
 	EventStartDeferred     = "StartDeferred"
@@ -31,7 +32,7 @@
 // Events returns all values of Note.Event.
 func Events() []string {
 	return []string{
-		EventJobAdded, EventJobStarted, EventJobFinished, EventCancelEarly, EventStart, EventStartRefused, EventStartDeferred, EventStop, EventCopy, EventEnd, EventAdopt,
+		EventJobAdded, EventJobStarted, EventJobFinished, EventCancelEarly, EventOccurrenceFound, EventStart, EventStartRefused, EventStartDeferred, EventStop, EventCopy, EventEnd, EventAdopt,
 		EventRunLost, EventResend, EventCrash, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined, EventEvacuation, EventSlowRun,
 	}
 }
--- a/internal/orchestrator/occurrence.go
+++ b/internal/orchestrator/occurrence.go
@@ -6,24 +6,40 @@
 	"time"
 )
 
-// beginOccurrences creates the occurrences that are due, as far as the job has at most maxTasks tasks then.
+// beginOccurrences opens the occurrences that are due, as far as the open ones have at most maxTasks tasks then. Occurrences
+// that are known and not open don't count: if they used up the bound, none would ever open.
 func (o *Orchestrator) beginOccurrences(j *job) {
-	if j.cancelled || j.state.Final() {
-		return
-	}
-	for j.nextOccurrence < max(1, j.Occurrences) {
-		if j.Occurrences > 0 && o.now.Add(o.wallOffset).Before(j.due(j.nextOccurrence)) {
+	for !j.cancelled && !j.state.Final() && j.nextOccurrence < max(1, j.Occurrences) {
+		number := j.nextOccurrence
+		if j.Occurrences > 0 && o.now.Add(o.wallOffset).Before(j.due(number)) {
 			return
 		}
-		if len(j.occurrences) > 0 && (len(j.occurrences)+1)*j.tasks() > maxTasks {
-			return // further ones begin when these have finished
+		if slices.Contains(j.finishedOccurrences, number) {
+			j.nextOccurrence++
+			continue
+		}
+		if n := j.openOccurrences(); n > 0 && (n+1)*j.tasks() > maxTasks {
+			return // further ones open when these have finished
 		}
-		number := j.nextOccurrence
 		j.nextOccurrence++
-		if j.occurrence(number) == nil && !slices.Contains(j.finishedOccurrences, number) {
-			o.recount(o.addOccurrence(j, number, o.now))
+		oc := j.occurrence(number)
+		if oc == nil {
+			oc = o.addOccurrence(j, number, o.now)
+		}
+		oc.open = true
+		o.recount(oc)
+	}
+}
+
+// openOccurrences returns the number of open occurrences.
+func (j *job) openOccurrences() int {
+	n := 0
+	for _, oc := range j.occurrences {
+		if oc.open {
+			n++
 		}
 	}
+	return n
 }
 
 // due returns when an occurrence of a job with a schedule is due.
@@ -39,6 +55,7 @@
 	return j.occurrences[i]
 }
 
+// addOccurrence adds an occurrence that is not open. recount must count its tasks before an end of a run is applied.
 func (o *Orchestrator) addOccurrence(j *job, number int, now time.Time) *occurrence {
 	oc := &occurrence{job: j, number: number, due: j.Submitted}
 	if j.Occurrences > 0 {
@@ -90,7 +107,7 @@
 // updateReady adds a step to the ready steps if its tasks may start, and removes it otherwise.
 func (o *Orchestrator) updateReady(s *step) {
 	j := s.occurrence.job
-	if s.unfinished == 0 || s.unfinishedDependencies > 0 || j.cancelled || j.state.Final() {
+	if !s.occurrence.open || s.unfinished == 0 || s.unfinishedDependencies > 0 || j.cancelled || j.state.Final() {
 		delete(o.ready, s)
 		return
 	}
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -360,7 +360,7 @@
 // started it, or this leader has removed it. If the task must not have the run, adopt stops
 // the run and returns nil.
 func (o *Orchestrator) adopt(w *worker, row RunningRun) *run {
-	t := o.findTask(row.Task)
+	t := o.reportedTask(row.Task)
 	reason := ""
 	switch {
 	case t == nil:
@@ -420,7 +420,7 @@
 
 // applyEnd applies a worker's report of the end of a run.
 func (o *Orchestrator) applyEnd(w *worker, row EndedRun) {
-	t := o.findTask(row.Task)
+	t := o.reportedTask(row.Task)
 	if t == nil {
 		if r := w.runByKey[runKey{row.Task, row.Run}]; r != nil {
 			o.noteEnd(r, row)
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -29,6 +29,7 @@
 	currentLeader   int // index of the leader whose writes the store accepts
 	pendingCommands []pendingCommand
 	done            map[string]bool // tasks whose successful end has been acknowledged
+	succeeded       map[string]bool // tasks of which a run has ended as done on a worker
 	failed          map[string]int  // number of acknowledged failures, by task
 	starts          int
 	faults          faults
@@ -38,8 +39,10 @@
 	runTime         func(task string, w *simulatedWorker) time.Duration
 	notes           []orchestrator.Note
 	wallOffset      time.Duration
+	checkDue        time.Duration             // occurrences must not start earlier than this before they are due; 0: not checked
 	lag             time.Duration             // of the leaders' Ticks
 	disabled        orchestrator.MechanismSet // of leaders that are elected later
+	leaderOffset    time.Duration             // of the time of day of leaders that are elected later
 	clock           func() time.Time          // measures passes; nil: not measured
 	lease           time.Duration             // of the runs of leaders that are elected later
 	crash           crashModel
@@ -120,6 +123,7 @@
 	frozen           bool
 	missedChanges    bool      // entries of workers have changed while it was frozen or did not reach the store
 	disturbedAt      time.Time // when it was last frozen, thawed or cut off
+	wallOffset       time.Duration
 	pendingAnswers   []orchestrator.Event
 	stopped          map[string]int // highest number of a run that it has stopped, by task
 }
@@ -134,7 +138,7 @@
 		t: t, now: time.Unix(1e9, 0), pollSteps: 10, lease: 4500 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 1)),
 		workers: make(map[string]*simulatedWorker), jobs: make(map[string]orchestrator.Job),
 		storedRecords: make(map[string]orchestrator.Record), cancelRequests: make(map[string]bool),
-		done: make(map[string]bool), failed: make(map[string]int),
+		done: make(map[string]bool), succeeded: make(map[string]bool), failed: make(map[string]int),
 		succeeds: func(string, int) bool { return true },
 		runTime:  func(string, *simulatedWorker) time.Duration { return time.Second },
 	}
@@ -186,7 +190,7 @@
 // elect adds a new leader. From then on the store accepts only its writes.
 func (w *simulation) elect(handedOff bool) *simulatedLeader {
 	w.epoch += 100
-	l := &simulatedLeader{w: w, id: len(w.leaders), epoch: w.epoch, watched: make(map[string]bool), polledAt: make(map[string]time.Time)}
+	l := &simulatedLeader{w: w, id: len(w.leaders), epoch: w.epoch, watched: make(map[string]bool), polledAt: make(map[string]time.Time), wallOffset: w.leaderOffset}
 	l.o = orchestrator.New(orchestrator.Settings{
 		Epoch: w.epoch, ElectedAt: w.now, ConfirmedAt: w.now, Lease: w.lease, LeaderLease: 9 * time.Second,
 		MaxLease: 10 * time.Second, Retention: time.Hour, RemoteSlowdown: 3, Disabled: w.disabled, Clock: w.clock,
@@ -205,6 +209,9 @@
 		}
 		inherited.Jobs = append(inherited.Jobs, j)
 	}
+	if l.wallOffset != 0 {
+		l.step(orchestrator.Tick{WallOffset: l.wallOffset})
+	}
 	l.step(orchestrator.EvacuationsListed{FailureDomains: w.evacuations.domains()})
 	l.step(inherited)
 	l.step(orchestrator.WorkersListed{Workers: w.listedWorkers(), SentAt: w.now})
@@ -421,6 +428,9 @@
 		w.t.Fatalf("task %q has no step: %v", a.Task, err)
 	}
 	s := j.Steps[index]
+	if due := j.First.Add(time.Duration(number) * j.Interval); w.checkDue > 0 && j.Occurrences > 0 && w.now.Add(w.checkDue).Before(due) {
+		w.t.Fatalf("%s: %s starts %s before it is due", w.elapsed(), a.Task, due.Sub(w.now))
+	}
 	for n, other := range w.workers {
 		if r := other.runs[a.Task]; r != nil && !other.dead && !s.Speculative {
 			w.t.Fatalf("%s: run %d of %s starts on %s while run %d is on %s%s", w.elapsed(), a.Run, a.Task, k.entry.ID, r.number, n, w.history(a.Task))
@@ -544,6 +554,9 @@
 		if how == orchestrator.EndDone && (k.failsTasks || !w.succeeds(name, r.number)) {
 			how = orchestrator.EndFailed
 		}
+		if how == orchestrator.EndDone {
+			w.succeeded[name] = true
+		}
 		delete(k.runs, name)
 		k.lastEndedRun[name] = max(k.lastEndedRun[name], r.number)
 		k.endCount++
@@ -635,6 +648,7 @@
 	}
 	b := l.o.NextBatch(27, all, l.w.now)
 	for _, e := range b.Entries {
+		l.w.checkSucceeded(e.Record)
 		l.w.storedRecords[e.Record.ID] = e.Record
 	}
 	if b.Roster != nil {
@@ -644,6 +658,29 @@
 	l.step(orchestrator.Written{Batch: b})
 }
 
+// checkSucceeded fails the test if a record says that a job has succeeded while a task of it has not.
+func (w *simulation) checkSucceeded(r orchestrator.Record) {
+	if r.State != orchestrator.StateSucceeded {
+		return
+	}
+	j := w.jobs[r.ID]
+	for number := range max(1, j.Occurrences) {
+		for i, s := range j.Steps {
+			ended := func(k int) bool { return w.succeeded[fmt.Sprintf("%s.%d.%d.%d", j.ID, number, i, k)] }
+			tasks := make([]int, s.Count)
+			for k := range tasks {
+				tasks[k] = k
+			}
+			if s.Gang && slices.ContainsFunc(tasks, ended) {
+				continue // the end of one member stands for all
+			}
+			if k := slices.IndexFunc(tasks, func(k int) bool { return !ended(k) }); k >= 0 {
+				w.t.Fatalf("%s: %s is shown as succeeded, and task %d of step %d of occurrence %d has not", w.elapsed(), j.ID, k, i, number)
+			}
+		}
+	}
+}
+
 // catchUp passes the jobs and cancel requests in the store to the leader again, because it may
 // have missed their events.
 func (l *simulatedLeader) catchUp() {
@@ -725,7 +762,7 @@
 			l.step(e)
 		}
 		if ms%50 == 0 {
-			l.step(orchestrator.Tick{WallOffset: w.wallOffset, Lag: w.lag})
+			l.step(orchestrator.Tick{WallOffset: w.wallOffset + l.wallOffset, Lag: w.lag})
 		}
 		if ms%100 == 0 {
 			l.write(false)
