orchestrator: a run is lost only when all ends before have been listed

Cause: workers list a bounded number of ends at a time, and the others once these are acknowledged. The leader took a run that an answer lists neither as running nor as ended as lost. Its successor took a worker's runs as known from the first answer in the same way.

Change: absence counts only when all ends before the answer have been listed. An answer without ends proves that, and so does the end of a run that was still running then, or was sent later, because ends are listed in the order of their numbers. No page size is assumed. A run without that proof is kept; a new leader lets no inherited task start that the worker may have run. Such workers are polled without a wait. EndsPending logs it.

--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -162,7 +162,7 @@
 			return
 		}
 		sent := timekeeper.Now()
-		a, err := ld.c.deps.Workers.Poll(p.ctx, p.target, PollRequest{Fence: ld.term.Revision, LeaseEnd: r.LeaseEnd, AckedThrough: r.AckedThrough, Wait: pollWait(r.ShortWait, time.Duration(ld.meanLag.Load())), Lag: time.Duration(ld.lag.Load())})
+		a, err := ld.c.deps.Workers.Poll(p.ctx, p.target, PollRequest{Fence: ld.term.Revision, LeaseEnd: r.LeaseEnd, AckedThrough: r.AckedThrough, Wait: requestedWait(r, time.Duration(ld.meanLag.Load())), Lag: time.Duration(ld.lag.Load())})
 		if p.ctx.Err() != nil {
 			return
 		}
@@ -184,6 +184,14 @@
 	}
 }
 
+// requestedWait returns how long a worker may hold a poll with the parameters r if the leader's average lag is lag.
+func requestedWait(r orchestrator.PollRequest, lag time.Duration) time.Duration {
+	if r.NoWait {
+		return 0
+	}
+	return pollWait(r.ShortWait, lag)
+}
+
 // pollWait returns how long a worker may hold a poll if the leader's average lag is lag.
 func pollWait(short bool, lag time.Duration) time.Duration {
 	behind := min(1, max(0, float64(lag-minStretchLag)/float64(maxStretchLag-minStretchLag)))
--- a/internal/orchestrator/event_names.go
+++ b/internal/orchestrator/event_names.go
@@ -15,6 +15,7 @@
 	EventEnd               = "End"
 	EventAdopt             = "Adopt"
 	EventRunLost           = "RunLost"
+	EventEndsPending       = "EndsPending"
 	EventResend            = "Resend"
 	EventCrash             = "CrashCounted"
 	EventWait              = "Wait"
@@ -33,7 +34,7 @@
 func Events() []string {
 	return []string{
 		EventJobAdded, EventJobStarted, EventJobFinished, EventCancelEarly, EventOccurrenceFound, EventStart, EventStartRefused, EventStartDeferred, EventStop, EventCopy, EventEnd, EventAdopt,
-		EventRunLost, EventResend, EventCrash, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined, EventEvacuation, EventSlowRun,
+		EventRunLost, EventEndsPending, EventResend, EventCrash, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined, EventEvacuation, EventSlowRun,
 	}
 }
 
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -306,13 +306,13 @@
 
 // RecordsNameAllRuns reports whether the records after a HandOver name the workers of all
 // runs. They do not if an earlier leader, which did not hand over, may have started tasks on a worker
-// that has not answered this leader yet.
+// that has not reported all of their runs to this leader yet.
 func (o *Orchestrator) RecordsNameAllRuns() bool {
 	if !o.inheritedApplied {
 		return false
 	}
 	for _, w := range o.workers {
-		if w.mayRunInheritedTasks && !w.runsKnown && !o.handedOff {
+		if w.mayRunInheritedTasks && !o.handedOff {
 			return false
 		}
 	}
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -225,16 +225,19 @@
 }
 
 func blockedReason(w *worker) string {
+	if w.runsKnown {
+		return "worker " + w.ID + " has not listed all ended runs to this leader yet and may have run the task"
+	}
 	return "worker " + w.ID + " has not answered this leader yet and may run the task"
 }
 
 // mayServe reports whether a worker is of the service, or its service is unknown.
 func (w *worker) mayServe(service string) bool { return w.Service == service || w.Service == "" }
 
-// unreached reports whether a worker that has not answered this leader yet may run tasks of an
-// earlier leader.
+// unreached reports whether a worker may run tasks of an earlier leader, or may have run some to their end, of which this
+// leader does not know yet.
 func (w *worker) unreached() bool {
-	return w.mayRunInheritedTasks && !w.runsKnown && !w.provenIdle
+	return w.mayRunInheritedTasks && !w.provenIdle
 }
 
 // cachedCandidates returns the result of candidates, cached with the survey. It is the same for
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -54,6 +54,9 @@
 	throttleSentAt   time.Time
 	throttleInFlight bool
 	listedIn         uint64    // number of the last poll of the worker that listed the run
+	sentAfter        uint64    // number of the last poll of the worker that was answered before the run was sent
+	unlistedSince    uint64    // number of the first poll since listedIn that should have listed the run and did not; 0: none
+	outlivedWorker   bool      // the worker's process has ended since the run was sent
 	nextMoveSearch   time.Time // earliest time of the next search for a better worker
 	begun            bool      // a worker has accepted its start or listed it
 	throttled        bool      // the run may have been below full speed at some time
@@ -145,7 +148,7 @@
 const (
 	lossLease     lossCause = "lapsed"       // its lease has ended, and its worker has not answered since
 	lossWorkerEnd lossCause = "worker ended" // the process of its worker has ended
-	lossUnlisted  lossCause = "not listed"   // its worker lists it neither as running nor as ended
+	lossUnlisted  lossCause = "not listed"   // its worker does not list it as running, and has listed all ends
 )
 
 // expireRun removes a run whose lease or worker has ended without a report. Later reports of
@@ -164,7 +167,7 @@
 // start adds a run and sends its start to the worker.
 func (o *Orchestrator) start(t *task, w *worker, number int, ticket string) *run {
 	r := o.addRun(t, w, number, phaseStarting)
-	r.saved, r.ticket = t.saved, ticket
+	r.saved, r.ticket, r.sentAfter = t.saved, ticket, w.pollNumber
 	if len(t.crashes) > 0 {
 		o.markDirty(t.job()) // a later leader must know on which worker it runs
 		o.emit(WriteSoon{})
@@ -384,6 +387,7 @@
 		t.recordedRun = 0
 	}
 	r := o.addRun(t, w, row.Run, phaseRunning)
+	r.listedIn = w.pollNumber
 	o.startAccepted(r)
 	r.progressPercent, r.confirmedSpeed, r.throttled = row.Percent, unknownSpeed, true
 	o.emit(Note{Event: EventAdopt, Job: t.job().ID, Task: t.name, Run: row.Run, Worker: w.ID, Figures: fmt.Sprintf("Percent=%d", row.Percent)})
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -28,17 +28,20 @@
 	roster          orchestrator.Roster
 	currentLeader   int // index of the leader whose writes the store accepts
 	pendingCommands []pendingCommand
-	done            map[string]bool // tasks whose successful end has been acknowledged
-	succeeded       map[string]bool // tasks of which a run has ended as done on a worker
-	failed          map[string]int  // number of acknowledged failures, by task
+	done            map[string]bool      // tasks whose successful end has been acknowledged
+	succeeded       map[string]bool      // tasks of which a run has ended as done on a worker
+	failed          map[string]int       // number of acknowledged failures, by task
+	startedAt       map[string]time.Time // last start of each task
 	starts          int
 	faults          faults
 	succeeds        func(task string, run int) bool // whether a run ends as done
 	refuses         func(task string) bool          // whether a worker refuses a start for lack of capacity; nil: never
+	drops           func(task string) bool          // whether a start gets no answer and is not executed; nil: never
 	defers          func(task string) bool          // whether the leader's host lacks the connection for a start; nil: never
 	runTime         func(task string, w *simulatedWorker) time.Duration
 	notes           []orchestrator.Note
 	wallOffset      time.Duration
+	endsPerPoll     int                       // ends that a worker lists at once; 0: all
 	checkDue        time.Duration             // occurrences must not start earlier than this before they are due; 0: not checked
 	lag             time.Duration             // of the leaders' Ticks
 	disabled        orchestrator.MechanismSet // of leaders that are elected later
@@ -92,6 +95,7 @@
 	lastEndedRun     map[string]int // highest number of a run that was stopped or has ended, by task
 	ended            []orchestrator.EndedRun
 	endCount         int
+	endedAt          map[int]time.Time // by number of the end
 	ackedThrough     int
 	reportedThrough  int // ends up to this number have been listed to a leader
 	endsBeforeExpiry int // the lease has expired after the ends up to this number
@@ -138,7 +142,7 @@
 		t: t, now: time.Unix(1e9, 0), pollSteps: 10, lease: 4500 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 1)),
 		workers: make(map[string]*simulatedWorker), jobs: make(map[string]orchestrator.Job),
 		storedRecords: make(map[string]orchestrator.Record), cancelRequests: make(map[string]bool),
-		done: make(map[string]bool), succeeded: make(map[string]bool), failed: make(map[string]int),
+		done: make(map[string]bool), succeeded: make(map[string]bool), failed: make(map[string]int), startedAt: make(map[string]time.Time),
 		succeeds: func(string, int) bool { return true },
 		runTime:  func(string, *simulatedWorker) time.Duration { return time.Second },
 	}
@@ -166,7 +170,7 @@
 	k := &simulatedWorker{
 		entry: orchestrator.WorkerEntry{ID: name, Service: "s", Capacity: capacity, Rack: rack, Labels: []string{"a", rack},
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(w.workers) + 1)}), 80)},
-		incarnation: w.now.UnixMilli(), startedAt: w.now, runs: make(map[string]*simulatedRun), lastEndedRun: make(map[string]int),
+		incarnation: w.now.UnixMilli(), startedAt: w.now, runs: make(map[string]*simulatedRun), lastEndedRun: make(map[string]int), endedAt: make(map[int]time.Time),
 		unreachableFrom: make(map[*simulatedLeader]bool), tailLatencyMs: make(map[string]int),
 	}
 	w.workers[name] = k
@@ -322,6 +326,10 @@
 		}
 		return
 	}
+	if a, ok := c.action.(orchestrator.StartRun); ok && answered && w.drops != nil && w.drops(a.Task) {
+		w.answerCommand(c, orchestrator.StartUnanswered)
+		return
+	}
 	if answered {
 		switch p := w.rng.Float64(); {
 		case p < w.faults.dropped:
@@ -409,6 +417,7 @@
 	w.checkStart(k, a)
 	w.checkCrashes(l, a.Task)
 	w.starts++
+	w.startedAt[a.Task] = w.now
 	r := &simulatedRun{task: a.Task, number: a.Run, startedAt: w.now, endsAt: w.now.Add(w.runTime(a.Task, k)), saved: a.Saved, speed: 100, size: w.sizeOf(a.Task), persists: w.longRunning(a.Task)}
 	k.runs[a.Task] = r
 	if c := &w.crash; c.crashes != nil && c.crashes(a.Task) {
@@ -560,6 +569,7 @@
 		delete(k.runs, name)
 		k.lastEndedRun[name] = max(k.lastEndedRun[name], r.number)
 		k.endCount++
+		k.endedAt[k.endCount] = w.now
 		k.ended = append(k.ended, orchestrator.EndedRun{Number: k.endCount, Task: name, Run: r.number, How: how, Saved: r.saved})
 	}
 }
@@ -610,12 +620,17 @@
 		}
 		a.Running = append(a.Running, orchestrator.RunningRun{Task: name, Run: run.number, Percent: percent, Figure: k.tailLatencyMs[name]})
 	}
+	k.reportedThrough = k.endCount
 	for _, e := range k.ended {
-		if e.Number > k.ackedThrough {
-			a.Ended = append(a.Ended, e)
+		if e.Number <= k.ackedThrough {
+			continue
 		}
+		if w.endsPerPoll > 0 && len(a.Ended) == w.endsPerPoll {
+			k.reportedThrough = e.Number - 1
+			break
+		}
+		a.Ended = append(a.Ended, e)
 	}
-	k.reportedThrough = k.endCount
 	l.step(a)
 }
 
@@ -627,6 +642,10 @@
 			switch e.How {
 			case orchestrator.EndDone:
 				w.done[e.Task] = true
+				if at := w.startedAt[e.Task]; at.After(k.endedAt[e.Number]) {
+					w.t.Fatalf("%s: run %d of %s has ended as done on %s, acknowledged now, and another began %s later%s", w.elapsed(), e.Run, e.Task,
+						k.entry.ID, at.Sub(k.endedAt[e.Number]), w.history(e.Task))
+				}
 			case orchestrator.EndFailed:
 				w.failed[e.Task]++
 			default:
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -42,10 +42,10 @@
 	rosterPending        bool      // its changed roster entry is not in the store yet
 	rostered             bool      // the roster in the store lists it as a worker that may run tasks
 	provenIdle           bool      // no run of any leader can be on it
-	mayRunInheritedTasks bool      // an earlier leader may have started tasks on it, and it has not answered this leader yet
+	mayRunInheritedTasks bool      // an earlier leader may have started tasks on it, and it has not reported all of their runs to this leader yet
 	recordedRuns         bool      // records of an earlier leader may name runs on it, of which this leader does not know what became
 	recordedIncarnation  int64     // its process when the roster was written; 0: not known
-	runsKnown            bool      // its runs are known: it has answered this leader, or every lease of an earlier leader has ended
+	runsKnown            bool      // its present runs are known: it has answered this leader, or every lease of an earlier leader has ended
 
 	incarnation        int64
 	clock              time.Duration // the worker's clock at clockAt
@@ -65,6 +65,9 @@
 	runs        []*run // in the order of their starts; removeRun keeps the order
 	runByKey    map[runKey]*run
 	pollNumber  uint64    // of the last poll whose answer was applied
+	firstPoll   uint64    // of the first poll whose answer this leader applied
+	endsThrough uint64    // all ends before the answer to this poll have been listed
+	unaccounted int       // accepted runs that the last answer listed neither as running nor as ended, see unlisted
 	used        Resources // resources of its runs, without the processors of best-effort tasks
 	longRunning Resources // the part of used that long-running tasks take
 	load        struct {
@@ -270,10 +273,7 @@
 	if w.unreachable {
 		o.emit(Note{Event: EventWorkerReached, Worker: w.ID, Outcome: "answers again", Age: o.timeSinceAnswer(w)})
 	}
-	if !w.runsKnown {
-		w.runsKnown, w.mayRunInheritedTasks = true, false
-		o.passDue = true
-	}
+	w.runsKnown = true
 	w.incarnation, w.clock, w.clockAt, w.hasClock = e.Incarnation, e.Clock, e.ReceivedAt, true
 	w.answeredPollSentAt, w.answeredAt, w.unreachable, w.replaced, w.replacedAt = e.SentAt, e.ReceivedAt, false, false, time.Time{}
 	if e.DrainRemaining > 0 {
@@ -285,10 +285,17 @@
 			continue
 		}
 		w.lastAppliedEnd = row.Number
+		w.noteListedEnd(row)
 		o.applyEnd(w, row)
 	}
+	if len(e.Ended) == 0 {
+		w.endsThrough = w.pollNumber
+	}
 	o.advanceAcks(w)
 	o.applyRunning(w, e)
+	if w.mayRunInheritedTasks && w.endsThrough >= w.firstPoll {
+		w.mayRunInheritedTasks = false
+	}
 	o.noteChange(w)
 	o.passDue = true
 }
@@ -309,11 +316,7 @@
 		o.updateRun(r, row)
 		tailRatio = max(tailRatio, r.tailRatio)
 	}
-	for _, r := range w.missing(e) {
-		o.emit(Note{Event: EventRunLost, Job: r.task.job().ID, Task: r.task.name, Run: r.number, Worker: w.ID,
-			Outcome: string(lossUnlisted), Age: o.now.Sub(r.startedAt)})
-		o.removeRun(r)
-	}
+	o.removeUnlisted(w, e)
 	if w.load.latencyCritical > 0 {
 		w.tailRatio, w.tailRatioAt = tailRatio, e.ReceivedAt
 		o.updateInterference(w, e.Running)
@@ -332,8 +335,15 @@
 		o.noteSilence(w)
 	}
 	o.workerCrashed(w, e.Running)
-	for _, r := range w.missing(e) {
-		r.lostAt = o.now
+	for _, r := range w.runs {
+		r.outlivedWorker = true
+	}
+	bornAfter := e.ReceivedAt.Add(-maxLeaseTime(e.Clock))
+	for _, r := range w.unlisted(e) {
+		// The end of a run that the new incarnation has accepted may not be listed yet.
+		if len(e.Ended) == 0 || r.ackedBefore(bornAfter) {
+			r.lostAt = o.now
+		}
 	}
 	for _, r := range slices.Clone(w.runs) {
 		if r.phase == phaseStarting && r.startUnanswered {
@@ -368,16 +378,54 @@
 // markListed marks the runs that the answer to a poll lists as running.
 func (w *worker) markListed(rows []RunningRun) {
 	w.pollNumber++
+	if w.firstPoll == 0 {
+		w.firstPoll = w.pollNumber
+	}
 	for _, row := range rows {
 		if r := w.runByKey[runKey{row.Task, row.Run}]; r != nil {
-			r.listedIn = w.pollNumber
+			r.listedIn, r.unlistedSince = w.pollNumber, 0
 		}
 	}
 }
 
-// missing returns the runs that the last poll's answer e does not list, although it would if they
-// still ran.
-func (w *worker) missing(e PollAnswered) []*run {
+// noteListedEnd concludes from a newly listed end which ends have been listed. A worker lists a bounded number of ends, in the
+// order of their numbers, and the others only once these are acknowledged, so that an end which is absent may still
+// come. If the run was listed as running in an answer, or was sent after that answer, its end comes after all ends before
+// that answer, and so all of them have been listed.
+func (w *worker) noteListedEnd(row EndedRun) {
+	if r := w.runByKey[runKey{row.Task, row.Run}]; r != nil {
+		w.endsThrough = max(w.endsThrough, r.listedIn, r.sentAfter)
+	}
+}
+
+// removeUnlisted removes the runs that a worker lists neither as running nor as ended, once all ends before the first such answer
+// have been listed.
+func (o *Orchestrator) removeUnlisted(w *worker, e PollAnswered) {
+	waiting := 0
+	for _, r := range w.unlisted(e) {
+		if r.unlistedSince == 0 {
+			r.unlistedSince = w.pollNumber
+		}
+		switch {
+		case w.endsThrough < r.unlistedSince:
+			waiting++
+		case r.outlivedWorker:
+			r.lostAt = o.now // see expireLostRuns
+		default:
+			o.emit(Note{Event: EventRunLost, Job: r.task.job().ID, Task: r.task.name, Run: r.number, Worker: w.ID,
+				Outcome: string(lossUnlisted), Age: o.now.Sub(r.startedAt), Figures: fmt.Sprintf("Polls=%d", w.pollNumber-r.unlistedSince)})
+			o.removeRun(r)
+		}
+	}
+	if waiting > 0 && w.unaccounted == 0 {
+		o.emit(Note{Event: EventEndsPending, Worker: w.ID, Outcome: "the runs are kept until all ends are listed",
+			Figures: fmt.Sprintf("Unlisted=%d Running=%d Ended=%d Unacknowledged=%d", waiting, len(e.Running), len(e.Ended), len(w.unackedEnds))})
+	}
+	w.unaccounted = waiting
+}
+
+// unlisted returns the runs that the last poll's answer e does not list as running, although it would if they still ran.
+func (w *worker) unlisted(e PollAnswered) []*run {
 	var rs []*run
 	for _, r := range w.runs {
 		if r.listedIn != w.pollNumber && r.ackedBefore(e.SentAt) && r.lostAt.IsZero() {
@@ -478,7 +526,7 @@
 		return
 	}
 	switch {
-	case w.Draining && len(w.runs) == 0 && w.runsKnown:
+	case w.Draining && len(w.runs) == 0 && w.runsKnown && !w.mayRunInheritedTasks:
 		// The worker gets no more starts, and the next leader need not wait for its leases.
 		o.markIdle(w)
 	case !unreachable && w.listed:
