orchestrator: a task does not start again beside its unwanted run

What callers could see: two runs of a task. A worker reports a run of a task that already runs elsewhere, which a start of a deposed leader on a restarted worker can cause. The leader told the worker to stop it, but kept no account of it. When the first run failed or was lost meanwhile, the task started again beside the run that was being stopped.

Change: such a run is added and stopped like any other, so that the task waits for its end and the worker's capacity counts it.

Measured: TestTaskWaitsForTheEndOfItsUnwantedRun failed before ("run 2 starts on w1 while run 40 is on w0") and passes now.

--- a/internal/orchestrator/restart_test.go
+++ b/internal/orchestrator/restart_test.go
@@ -247,3 +247,29 @@
 	is.Equal(w.state("j1"), orchestrator.StateSucceeded)
 	is.Equal(len(w.notesOf(orchestrator.EventWorkerLost)), 1)
 }
+
+// A worker reports a run of a task that already runs elsewhere, as a start of a deposed leader on a restarted worker can cause.
+// Guards against a third run that begins while the unwanted one is still being stopped, because the first one fails meanwhile.
+func TestTaskWaitsForTheEndOfItsUnwantedRun(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(t, 1)
+	second := w.addWorker("w0", cores(8, 32), "r0")
+	first := w.addWorker("w1", cores(8, 32), "r1") // polled after w0, so that its failure is known first
+	w.elect(false)
+	w.run(time.Second)
+	j := simpleJob("j1", 1, cores(2, 2))
+	j.Steps[0].RequiredLabel = "r1"
+	w.submit(j)
+	w.run(300 * time.Millisecond)
+	is.Equal(w.runningOn("j1"), []string{"w1"})
+	const task = "j1.0.0.0"
+	second.leaseEnd = second.clock(w.now) + 5*time.Second
+	second.runs[task] = &simulatedRun{task: task, number: 40, startedAt: w.now, endsAt: w.now.Add(time.Minute), size: cores(2, 2), speed: 100}
+	for !second.runs[task].stopping {
+		w.run(10 * time.Millisecond)
+	}
+	first.runs[task].failing = true
+	w.run(time.Second) // the simulation fails at a start beside a run
+	is.Equal(w.runningOn("j1"), []string{"w1"})
+	is.Equal(w.starts, 2)
+}
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -361,7 +361,8 @@
 
 // adopt adds a run that a worker lists and the leader does not have: an earlier leader has
 // started it, or this leader has removed it. If the task must not have the run, adopt stops
-// the run and returns nil.
+// the run and returns nil. A second run of a task is added and stopped, so that the task does not start again
+// before its end, whatever becomes of the first one.
 func (o *Orchestrator) adopt(w *worker, row RunningRun) *run {
 	t := o.reportedTask(row.Task)
 	reason := ""
@@ -372,8 +373,6 @@
 		reason = "the task has already succeeded"
 	case t.expiredRuns[row.Run]:
 		reason = "the run has expired with its lease or its worker"
-	case len(t.runs) > 0 && !t.step.Speculative:
-		reason = "the task has another run"
 	}
 	if reason != "" {
 		o.emit(Note{Event: EventStop, Task: row.Task, Run: row.Run, Worker: w.ID, Reason: reason})
@@ -391,6 +390,9 @@
 	o.startAccepted(r)
 	r.progressPercent, r.confirmedSpeed, r.throttled = row.Percent, unknownSpeed, true
 	o.emit(Note{Event: EventAdopt, Job: t.job().ID, Task: t.name, Run: row.Run, Worker: w.ID, Figures: fmt.Sprintf("Percent=%d", row.Percent)})
+	if len(t.runs) > 1 && !t.step.Speculative {
+		o.stop(r, "the task has another run")
+	}
 	return r
 }
 
