orchestrator: a drained worker is idle once its ends are stored

What callers could see: tasks that have succeeded run again. The roster says that no run can be on a draining worker, its ends are listed and not all stored, and the leader is lost after the write of the roster. Its successor does not wait for that worker, starts the tasks elsewhere, and the worker lists the ends again.

Change: such a worker counts as idle when it has no ends that are not in the store.

Records are unchanged.

Measured: TestDrainedWorkerIsIdleOnceItsEndsAreStored failed before ("run 1 of j17.0.0.0 has ended as done on w0, acknowledged now, and another began 600ms later") and passes now.

--- a/internal/orchestrator/ends_test.go
+++ b/internal/orchestrator/ends_test.go
@@ -127,3 +127,37 @@
 	w.endFaults()
 	w.finishAll(rt, jobs)
 }
+
+// Guards against tasks that succeed and start again: the roster says that no run can be on a draining worker before the ends
+// that it has listed are in the store, and the leader is lost in between, so that its successor does not wait for that worker.
+func TestDrainedWorkerIsIdleOnceItsEndsAreStored(t *testing.T) {
+	is := is.New(t)
+	const jobs = 60 // more than one write can hold
+	w := newCluster(t, 1, cores(32, 64))
+	w.runTime = func(string, *simulatedWorker) time.Duration { return 300 * time.Millisecond }
+	for i := range jobs {
+		j := simpleJob(fmt.Sprintf("j%d", i), 1, cores(0.1, 0))
+		j.Policy.Guarded = true
+		w.submit(j)
+	}
+	w.run(200 * time.Millisecond)
+	is.Equal(w.starts, jobs)
+	l, drained := w.leader(), w.workers["w0"]
+	l.storeUnreachable = true
+	w.run(500 * time.Millisecond) // all runs end
+	drained.entry.Draining = true
+	l.step(orchestrator.WorkerListed{Worker: drained.entry})
+	w.run(100 * time.Millisecond)
+	l.storeUnreachable = false
+	l.write(false)
+	l.frozen = true
+	w.addWorker("w1", cores(32, 64), "r0")
+	drained.unreachableFrom[w.elect(false)] = true
+	w.run(time.Second)
+	w.heal()
+	w.run(30 * time.Second) // the simulation fails at an acknowledgement of a success before a start
+	is.Equal(w.starts, jobs)
+	for i := range jobs {
+		is.Equal(w.state(fmt.Sprintf("j%d", i)), orchestrator.StateSucceeded)
+	}
+}
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -526,7 +526,7 @@
 		return
 	}
 	switch {
-	case w.Draining && len(w.runs) == 0 && w.runsKnown && !w.mayRunInheritedTasks:
+	case w.Draining && len(w.runs) == 0 && len(w.unackedEnds) == 0 && w.runsKnown && !w.mayRunInheritedTasks:
 		// The worker gets no more starts, and the next leader need not wait for its leases.
 		o.markIdle(w)
 	case !unreachable && w.listed:
