coordinator: a watch does not revert workers that the list has shown

What callers could see: a task starts on a worker that has begun to drain. The pages of the list of workers are not of one revision, and the watch from the revision of its first page repeats earlier states of entries on later pages. Each change is applied alone, so that the worker counts as ready until the next one.

Change: changes with a revision that the list has covered for their key are skipped.

Measured: TestWatchDoesNotRevertListedWorker failed before and passes now.

--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -235,7 +235,9 @@
 			continue
 		}
 		for _, e := range es.Events {
-			ld.applyWorkerEvent(e)
+			if e.Revision > ld.decodedWorkers[e.Key].revision { // else the list has had it, or a later state of the key
+				ld.applyWorkerEvent(e)
+			}
 		}
 		if !es.Compacted {
 			ld.apply(orchestrator.WorkersWatched{SentAt: sent})
--- a/internal/coordinator/input_test.go
+++ b/internal/coordinator/input_test.go
@@ -103,3 +103,42 @@
 	is.True(known)
 	is.Equal(state, orchestrator.StateCancelled)
 }
+
+// pagedWorkerStore lists a worker that has begun to drain after the first page was read. The watch from the revision of that page
+// reports the worker's earlier state too.
+type pagedWorkerStore struct {
+	storer.TransactionalStore
+	cancel context.CancelFunc
+}
+
+func (s pagedWorkerStore) List(context.Context, string) ([]storer.Entry, uint64, error) {
+	return []storer.Entry{{Key: "workers/w1", Value: []byte("draining"), Revision: 110}}, 100, nil
+}
+
+func (s pagedWorkerStore) Watch(context.Context, string, uint64, time.Duration) (storer.Events, error) {
+	s.cancel()
+	return storer.Events{StoreRevision: 110, Events: []storer.Entry{
+		{Key: "workers/w1", Value: []byte("ready"), Revision: 105},
+		{Key: "workers/w1", Value: []byte("draining"), Revision: 110},
+	}}, nil
+}
+
+// drainDecoder decodes entries of workers that say only whether they drain.
+type drainDecoder struct{ Decoder }
+
+func (drainDecoder) Worker(_ string, value []byte) (orchestrator.WorkerEntry, error) {
+	return orchestrator.WorkerEntry{ID: "w1", Service: "s", Draining: string(value) == "draining"}, nil
+}
+
+// Guards against tasks that start on a draining worker: a watch repeats an earlier state of its entry after the list, whose
+// pages are not of one revision.
+func TestWatchDoesNotRevertListedWorker(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	ld, log := newTestLeadership(pagedWorkerStore{cancel: cancel})
+	ld.c.deps.Keys.Workers, ld.c.deps.Decoder = "workers/", drainDecoder{}
+	ld.apply(orchestrator.Inherited{})
+	ld.watchWorkers(ctx)
+	is.True(strings.Contains(log.String(), "Outcome=draining"))
+	is.True(!strings.Contains(log.String(), "Outcome=ready"))
+}
