--- /dev/null
+++ b/internal/orchestrator/cancel.go
@@ -0,0 +1,48 @@
+package orchestrator
+
+import "fmt"
+
+// cancelJob cancels a job. The request may arrive before the job: notices of hosts overtake each other, and a list of the
+// store is in the order of keys. Such a request is kept until the job is added.
+func (o *Orchestrator) cancelJob(id string) {
+	j := o.jobs[id]
+	if j == nil {
+		o.keepEarlyCancel(id)
+		return
+	}
+	if j.cancelled || j.state.Final() {
+		return
+	}
+	j.cancelled = true
+	o.finishJob(j, StateCancelled, "cancelled by a caller")
+}
+
+// keepEarlyCancel keeps a request to cancel an unknown job, unless the job has finished. A request is only accepted while its
+// job is in the store, so the store's rate of writes bounds how many are kept. They are dropped after the retention of
+// finished jobs: a job that the store still has then is read together with its request, and a notice of it is long over.
+func (o *Orchestrator) keepEarlyCancel(id string) {
+	_, finished := o.finished[id]
+	_, kept := o.earlyCancels[id]
+	if finished || kept {
+		return
+	}
+	o.earlyCancels[id] = o.now
+	o.emit(Note{Event: EventCancelEarly, Job: id, Outcome: "kept until the job is known", Figures: fmt.Sprintf("Kept=%d", len(o.earlyCancels))})
+}
+
+// applyEarlyCancel cancels a job that has just been added if a request to cancel it is kept.
+func (o *Orchestrator) applyEarlyCancel(id string) {
+	if _, kept := o.earlyCancels[id]; kept {
+		delete(o.earlyCancels, id)
+		o.cancelJob(id)
+	}
+}
+
+// dropEarlyCancels drops the kept requests that are older than the retention of finished jobs.
+func (o *Orchestrator) dropEarlyCancels() {
+	for id, at := range o.earlyCancels {
+		if o.now.Sub(at) > o.settings.Retention {
+			delete(o.earlyCancels, id)
+		}
+	}
+}
--- a/internal/orchestrator/doc.go
+++ b/internal/orchestrator/doc.go
@@ -14,5 +14,7 @@
 // State that must survive the leader is kept in Records, which the caller writes to the
 // store. The end of a run is acknowledged to its worker only after the record that contains
 // it has been written. Starts are not written: a new leader polls the workers for their
-// runs, and waits until the leases of unreachable workers have ended.
+// runs, and waits until the leases of unreachable workers have ended. A worker lists a bounded number
+// of ends at a time, so that a run which it lists neither as running nor as ended is lost only if all
+// ends before have been listed.
 package orchestrator
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -1,12 +1,9 @@
 package orchestrator
 
 import (
-	"cmp"
 	"fmt"
 	"net/netip"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"peridotpitch/internal/classifier"
@@ -420,10 +417,7 @@
 	}
 	o.emit(Note{Event: EventJobAdded, Job: j.ID, Queue: j.Policy.Queue, Outcome: string(j.state),
 		Figures: fmt.Sprintf("Revision=%d Inherited=%t Steps=%d Deadline=%s", revision, j.inherited, len(j.Steps), j.deadline.Sub(o.now).Round(time.Millisecond))})
-	if _, ok := o.earlyCancels[j.ID]; ok {
-		delete(o.earlyCancels, j.ID)
-		o.cancelJob(j.ID)
-	}
+	o.applyEarlyCancel(j.ID)
 }
 
 // longestChain returns the expected run time of the job's longest chain of steps. Each step
@@ -472,34 +466,6 @@
 	o.emit(WriteSoon{})
 }
 
-// cancelJob cancels a job. The request may arrive before the job: notices of hosts overtake each other, and a list of the
-// store is in the order of keys. Such a request is kept until the job is added.
-func (o *Orchestrator) cancelJob(id string) {
-	j := o.jobs[id]
-	if j == nil {
-		o.keepEarlyCancel(id)
-		return
-	}
-	if j.cancelled || j.state.Final() {
-		return
-	}
-	j.cancelled = true
-	o.finishJob(j, StateCancelled, "cancelled by a caller")
-}
-
-// keepEarlyCancel keeps a request to cancel an unknown job, unless the job has finished. A request is only accepted while its
-// job is in the store, so the store's rate of writes bounds how many are kept. They are dropped after the retention of
-// finished jobs: a job that the store still has then is read together with its request, and a notice of it is long over.
-func (o *Orchestrator) keepEarlyCancel(id string) {
-	_, finished := o.finished[id]
-	_, kept := o.earlyCancels[id]
-	if finished || kept {
-		return
-	}
-	o.earlyCancels[id] = o.now
-	o.emit(Note{Event: EventCancelEarly, Job: id, Outcome: "kept until the job is known", Figures: fmt.Sprintf("Kept=%d", len(o.earlyCancels))})
-}
-
 // markDirty marks a job's record in the store as out of date.
 func (o *Orchestrator) markDirty(j *job) {
 	if j.version == j.writtenVersion {
@@ -518,11 +484,7 @@
 			o.expired = append(o.expired, id)
 		}
 	}
-	for id, at := range o.earlyCancels {
-		if o.now.Sub(at) > o.settings.Retention {
-			delete(o.earlyCancels, id)
-		}
-	}
+	o.dropEarlyCancels()
 }
 
 // State returns a job's state as callers may see it: a final state only once it is in the
@@ -554,65 +516,6 @@
 	return pending
 }
 
-// taskName is a parsed name of a task.
-type taskName struct {
-	job         string
-	occurrence  int
-	step, index int
-}
-
-// parseTaskName parses the name of a task, and reports whether it is one.
-func parseTaskName(name string) (n taskName, ok bool) {
-	parts := strings.Split(name, ".")
-	if len(parts) != 4 {
-		return taskName{}, false
-	}
-	n.job = parts[0]
-	var err1, err2, err3 error
-	n.occurrence, err1 = strconv.Atoi(parts[1])
-	n.step, err2 = strconv.Atoi(parts[2])
-	n.index, err3 = strconv.Atoi(parts[3])
-	return n, cmp.Or(err1, err2, err3) == nil
-}
-
-// findTask returns the task with a name, or nil if its job or occurrence has finished or is unknown.
-func (o *Orchestrator) findTask(name string) *task {
-	n, ok := parseTaskName(name)
-	j := o.jobs[n.job]
-	if !ok || j == nil || j.state.Final() {
-		return nil
-	}
-	oc := j.occurrence(n.occurrence)
-	if oc == nil || n.step < 0 || n.step >= len(oc.steps) || n.index < 0 || n.index >= len(oc.steps[n.step].tasks) {
-		return nil
-	}
-	return oc.steps[n.step].tasks[n.index]
-}
-
-// reportedTask returns the task of a run that a worker reports, or nil if its job or occurrence has finished or is unknown.
-// It adds an occurrence that an earlier leader has begun and this one has not: its bound on begun occurrences, or its time of
-// day, may be behind.
-func (o *Orchestrator) reportedTask(name string) *task {
-	n, ok := parseTaskName(name)
-	j := o.jobs[n.job]
-	if !ok || j == nil || j.state.Final() || j.occurrence(n.occurrence) != nil || slices.Contains(j.finishedOccurrences, n.occurrence) {
-		return o.findTask(name)
-	}
-	if s := j.stepAt(o, n.occurrence, n.step, o.now); s != nil {
-		o.recount(s.occurrence)
-		o.emit(Note{Event: EventOccurrenceFound, Job: j.ID, Task: name, Outcome: "its other tasks wait until this leader begins it",
-			Figures: fmt.Sprintf("Occurrence=%d Open=%d Next=%d Due=%s", n.occurrence, j.openOccurrences(), j.nextOccurrence,
-				s.occurrence.due.Sub(o.now.Add(o.wallOffset)).Round(time.Millisecond))})
-	}
-	return o.findTask(name)
-}
-
-// jobID returns the ID of the job in a task's name.
-func jobID(name string) string {
-	id, _, _ := strings.Cut(name, ".")
-	return id
-}
-
 func (t *task) job() *job { return t.step.occurrence.job }
 
 // mayBeExhausted reports whether the task has no attempts left if all runs with an unknown end have
