--- a/internal/coordinator/input_test.go
+++ b/internal/coordinator/input_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/time/rate"
 
 	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/storer"
@@ -137,6 +138,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ld, log := newTestLeadership(pagedWorkerStore{cancel: cancel})
 	ld.c.deps.Keys.Workers, ld.c.deps.Decoder = "workers/", drainDecoder{}
+	ld.firstPolls = rate.NewLimiter(0, 0) // the worker is not polled
 	ld.apply(orchestrator.Inherited{})
 	ld.watchWorkers(ctx)
 	is.True(strings.Contains(log.String(), "Outcome=draining"))
