coordinator, orchestrator: log the way of a request to cancel and unanswered stops

Nothing says when and by what way a leader hears of a request to cancel, which stop got no answer, and which notice was lost or came to a host that does not lead; a failed read of the inputs was logged at debug level only.

No decision changes. No record, key or message changes.

--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -153,12 +153,44 @@
 func (ld *leadership) pollInputs(ctx context.Context, revision uint64) {
 	var position watchPosition
 	position.restart(revision, time.Now())
+	late := lateInputs{readAt: time.Now()}
 	for ctx.Err() == nil {
 		sleep(ctx, inputPollInterval)
+		sent := time.Now()
 		if err := ld.pollInputsOnce(ctx, &position); err != nil {
-			ld.c.log.Debug("InputsNotRead", "Cause", err.Error())
+			ld.noteInputFailure(&late, err)
+			continue
 		}
+		late = lateInputs{readAt: sent}
+	}
+}
+
+// lateInputs is the state of the reads of the inputs since the last one that succeeded.
+type lateInputs struct {
+	readAt   time.Time // when that read was sent
+	failures int
+	loggedAt time.Time
+}
+
+const (
+	// minLateInputs is the age of the inputs from which a leader counts as behind. A request to cancel must take effect
+	// within 3 s, also if its notice was lost.
+	minLateInputs = 2 * time.Second
+	// lateInputsLogInterval is the shortest time between two lines on late inputs.
+	lateInputsLogInterval = 2 * time.Second
+)
+
+// noteInputFailure logs a failed read of the inputs if the last one that succeeded is old.
+func (ld *leadership) noteInputFailure(late *lateInputs, err error) {
+	late.failures++
+	ld.c.metrics.inputFailures.Inc()
+	age := time.Since(late.readAt)
+	if age < minLateInputs || time.Since(late.loggedAt) < lateInputsLogInterval {
+		return
 	}
+	late.loggedAt = time.Now()
+	ld.c.log.Warn("InputsLate", "Epoch", ld.term.Revision, "Age", age.Round(time.Millisecond).String(), "Failures", late.failures, "Cause", err.Error(),
+		"Outcome", "jobs and requests to cancel are known by notices only")
 }
 
 // maxInputWait bounds what the lag of this host adds to the wait for inputs.
@@ -167,7 +199,7 @@
 // pollInputsOnce applies the inputs that the store reports from a position on. Most of them are known
 // already, and applying these again has no effect.
 func (ld *leadership) pollInputsOnce(ctx context.Context, position *watchPosition) error {
-	begin := time.Now()
+	begin, source := time.Now(), orchestrator.CancelWatched
 	// The wait allows for a late leader, which would take the answer for missing. There is an answer at once if there are changes.
 	es, err := ld.c.store.Watch(ctx, prefixInput, position.start(), time.Millisecond+min(maxInputWait, time.Duration(ld.lag.Load())))
 	if err != nil {
@@ -181,20 +213,21 @@
 		ld.c.log.Info("InputsListed", "Inputs", len(list), "After", position.start(), "Revision", at, "Reason", "the store has dropped its history")
 		es = storer.Events{Events: list, StoreRevision: at}
 		position.restart(at, begin)
+		source = orchestrator.CancelListed
 	}
 	for _, e := range es.Events {
-		ld.applyInput(e)
+		ld.applyInput(e, source)
 	}
 	position.advance(es.StoreRevision, begin)
 	return nil
 }
 
-func (ld *leadership) applyInput(e storer.Entry) {
+func (ld *leadership) applyInput(e storer.Entry, source orchestrator.CancelSource) {
 	if e.Deleted {
 		return
 	}
 	if id, ok := strings.CutPrefix(e.Key, prefixCancel); ok {
-		ld.apply(orchestrator.CancelRequested{ID: id})
+		ld.apply(orchestrator.CancelRequested{ID: id, Source: source})
 		return
 	}
 	if !strings.HasPrefix(e.Key, prefixJob) {
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -310,7 +310,7 @@
 		ld.apply(orchestrator.JobAccepted{Job: *n.Job, Revision: n.Revision})
 	}
 	if n.Cancel != "" {
-		ld.apply(orchestrator.CancelRequested{ID: n.Cancel})
+		ld.apply(orchestrator.CancelRequested{ID: n.Cancel, Source: orchestrator.CancelNotice})
 	}
 }
 
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -95,6 +95,8 @@
 		methodNotice: messenger.NewMethod(func(_ context.Context, n notice) (emptyAnswer, error) {
 			if ld := c.currentLeadership(); ld != nil {
 				ld.handleNotice(n)
+			} else if n.Cancel != "" {
+				c.log.Info("CancelIgnored", "Job", n.Cancel, "Reason", "this host does not lead")
 			}
 			return emptyAnswer{}, nil
 		}),
@@ -207,7 +209,9 @@
 	}
 	go func() {
 		for i := range tries {
-			if c.sendNotice(n) {
+			delivered := c.sendNotice(n)
+			c.recordNotice(n, i+1, delivered)
+			if delivered {
 				return
 			}
 			sleep(context.Background(), noticeRetryDelay<<i)
@@ -215,6 +219,23 @@
 	}()
 }
 
+// recordNotice counts a try to send the notice of a request to cancel, and logs the try if it was not the first or got no answer.
+func (c *Coordinator) recordNotice(n notice, try int, delivered bool) {
+	if n.Cancel == "" {
+		return
+	}
+	outcome := "delivered"
+	if !delivered {
+		outcome = "lost"
+	}
+	c.metrics.cancelNotices.WithLabelValues(outcome).Inc()
+	if delivered && try == 1 {
+		return
+	}
+	t, _ := c.currentTerm()
+	c.log.Info("CancelNotice", "Job", n.Cancel, "Outcome", outcome, "Try", try, "Tries", cancelNoticeTries, "Leader", t.Host, "Epoch", t.Revision)
+}
+
 // sendNotice sends a notice to the present leader, which may be this host by now, and reports whether it need not be
 // repeated.
 func (c *Coordinator) sendNotice(n notice) bool {
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -31,6 +31,8 @@
 	leaderWrites    prometheus.Counter
 	electionsWon    prometheus.Counter
 	storeFailures   prometheus.Counter
+	inputFailures   prometheus.Counter
+	cancelNotices   *prometheus.CounterVec
 	retryAfter      *prometheus.HistogramVec
 	forwardOutcomes *prometheus.CounterVec
 	panics          prometheus.Counter
@@ -73,6 +75,8 @@
 		leaderWrites:    counter("leader_writes_total", "Writes of the leader to the store."),
 		electionsWon:    counter("elections_won_total", "Elections that this host won."),
 		storeFailures:   counter("store_failures_total", "Calls to the store without an answer or with a refusal."),
+		inputFailures:   counter("input_read_failures_total", "Reads of jobs and requests to cancel that failed while this host led."),
+		cancelNotices:   counters("cancel_notices_total", "Tries to tell the leader of a request to cancel, by outcome.", "outcome"),
 		retryAfter:      histogram("retry_after_seconds", "Time after which refused submissions should be repeated, by queue.", prometheus.LinearBuckets(1, 1, 6), "queue"),
 		forwardOutcomes: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "peridotpitch", Name: "submissions_forwarded_total", Help: "Submissions forwarded to the leader, by outcome."}, []string{"outcome"}),
 		panics:          counter("panics_total", "Panics of the scheduler or of a request's handler that were contained."),
@@ -83,7 +87,7 @@
 		configReads:     histogram("configuration_read_seconds", "Time of the store's answers to reads and watches of the configuration, by call and outcome.", prometheus.ExponentialBuckets(0.004, 2, 12), "call", "outcome"),
 		evacuated:       gauge("evacuated_failure_domains", "Failure domains that operators evacuate, as this host knows while it leads."),
 	}
-	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.commandWait, m.jobDuration, m.jobStart, m.events, m.eventWait, m.eventWork, m.decisions, m.admissions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures,
+	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.commandWait, m.jobDuration, m.jobStart, m.events, m.eventWait, m.eventWork, m.decisions, m.admissions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures, m.inputFailures, m.cancelNotices,
 		m.evacuated, m.panics, m.retryAfter, m.forwardOutcomes, m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return m
--- a/internal/orchestrator/event.go
+++ b/internal/orchestrator/event.go
@@ -33,7 +33,21 @@
 }
 
 // CancelRequested reports that the request to cancel a job is in the store.
-type CancelRequested struct{ ID string }
+type CancelRequested struct {
+	ID     string
+	Source CancelSource
+}
+
+// CancelSource is how a leader has learned of a request to cancel a job.
+type CancelSource string
+
+// Values of CancelSource.
+const (
+	CancelNotice    CancelSource = "notice"    // from the host that has stored it
+	CancelWatched   CancelSource = "watched"   // as a change in the store
+	CancelListed    CancelSource = "listed"    // with all inputs, because the store has dropped its history
+	CancelInherited CancelSource = "inherited" // with the state that earlier leaders stored
+)
 
 // WorkerEntry is a worker as the platform's discovery lists it.
 type WorkerEntry struct {
--- a/internal/orchestrator/event_names.go
+++ b/internal/orchestrator/event_names.go
@@ -5,12 +5,15 @@
 	EventJobAdded          = "JobAdded"
 	EventJobStarted        = "JobStarted"
 	EventJobFinished       = "JobFinished"
+	EventCancelHeard       = "CancelHeard"
 	EventCancelEarly       = "CancelEarly"
 	EventOccurrenceFound   = "OccurrenceFound"
 	EventStart             = "Start"
 	EventStartRefused      = "StartRefused"
 	EventStartDeferred     = "StartDeferred"
+	EventStartOvertaken    = "StartOvertaken"
 	EventStop              = "Stop"
+	EventStopUnanswered    = "StopUnanswered"
 	EventCopy              = "Copy"
 	EventEnd               = "End"
 	EventAdopt             = "Adopt"
@@ -33,7 +36,7 @@
 // Events returns all values of Note.Event.
 func Events() []string {
 	return []string{
-		EventJobAdded, EventJobStarted, EventJobFinished, EventCancelEarly, EventOccurrenceFound, EventStart, EventStartRefused, EventStartDeferred, EventStop, EventCopy, EventEnd, EventAdopt,
+		EventJobAdded, EventJobStarted, EventJobFinished, EventCancelHeard, EventCancelEarly, EventOccurrenceFound, EventStart, EventStartRefused, EventStartDeferred, EventStartOvertaken, EventStop, EventStopUnanswered, EventCopy, EventEnd, EventAdopt,
 		EventRunLost, EventEndsPending, EventResend, EventCrash, EventWait, EventThrottle, EventAdvice, EventLoad, EventWorkerListed, EventWorkerReached, EventWorkerLost, EventWorkerQuarantined, EventEvacuation, EventSlowRun,
 	}
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -64,16 +64,16 @@
 	loadsBuffer   []imageLoad    // reused by bestEffortLoads
 	rankingBuffer []rankedWorker // reused by rank
 
-	inheritedApplied bool                 // Inherited has been applied
-	handedOff        bool                 // the earlier leader handed over cleanly
-	capacitiesAt     time.Time            // the workers' entries are known as of this time
-	confirmedAt      time.Time            // when it was last certain that no other leader had been elected
-	statisticsAt     time.Time            // when NextBatch last returned the workload statistics
-	rosterVersion    uint64               // version of the roster after its last change
-	rosterBatchAt    time.Time            // when NextBatch last returned the roster
-	rosterWritten    uint64               // roster version that is in the store
-	dirty            map[string]*job      // jobs with unwritten changes, by ID
-	earlyCancels     map[string]time.Time // when requests to cancel unknown jobs arrived, by ID of the job
+	inheritedApplied bool                   // Inherited has been applied
+	handedOff        bool                   // the earlier leader handed over cleanly
+	capacitiesAt     time.Time              // the workers' entries are known as of this time
+	confirmedAt      time.Time              // when it was last certain that no other leader had been elected
+	statisticsAt     time.Time              // when NextBatch last returned the workload statistics
+	rosterVersion    uint64                 // version of the roster after its last change
+	rosterBatchAt    time.Time              // when NextBatch last returned the roster
+	rosterWritten    uint64                 // roster version that is in the store
+	dirty            map[string]*job        // jobs with unwritten changes, by ID
+	earlyCancels     map[string]earlyCancel // requests to cancel unknown jobs, by ID of the job
 	lapsed           map[netip.AddrPort]lapsedWorker
 	silences         []time.Time             // when workers stopped answering, in the last crashEvidenceTime
 	expired          []string                // finished jobs whose records are to be deleted
@@ -215,7 +215,7 @@
 		queueStats:   make(map[string]*queueStats),
 		interference: newInterferenceModel(),
 		dirty:        make(map[string]*job),
-		earlyCancels: make(map[string]time.Time),
+		earlyCancels: make(map[string]earlyCancel),
 		lapsed:       make(map[netip.AddrPort]lapsedWorker),
 		unplacedAt:   make(map[string]time.Time),
 		returning:    make(map[string][]Resources),
@@ -232,7 +232,7 @@
 	case JobAccepted:
 		o.acceptJob(e.Job, e.Revision)
 	case CancelRequested:
-		o.cancelJob(e.ID)
+		o.cancelJob(e.ID, e.Source)
 	case WorkersListed:
 		o.listWorkers(e.Workers)
 		o.confirmCapacities(e.SentAt)
@@ -368,7 +368,7 @@
 			o.addJob(ij.Job, ij.Revision, ij.Record)
 		}
 		if ij.Cancelled {
-			o.cancelJob(ij.Job.ID)
+			o.cancelJob(ij.Job.ID, CancelInherited)
 		}
 	}
 	recorded := o.recordedWorkers()
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -193,6 +193,9 @@
 	}
 	w := r.worker
 	r.inFlight, r.deferred = false, false
+	if r.phase == phaseStopping {
+		o.emit(Note{Event: EventStartOvertaken, Job: r.task.job().ID, Task: e.Task, Run: e.Run, Worker: e.Worker, Outcome: string(e.Outcome), Age: o.now.Sub(r.sentAt)})
+	}
 	switch e.Outcome {
 	case StartAccepted:
 	case StartDeferred:
@@ -345,9 +348,10 @@
 	r.inFlight = false
 	if e.Answered {
 		r.ackedAt = o.now
-	} else {
-		r.worker.unansweredAt = o.now
+		return
 	}
+	r.worker.unansweredAt = o.now
+	o.emit(Note{Event: EventStopUnanswered, Job: r.task.job().ID, Task: e.Task, Run: e.Run, Worker: e.Worker, Age: o.now.Sub(r.sentAt)})
 }
 
 // findRun returns a run on a worker, or nil if there is none.
