--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -37,6 +37,7 @@
 	succeeds        func(task string, run int) bool // whether a run ends as done
 	refuses         func(task string) bool          // whether a worker refuses a start for lack of capacity; nil: never
 	drops           func(task string) bool          // whether a start gets no answer and is not executed; nil: never
+	dropsStop       func(task string) bool          // the same for a stop
 	defers          func(task string) bool          // whether the leader's host lacks the connection for a start; nil: never
 	runTime         func(task string, w *simulatedWorker) time.Duration
 	notes           []orchestrator.Note
@@ -330,6 +331,10 @@
 		w.answerCommand(c, orchestrator.StartUnanswered)
 		return
 	}
+	if a, ok := c.action.(orchestrator.StopRun); ok && answered && w.dropsStop != nil && w.dropsStop(a.Task) {
+		w.answerCommand(c, orchestrator.StartUnanswered)
+		return
+	}
 	if answered {
 		switch p := w.rng.Float64(); {
 		case p < w.faults.dropped:
--- /dev/null
+++ b/internal/orchestrator/stop_test.go
@@ -0,0 +1,40 @@
+package orchestrator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A task of a cancelled job may run for this long after the request to cancel it was confirmed: cancel_ms of the platform, and the
+// time that a stop takes here.
+const cancelTime = 3*time.Second + 300*time.Millisecond
+
+// The request to cancel a job comes while the start of its task is on its way, and the first three stops get no answer.
+// Guards against a run that goes on because the answer to its start counts as the answer to its stop, so that the stop is not repeated.
+func TestStopIsRepeatedAfterAnswerToStart(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 1, cores(8, 32))
+	w.pollSteps = 100 // as long as a worker holds a poll
+	w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+	lost := 0
+	w.dropsStop = func(string) bool {
+		lost++
+		return lost <= 3
+	}
+	w.submit(simpleJob("j1", 1, cores(1, 1)))
+	w.run(10 * time.Millisecond)
+	for range 100 { // until a pass has decided the start, which has not arrived yet
+		if len(w.pendingCommands) > 0 {
+			break
+		}
+		w.now = w.now.Add(10 * time.Millisecond)
+		w.tick(10 * time.Millisecond)
+	}
+	is.Equal(len(w.pendingCommands), 1)
+	w.cancel("j1")
+	w.run(cancelTime)
+	is.True(w.starts == 1) // else the test says nothing
+	is.Equal(len(w.runningOn("j1")), 0)
+}
