orchestrator: the answer to a start does not settle the stop of its run

Callers saw: a task of a cancelled job goes on for seconds after the cancel was acknowledged.

Cause: a run has one time of its last answered command, which the answer to its start set whenever it was empty. A stop empties it. If the start was answered after that, the stop counted as answered: resendCommands did not repeat it, and updateRun did so only 2 s later, with the next poll that lists the run. A stop that got no answer was thus missing for up to 3 s, all of cancel_ms.

Fix: the answer to a start counts only while no stop has been sent after it. The stop is then repeated each 300 ms until it is answered, as for any other run. The same cause elsewhere: answers to stops are matched by run and only while it is being stopped; speed limits have a flag of their own; answers to polls carry the time at which they were sent. None of these takes the answer to another command. No record, key or message changes.

--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -250,7 +250,7 @@
 // startAccepted handles a start that the worker has accepted.
 func (o *Orchestrator) startAccepted(r *run) {
 	r.begun = true
-	if r.ackedAt.IsZero() {
+	if r.ackedAt.IsZero() && r.phase != phaseStopping { // else the last command is the stop, which has no answer yet
 		r.ackedAt = o.now
 		r.startedAt = o.now
 	}
