coordinator: a job whose cancel was answered 410 does not run later

Callers saw: a submission gets no answer, the caller cancels the job and is answered 410, and seconds later the job runs to its end.

Cause: absence as proof. A DELETE that found neither the job nor a record was answered that there is no such job, and nothing remembered it. The write of a submission without an answer may be executed seconds later, as long as its conditions hold.

Fix: the request is stored before the 410, on the condition that there is neither the job nor a record (else the job is cancelled as usual). The leader keeps it as it keeps one whose notice came before its job, also a leader that is elected later, and cancels the job when it comes. So the end state no longer depends on which of the two writes the store executes first. Without a job the request is dropped after the retention of finished jobs and removed from the store, unless it has changed or the job has come. All hosts together store 40 such requests a second; beyond that a caller that cancels an unknown job is answered 503 with a Retry-After. Cancels of known jobs have no limit. Cost: one write for a DELETE of a name that is not known.

No value changes.

Each of the mechanisms off: without the requests in the state that a new leader reads, TestUnknownCancelOutlivesLeader fails; without the limit, TestUnknownCancelsAreLimited; without the conditions of the removal, TestUnknownCancelsAreRemoved; without those of the write, TestCancelFindsJobThatArrives. The cancel moves from accept.go to a file of its own.

--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -234,54 +234,6 @@
 	return Answer{Outcome: OutcomeDone, State: r.State}
 }
 
-// Cancel implements JobService. It stores the cancel request before it answers the caller.
-func (c *Coordinator) Cancel(ctx context.Context, id string) Answer {
-	begin := time.Now()
-	a := c.cancel(ctx, id)
-	c.metrics.observeRequest("cancel", "", string(a.Outcome), time.Since(begin))
-	c.log.Info("Cancel", "Job", id, "Outcome", string(a.Outcome), "Reason", a.Reason, "Took", time.Since(begin).Round(time.Millisecond).String())
-	return a
-}
-
-func (c *Coordinator) cancel(ctx context.Context, id string) Answer {
-	for range maxTransactionAttempts {
-		job, err := c.store.Get(ctx, prefixJob+id)
-		if err != nil {
-			return c.unavailableAnswer(err, id, requestPriority)
-		}
-		if job.Revision == 0 {
-			return c.cancelFinished(ctx, id)
-		}
-		_, err = c.store.Commit(ctx, storer.Transaction{
-			Conditions: []storer.Condition{{Key: prefixJob + id, Revision: job.Revision}},
-			Puts:       []storer.Entry{{Key: prefixCancel + id, Value: []byte(c.processID)}},
-		})
-		var conflict *storer.ConflictError
-		switch {
-		case err == nil:
-			c.notifyLeader(notice{Cancel: id})
-			return Answer{Outcome: OutcomeDone, State: orchestrator.StateCancelled}
-		case !errors.As(err, &conflict):
-			// Cancelling is idempotent, so the caller may retry the request.
-			return Answer{Outcome: OutcomeUndecided, Reason: err.Error()}
-		}
-	}
-	return Answer{Outcome: OutcomeUnavailable, Reason: "the job changed during every try",
-		RetryAfter: c.retryAfter(readmitter.Refusal{Cause: readmitter.CauseLeaderChange, ID: id})}
-}
-
-// cancelFinished answers a request to cancel a job that is not among the unfinished jobs.
-func (c *Coordinator) cancelFinished(ctx context.Context, id string) Answer {
-	e, err := c.store.Get(ctx, prefixRecord+id)
-	switch {
-	case err != nil:
-		return c.unavailableAnswer(err, id, requestPriority)
-	case e.Revision > 0:
-		return Answer{Outcome: OutcomeDone, Reason: "it has ended"}
-	}
-	return Answer{Outcome: OutcomeNoSuchJob, Reason: "no such job"}
-}
-
 // maxPendingAge is how old the reported count of pending jobs may be. The platform specifies
 // this limit.
 const maxPendingAge = 1800 * time.Millisecond
--- /dev/null
+++ b/internal/coordinator/cancel.go
@@ -0,0 +1,168 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"peridotpitch/internal/orchestrator"
+	"peridotpitch/internal/readmitter"
+	"peridotpitch/internal/storer"
+	"peridotpitch/internal/timekeeper"
+)
+
+const (
+	// unknownCancelRate is the number of requests to cancel unknown jobs that all hosts together store in a second, a tenth of the
+	// writes that the platform's store accepts. With the retention of such requests it bounds how many the store holds.
+	unknownCancelRate = 40
+	// unknownCancelBurst is the number of these that one host stores at once.
+	unknownCancelBurst = 10
+	// unknownCancelRetryAfter is how long a caller should wait whose request to cancel an unknown job is not stored.
+	unknownCancelRetryAfter = time.Second
+)
+
+// Cancel implements JobService. It stores the cancel request before it answers the caller.
+func (c *Coordinator) Cancel(ctx context.Context, id string) Answer {
+	begin := time.Now()
+	a := c.cancel(ctx, id)
+	c.metrics.observeRequest("cancel", "", string(a.Outcome), time.Since(begin))
+	c.log.Info("Cancel", "Job", id, "Outcome", string(a.Outcome), "Reason", a.Reason, "Took", time.Since(begin).Round(time.Millisecond).String())
+	return a
+}
+
+func (c *Coordinator) cancel(ctx context.Context, id string) Answer {
+	for range maxTransactionAttempts {
+		job, err := c.store.Get(ctx, prefixJob+id)
+		if err != nil {
+			return c.unavailableAnswer(err, id, requestPriority)
+		}
+		if job.Revision == 0 {
+			a, changed := c.cancelUnknown(ctx, id)
+			if changed {
+				continue
+			}
+			return a
+		}
+		_, err = c.store.Commit(ctx, storer.Transaction{
+			Conditions: []storer.Condition{{Key: prefixJob + id, Revision: job.Revision}},
+			Puts:       []storer.Entry{{Key: prefixCancel + id, Value: []byte(c.processID)}},
+		})
+		var conflict *storer.ConflictError
+		switch {
+		case err == nil:
+			c.notifyLeader(notice{Cancel: id})
+			return Answer{Outcome: OutcomeDone, State: orchestrator.StateCancelled}
+		case !errors.As(err, &conflict):
+			// Cancelling is idempotent, so the caller may retry the request.
+			return Answer{Outcome: OutcomeUndecided, Reason: err.Error()}
+		}
+	}
+	return Answer{Outcome: OutcomeUnavailable, Reason: "the job changed during every try",
+		RetryAfter: c.retryAfter(readmitter.Refusal{Cause: readmitter.CauseLeaderChange, ID: id})}
+}
+
+// cancelUnknown answers a request to cancel a job that is not among the unfinished jobs. Without a record of the job, its
+// submission may still be on the way to the store, so the request is stored on the condition that there is neither: whenever the
+// job is accepted, the leader cancels it. changed reports that there is one by now.
+func (c *Coordinator) cancelUnknown(ctx context.Context, id string) (a Answer, changed bool) {
+	e, err := c.store.Get(ctx, prefixRecord+id)
+	switch {
+	case err != nil:
+		return c.unavailableAnswer(err, id, requestPriority), false
+	case e.Revision > 0:
+		return Answer{Outcome: OutcomeDone, Reason: "it has ended"}, false
+	case !c.mayStoreUnknownCancel():
+		return Answer{Outcome: OutcomeUnavailable, Reason: "too many requests to cancel jobs that are not known", RetryAfter: unknownCancelRetryAfter}, false
+	}
+	_, err = c.store.Commit(ctx, storer.Transaction{
+		Conditions: []storer.Condition{{Key: prefixJob + id}, {Key: prefixRecord + id}},
+		Puts:       []storer.Entry{{Key: prefixCancel + id, Value: []byte(c.processID)}},
+	})
+	var conflict *storer.ConflictError
+	var unknown *storer.UnknownOutcomeError
+	switch {
+	case err == nil:
+		c.notifyLeader(notice{Cancel: id})
+		return Answer{Outcome: OutcomeNoSuchJob, Reason: "no such job; it is cancelled if it is accepted later"}, false
+	case errors.As(err, &conflict):
+		return Answer{}, true
+	case errors.As(err, &unknown):
+		return Answer{Outcome: OutcomeUndecided, Reason: err.Error()}, false
+	}
+	return c.unavailableAnswer(err, id, requestPriority), false
+}
+
+// mayStoreUnknownCancel reports whether this host may store another request to cancel an unknown job. The hosts share
+// unknownCancelRate.
+func (c *Coordinator) mayStoreUnknownCancel() bool {
+	hosts := max(c.knownHosts.Load(), 1)
+	if ld := c.currentLeadership(); ld != nil {
+		hosts = int64(ld.hosts.count(timekeeper.Now()) + 1)
+	}
+	now := timekeeper.Now()
+	c.unknownCancels.SetLimitAt(now, rate.Limit(unknownCancelRate)/rate.Limit(hosts))
+	return c.unknownCancels.AllowN(now, 1)
+}
+
+const (
+	// cancelRemovalInterval is the pause between two removals of requests that no job has come for.
+	cancelRemovalInterval = time.Second
+	// maxRemovedCancels is the number of requests that one transaction removes. Each takes two conditions and a deletion of the 32
+	// entries of a transaction, and the term takes one.
+	maxRemovedCancels = 10
+	// maxCancelRemovals bounds the transactions in one cancelRemovalInterval. Together they remove as many requests as all hosts
+	// may store.
+	maxCancelRemovals = 4
+)
+
+// removeCancels removes from the store the requests to cancel whose jobs have not come within the retention.
+func (ld *leadership) removeCancels(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, cancelRemovalInterval)
+		for range maxCancelRemovals {
+			if !ld.removeCancelsOnce(ctx) {
+				break
+			}
+		}
+	}
+}
+
+// removeCancelsOnce removes the oldest requests, and reports whether there may be further ones to be removed now. A request is
+// removed only if it is unchanged and its job still has not come: otherwise it is a request to cancel that job.
+func (ld *leadership) removeCancelsOnce(ctx context.Context) bool {
+	ld.mu.Lock()
+	n := min(len(ld.expiredCancels), maxRemovedCancels)
+	expired := ld.expiredCancels[:n:n]
+	ld.mu.Unlock()
+	if n == 0 {
+		return false
+	}
+	tx := storer.Transaction{Conditions: []storer.Condition{{Key: keyTerm, Revision: ld.term.Revision}}}
+	for _, e := range expired {
+		tx.Conditions = append(tx.Conditions, storer.Condition{Key: prefixJob + e.ID}, storer.Condition{Key: prefixCancel + e.ID, Revision: e.Revision})
+		tx.Deletes = append(tx.Deletes, prefixCancel+e.ID)
+	}
+	_, err := ld.c.store.Commit(ctx, tx)
+	var conflict *storer.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		ld.c.log.Debug("CancelsNotRemoved", "Cause", err.Error())
+		return false
+	}
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	var kept []orchestrator.RemoveCancel
+	if conflict != nil {
+		for _, e := range expired {
+			if conflict.Revision(prefixJob+e.ID) == 0 && conflict.Revision(prefixCancel+e.ID) == e.Revision {
+				kept = append(kept, e)
+			}
+		}
+		if len(kept) == n { // the term has changed: the next leader removes them
+			return false
+		}
+	}
+	ld.expiredCancels = append(kept, ld.expiredCancels[n:]...)
+	return len(ld.expiredCancels) > 0
+}
--- a/internal/coordinator/cancel_test.go
+++ b/internal/coordinator/cancel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/time/rate"
 
 	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/storer"
@@ -60,3 +62,101 @@
 		is.Equal(state, orchestrator.StateCancelled)
 	})
 }
+
+// A leader is replaced between a request to cancel an unknown job and the job. Guards against a successor that reads the request, finds
+// no job for it and forgets it.
+func TestUnknownCancelOutlivesLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l, j, closeLeader := lateSubmission(t, time.Minute)
+		defer closeLeader()
+		is.Equal(l.c.Cancel(t.Context(), j.ID).Outcome, OutcomeNoSuchJob)
+		next, _ := newTestLeadership(l.store)
+		next.firstPolls = rate.NewLimiter(0, 0) // its workers are not polled
+		_, err := next.load(t.Context(), false)
+		is.NoErr(err)
+		next.handleNotice(notice{Epoch: 1, Job: &j, Revision: 9})
+		state, known := next.orch.State(j.ID)
+		is.True(known)
+		is.Equal(state, orchestrator.StateCancelled)
+	})
+}
+
+// Guards against a write for each request to cancel a job that does not exist: all hosts share the store's rate of writes.
+func TestUnknownCancelsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l, closeLeader := newLateLeader(t, 1, newDelayedStore(0), &memoryWorkers{runTime: time.Second})
+		defer closeLeader()
+		const seconds = 10
+		answers := make(map[Outcome]int)
+		for i := range seconds * 1000 {
+			a := l.c.Cancel(t.Context(), fmt.Sprintf("%016x", i))
+			answers[a.Outcome]++
+			is.True(a.Outcome == OutcomeNoSuchJob || a.RetryAfter > 0)
+			time.Sleep(time.Millisecond)
+		}
+		is.True(answers[OutcomeNoSuchJob] <= seconds*unknownCancelRate+unknownCancelBurst)
+		is.Equal(answers[OutcomeNoSuchJob]+answers[OutcomeUnavailable], seconds*1000)
+		// A job that is known is cancelled however many others are not.
+		l.submit("00000000000000aa", 1)
+		is.Equal(l.c.Cancel(t.Context(), "00000000000000aa").Outcome, OutcomeDone)
+	})
+}
+
+// Guards against requests to cancel that stay in the store for ever because their jobs have never come, and against the removal of one
+// whose job has come since.
+func TestUnknownCancelsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l, closeLeader := newLateLeader(t, 1, newDelayedStore(0), &memoryWorkers{runTime: time.Second})
+		defer closeLeader()
+		l.c.store = observedStore{TransactionalStore: listedStore{l.store}, onResult: l.c.recordStoreResult}
+		const cancels = 25
+		for i := range cancels {
+			is.Equal(l.c.Cancel(t.Context(), fmt.Sprintf("%016x", i)).Outcome, OutcomeNoSuchJob)
+			time.Sleep(time.Second)
+		}
+		var position watchPosition
+		is.NoErr(l.pollInputsOnce(t.Context(), &position))
+		time.Sleep(l.c.settings.StatusRetention + time.Second)
+		arrived := prefixJob + fmt.Sprintf("%016x", 3)
+		l.store.mu.Lock()
+		l.store.entries[arrived] = storer.Entry{Key: arrived, Revision: l.store.revision} // the leader does not know of it yet
+		l.store.mu.Unlock()
+		for range cancels {
+			l.removeCancelsOnce(t.Context())
+		}
+		es, _, err := l.store.List(t.Context(), prefixCancel)
+		is.NoErr(err)
+		is.Equal(len(es), 1)
+		is.Equal(es[0].Key, prefixCancel+fmt.Sprintf("%016x", 3))
+	})
+}
+
+// arrivingStore accepts a job between the first read of it and the next call.
+type arrivingStore struct {
+	*delayedStore
+	read *bool
+}
+
+func (s arrivingStore) Get(ctx context.Context, key string) (storer.Entry, error) {
+	e, err := s.delayedStore.Get(ctx, key)
+	if strings.HasPrefix(key, prefixJob) && !*s.read {
+		*s.read = true
+		s.mu.Lock()
+		s.entries[key] = storer.Entry{Key: key, Revision: s.revision}
+		s.mu.Unlock()
+	}
+	return e, err
+}
+
+// Guards against a request that is answered as one for an unknown job although its job has been accepted meanwhile.
+func TestCancelFindsJobThatArrives(t *testing.T) {
+	is := is.New(t)
+	store := newDelayedStore(0)
+	ld, _ := newTestLeadership(arrivingStore{store, new(bool)})
+	ld.apply(orchestrator.Inherited{})
+	is.Equal(ld.c.Cancel(t.Context(), "00000000000000aa").Outcome, OutcomeDone)
+	is.True(store.entries[prefixCancel+"00000000000000aa"].Revision > 0)
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"peridotpitch/internal/messenger"
 	"peridotpitch/internal/orchestrator"
@@ -85,7 +86,8 @@
 	recentForwards     recentCounter // submissions sent to the leader
 	returns            returnCounter
 	admission          admission
-	invalidWorkerKeys  keySet // of worker entries that could not be decoded
+	unknownCancels     *rate.Limiter // requests to cancel unknown jobs that this host may store
+	invalidWorkerKeys  keySet        // of worker entries that could not be decoded
 
 	mu         sync.Mutex  // guards the fields below
 	term       term        // newest term that this host has read or written
@@ -102,7 +104,7 @@
 		settings: s, deps: p, log: log, metrics: newMetrics(), processID: processID, startedAt: timekeeper.Now(),
 		jitter:  func(d time.Duration) time.Duration { return rand.N(d + 1) },
 		clients: make(map[netip.AddrPort]*messenger.Client), forwardSlots: make(chan struct{}, maxForwardedSubmissions),
-		servedSlots: make(chan struct{}, maxServedSubmissions),
+		servedSlots: make(chan struct{}, maxServedSubmissions), unknownCancels: rate.NewLimiter(unknownCancelRate, unknownCancelBurst),
 	}
 	c.store = observedStore{TransactionalStore: p.Store, onResult: c.recordStoreResult}
 	return c
--- a/internal/coordinator/doc.go
+++ b/internal/coordinator/doc.go
@@ -10,7 +10,7 @@
 //	peridot/roster         workers on which the leader may have started tasks
 //	peridot/learnt         workload statistics that the leader has collected
 //	peridot/in/job/ID      a submitted job, created if absent by the host that accepts it
-//	peridot/in/cancel/ID   a request to cancel the job
+//	peridot/in/cancel/ID   a request to cancel the job, which may not be in the store yet
 //	peridot/record/ID      the job's progress, written by the leader; the write of a final
 //	                       state deletes the two keys above
 //
--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -96,10 +97,10 @@
 			inherited.Finished = append(inherited.Finished, r)
 		}
 	}
-	cancelled := make(map[string]bool)
+	cancelled := make(map[string]uint64) // revisions of the requests, by ID of the job
 	for _, e := range inputs {
 		if id, ok := strings.CutPrefix(e.Key, prefixCancel); ok {
-			cancelled[id] = true
+			cancelled[id] = e.Revision
 		}
 	}
 	for _, e := range inputs {
@@ -114,7 +115,11 @@
 		if unreadable[j.ID] {
 			continue // without its progress, tasks that have succeeded would run again
 		}
-		inherited.Jobs = append(inherited.Jobs, orchestrator.InheritedJob{Job: j, Revision: e.Revision, Record: recordByID[j.ID], Cancelled: cancelled[j.ID]})
+		inherited.Jobs = append(inherited.Jobs, orchestrator.InheritedJob{Job: j, Revision: e.Revision, Record: recordByID[j.ID], Cancelled: cancelled[j.ID] > 0})
+		delete(cancelled, j.ID)
+	}
+	for _, id := range slices.Sorted(maps.Keys(cancelled)) {
+		inherited.EarlyCancels = append(inherited.EarlyCancels, orchestrator.CancelRequested{ID: id, Revision: cancelled[id], Source: orchestrator.CancelInherited})
 	}
 	return inherited, revision, nil
 }
@@ -227,7 +232,7 @@
 		return
 	}
 	if id, ok := strings.CutPrefix(e.Key, prefixCancel); ok {
-		ld.apply(orchestrator.CancelRequested{ID: id, Source: source})
+		ld.apply(orchestrator.CancelRequested{ID: id, Revision: e.Revision, Source: source})
 		return
 	}
 	if !strings.HasPrefix(e.Key, prefixJob) {
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -104,6 +104,7 @@
 	lastOutlook        admitter.Outlook // as of outlookMeasuredAt
 	outlookKnown       bool             // lastOutlook is set
 	outlookMeasuredAt  time.Time
+	expiredCancels     []orchestrator.RemoveCancel // not removed from the store yet
 
 	decodedWorkers map[string]decodedWorker // of the last list, by key; used by watchWorkers only
 
@@ -170,6 +171,7 @@
 	group.Go(func() error { ld.pollInputs(inner, inputRevision); return nil })
 	group.Go(func() error { ld.watchWorkers(inner); return nil })
 	group.Go(func() error { ld.watchEvacuations(inner); return nil })
+	group.Go(func() error { ld.removeCancels(inner); return nil })
 	group.Go(func() error { ld.runTicker(inner); return nil })
 	if err := group.Wait(); err != nil {
 		ld.c.log.Error("LeadershipEnded", "Epoch", ld.term.Revision, "Cause", err.Error())
@@ -242,6 +244,8 @@
 		go ld.requestAdvice(a)
 	case orchestrator.WriteSoon:
 		ld.wakeWriter()
+	case orchestrator.RemoveCancel:
+		ld.expiredCancels = append(ld.expiredCancels, a)
 	case orchestrator.StepDown:
 		ld.depose(a.Reason, 0)
 	case orchestrator.Note:
--- a/internal/orchestrator/action.go
+++ b/internal/orchestrator/action.go
@@ -53,6 +53,13 @@
 // WriteSoon requests a write of NextBatch without delay, because callers wait for it.
 type WriteSoon struct{}
 
+// RemoveCancel removes a request to cancel a job that has not come within the retention from the store, unless the request has
+// changed or its job has come since.
+type RemoveCancel struct {
+	ID       string
+	Revision uint64 // of the request
+}
+
 // StepDown ends the leadership, because a later leader exists.
 type StepDown struct{ Reason string }
 
@@ -77,5 +84,6 @@
 func (StopPolling) action()   {}
 func (RequestAdvice) action() {}
 func (WriteSoon) action()     {}
+func (RemoveCancel) action()  {}
 func (StepDown) action()      {}
 func (Note) action()          {}
--- a/internal/orchestrator/cancel.go
+++ b/internal/orchestrator/cancel.go
@@ -7,53 +7,64 @@
 
 // earlyCancel is a request to cancel a job that the leader does not know yet.
 type earlyCancel struct {
-	at     time.Time // when the leader learned of it
-	source CancelSource
+	CancelRequested
+	at time.Time // when the leader last learned of it
 }
 
-// cancelJob cancels a job. The request may arrive before the job: notices of hosts overtake each other, and a list of the
-// store is in the order of keys. Such a request is kept until the job is added.
-func (o *Orchestrator) cancelJob(id string, source CancelSource) {
-	j := o.jobs[id]
+// cancelJob cancels a job. The request may arrive before the job: notices of hosts overtake each other, a list of the
+// store is in the order of keys, and the write of a submission may be executed seconds after the request to cancel. Such
+// a request is kept until the job is added.
+func (o *Orchestrator) cancelJob(e CancelRequested) {
+	j := o.jobs[e.ID]
 	if j == nil {
-		o.keepEarlyCancel(id, source)
+		o.keepEarlyCancel(e)
 		return
 	}
 	if j.cancelled || j.state.Final() {
 		return
 	}
 	j.cancelled = true
-	o.emit(Note{Event: EventCancelHeard, Job: j.ID, Queue: j.Policy.Queue, Outcome: string(j.state), Reason: string(source), Age: o.now.Sub(j.Submitted),
+	o.emit(Note{Event: EventCancelHeard, Job: j.ID, Queue: j.Policy.Queue, Outcome: string(j.state), Reason: string(e.Source), Age: o.now.Sub(j.Submitted),
 		Figures: fmt.Sprintf("Runs=%d Inherited=%t", j.runCount, j.inherited)})
 	o.finishJob(j, StateCancelled, "cancelled by a caller")
 }
 
-// keepEarlyCancel keeps a request to cancel an unknown job, unless the job has finished. A request is only accepted while its
-// job is in the store, so the store's rate of writes bounds how many are kept. They are dropped after the retention of
-// finished jobs: a job that the store still has then is read together with its request, and a notice of it is long over.
-func (o *Orchestrator) keepEarlyCancel(id string, source CancelSource) {
-	_, finished := o.finished[id]
-	_, kept := o.earlyCancels[id]
-	if finished || kept {
+// keepEarlyCancel keeps a request to cancel an unknown job, unless the job has finished. Hosts limit the rate at which they store
+// such requests, which bounds how many are kept. They are dropped after the retention of finished jobs, when the write of a submission
+// that was under way is long over.
+func (o *Orchestrator) keepEarlyCancel(e CancelRequested) {
+	if _, finished := o.finished[e.ID]; finished {
 		return
 	}
-	o.earlyCancels[id] = earlyCancel{at: o.now, source: source}
-	o.emit(Note{Event: EventCancelEarly, Job: id, Outcome: "kept until the job is known", Reason: string(source), Figures: fmt.Sprintf("Kept=%d", len(o.earlyCancels))})
+	c, kept := o.earlyCancels[e.ID]
+	if kept && e.Revision > 0 && e.Revision <= c.Revision {
+		return // known
+	}
+	e.Revision = max(e.Revision, c.Revision)
+	o.earlyCancels[e.ID] = earlyCancel{CancelRequested: e, at: o.now}
+	if !kept {
+		o.emit(Note{Event: EventCancelEarly, Job: e.ID, Outcome: "kept until the job is known", Reason: string(e.Source), Figures: fmt.Sprintf("Kept=%d", len(o.earlyCancels))})
+	}
 }
 
 // applyEarlyCancel cancels a job that has just been added if a request to cancel it is kept.
 func (o *Orchestrator) applyEarlyCancel(id string) {
 	if c, kept := o.earlyCancels[id]; kept {
 		delete(o.earlyCancels, id)
-		o.cancelJob(id, c.source)
+		o.cancelJob(c.CancelRequested)
 	}
 }
 
-// dropEarlyCancels drops the kept requests that are older than the retention of finished jobs.
+// dropEarlyCancels drops the kept requests that are older than the retention of finished jobs, and has them removed from the store.
+// A request of which only a notice is known stays there for the next leader.
 func (o *Orchestrator) dropEarlyCancels() {
 	for id, c := range o.earlyCancels {
-		if o.now.Sub(c.at) > o.settings.Retention {
-			delete(o.earlyCancels, id)
+		if o.now.Sub(c.at) <= o.settings.Retention {
+			continue
+		}
+		delete(o.earlyCancels, id)
+		if c.Revision > 0 {
+			o.emit(RemoveCancel{ID: id, Revision: c.Revision})
 		}
 	}
 }
--- a/internal/orchestrator/event.go
+++ b/internal/orchestrator/event.go
@@ -11,11 +11,13 @@
 // Inherited is the state that an earlier leader left in the store. No task starts before this
 // event.
 type Inherited struct {
-	Jobs       []InheritedJob
-	Finished   []Record // jobs in a final state
-	Roster     Roster
-	Statistics WorkloadStatistics
-	HandedOff  bool // the earlier leader stopped sending commands before it wrote its last records
+	Jobs     []InheritedJob
+	Finished []Record // jobs in a final state
+	// EarlyCancels are the requests to cancel jobs that are not in the store.
+	EarlyCancels []CancelRequested
+	Roster       Roster
+	Statistics   WorkloadStatistics
+	HandedOff    bool // the earlier leader stopped sending commands before it wrote its last records
 }
 
 // InheritedJob is a job in the store.
@@ -34,8 +36,9 @@
 
 // CancelRequested reports that the request to cancel a job is in the store.
 type CancelRequested struct {
-	ID     string
-	Source CancelSource
+	ID       string
+	Revision uint64 // of the request in the store; 0: unknown
+	Source   CancelSource
 }
 
 // CancelSource is how a leader has learned of a request to cancel a job.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -232,7 +232,7 @@
 	case JobAccepted:
 		o.acceptJob(e.Job, e.Revision)
 	case CancelRequested:
-		o.cancelJob(e.ID, e.Source)
+		o.cancelJob(e)
 	case WorkersListed:
 		o.listWorkers(e.Workers)
 		o.confirmCapacities(e.SentAt)
@@ -368,9 +368,12 @@
 			o.addJob(ij.Job, ij.Revision, ij.Record)
 		}
 		if ij.Cancelled {
-			o.cancelJob(ij.Job.ID, CancelInherited)
+			o.cancelJob(CancelRequested{ID: ij.Job.ID, Source: CancelInherited})
 		}
 	}
+	for _, c := range e.EarlyCancels {
+		o.cancelJob(c)
+	}
 	recorded := o.recordedWorkers()
 	for _, r := range e.Roster.Workers {
 		w := o.worker(r.ID)
