platform: a stop that a worker answers with 500 is repeated

Callers would see: a task of a cancelled job goes on for 2 to 3 s more after its worker has answered the stop with an error.

Cause: the class of the stop that a start's answer settled: an answer that does not say that the stop was executed counts as one that does.

That the users' workers answer so was not seen; it is a find of the search for the same class.

--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -151,7 +151,7 @@
 type RefusedError struct {
 	Fenced      bool // the worker has accepted a later epoch
 	Replaced    bool // another worker instance answers at the address
-	NotExecuted bool // the worker is unhealthy or busy and did nothing; the command must be repeated
+	NotExecuted bool // the worker is unhealthy or busy and did nothing, or it has failed and may have done nothing; the command must be repeated
 	Reason      string
 }
 
