orchestrator: leaders and polls of the simulation in files of their own

Change: the functions move unchanged.

Measured: go test ./internal/orchestrator passes (19.7 s, 2 cores).

--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -114,25 +114,6 @@
 	tailLatencyMs    map[string]int
 }
 
-// simulatedLeader is an Orchestrator with its process and its connections.
-type simulatedLeader struct {
-	w                *simulation
-	id               int
-	epoch            uint64
-	o                *orchestrator.Orchestrator
-	watched          map[string]bool
-	watchedNames     []string // of watched, sorted; nil after a change
-	polledAt         map[string]time.Time
-	storeUnreachable bool
-	deposed          bool
-	frozen           bool
-	missedChanges    bool      // entries of workers have changed while it was frozen or did not reach the store
-	disturbedAt      time.Time // when it was last frozen, thawed or cut off
-	wallOffset       time.Duration
-	pendingAnswers   []orchestrator.Event
-	stopped          map[string]int // highest number of a run that it has stopped, by task
-}
-
 // reporter fails a test: *testing.T or *rapid.T.
 type reporter interface {
 	Fatalf(format string, args ...any)
@@ -192,39 +173,6 @@
 	return es
 }
 
-// elect adds a new leader. From then on the store accepts only its writes.
-func (w *simulation) elect(handedOff bool) *simulatedLeader {
-	w.epoch += 100
-	l := &simulatedLeader{w: w, id: len(w.leaders), epoch: w.epoch, watched: make(map[string]bool), polledAt: make(map[string]time.Time), wallOffset: w.leaderOffset}
-	l.o = orchestrator.New(orchestrator.Settings{
-		Epoch: w.epoch, ElectedAt: w.now, ConfirmedAt: w.now, Lease: w.lease, LeaderLease: 9 * time.Second,
-		MaxLease: 10 * time.Second, Retention: time.Hour, RemoteSlowdown: 3, Disabled: w.disabled, Clock: w.clock,
-	})
-	w.leaders = append(w.leaders, l)
-	w.currentLeader = l.id
-	inherited := orchestrator.Inherited{Roster: w.roster, HandedOff: handedOff}
-	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
-		j := orchestrator.InheritedJob{Job: w.jobs[id], Cancelled: w.cancelRequests[id]}
-		if r, ok := w.storedRecords[id]; ok {
-			j.Record = &r
-			if r.State.Final() {
-				inherited.Finished = append(inherited.Finished, r)
-				continue
-			}
-		}
-		inherited.Jobs = append(inherited.Jobs, j)
-	}
-	if l.wallOffset != 0 {
-		l.step(orchestrator.Tick{WallOffset: l.wallOffset})
-	}
-	l.step(orchestrator.EvacuationsListed{FailureDomains: w.evacuations.domains()})
-	l.step(inherited)
-	l.step(orchestrator.WorkersListed{Workers: w.listedWorkers(), SentAt: w.now})
-	return l
-}
-
-func (w *simulation) leader() *simulatedLeader { return w.leaders[w.currentLeader] }
-
 // submit stores a job under the current leader.
 func (w *simulation) submit(j orchestrator.Job) {
 	if j.Submitted.IsZero() {
@@ -243,67 +191,6 @@
 	w.leader().step(orchestrator.CancelRequested{ID: id})
 }
 
-// step passes an event to the leader, unless its process is frozen or has stepped down.
-func (l *simulatedLeader) step(e orchestrator.Event) {
-	if l.deposed {
-		return
-	}
-	if l.frozen {
-		switch e.(type) {
-		case orchestrator.StartAnswered, orchestrator.StopAnswered, orchestrator.ThrottleAnswered:
-			l.pendingAnswers = append(l.pendingAnswers, e) // read when the process continues
-		}
-		return
-	}
-	begin := time.Now()
-	actions := l.o.Apply(e, l.w.now)
-	l.w.measure(e, time.Since(begin))
-	for _, a := range actions {
-		l.handleAction(a)
-	}
-}
-
-// eventWork is the work of a leader for the events of one kind.
-type eventWork struct {
-	count int
-	took  time.Duration
-}
-
-// measure adds to the work for the events of a kind, if it is measured.
-func (w *simulation) measure(e orchestrator.Event, took time.Duration) {
-	if w.work == nil {
-		return
-	}
-	k := w.work[orchestrator.EventKind(e)]
-	w.work[orchestrator.EventKind(e)] = eventWork{k.count + 1, k.took + took}
-}
-
-// handleAction handles an action of the leader.
-func (l *simulatedLeader) handleAction(a orchestrator.Action) {
-	w := l.w
-	switch a := a.(type) {
-	case orchestrator.StartPolling:
-		l.watched[a.Worker.ID] = true
-		l.watchedNames = nil
-	case orchestrator.StopPolling:
-		delete(l.watched, a.ID)
-		l.watchedNames = nil
-	case orchestrator.StepDown:
-		l.deposed = true
-	case orchestrator.Note:
-		w.notes = append(w.notes, a)
-		w.checkGivenUp(a)
-		l.checkEvacuationStop(a)
-	case orchestrator.StartRun, orchestrator.StopRun, orchestrator.ThrottleRun:
-		// Commands arrive after the step that sent them.
-		if _, ok := a.(orchestrator.StartRun); ok {
-			w.startBacklog += w.startCost
-		}
-		w.pendingCommands = append(w.pendingCommands, pendingCommand{at: w.now.Add(time.Millisecond + w.startBacklog), leader: l, action: a})
-	case orchestrator.WriteSoon, orchestrator.RequestAdvice:
-	}
-}
-
 // deliver executes a command, drops it or delays it.
 func (w *simulation) deliver(c pendingCommand) {
 	answered := c.worker == ""
@@ -557,139 +444,6 @@
 	return j.Steps[index].LongRunning
 }
 
-// poll sends one poll of the leader to a worker and passes the result to the leader.
-func (l *simulatedLeader) poll(k *simulatedWorker) {
-	w := l.w
-	r, ok := l.o.NextPoll(k.entry.ID, w.now)
-	if !ok || l.deposed || l.frozen || k.waitsFor == l {
-		return
-	}
-	if k.dead || k.unreachableFrom[l] {
-		l.step(orchestrator.PollFailed{Worker: k.entry.ID})
-		return
-	}
-	if k.replaced {
-		l.step(orchestrator.PollFailed{Worker: k.entry.ID, Replaced: true})
-		return
-	}
-	if l.epoch < k.fence {
-		l.step(orchestrator.PollFailed{Worker: k.entry.ID, Fenced: true})
-		return
-	}
-	k.fence = l.epoch
-	if r.LeaseEnd > 0 {
-		k.leaseEnd = max(k.leaseEnd, min(r.LeaseEnd, k.clock(w.now)+10*time.Second))
-	}
-	k.acknowledge(w, r.AckedThrough)
-	a := orchestrator.PollAnswered{Worker: k.entry.ID, Incarnation: k.incarnation, Clock: k.clock(w.now), SentAt: w.now, ReceivedAt: w.now}
-	for _, name := range slices.Sorted(maps.Keys(k.runs)) {
-		run := k.runs[name]
-		percent := 100
-		if !run.persists {
-			percent = min(99, int(100*w.now.Sub(run.startedAt)/max(1, run.endsAt.Sub(run.startedAt))))
-		}
-		if k.hangsTasks {
-			percent = 1
-		}
-		a.Running = append(a.Running, orchestrator.RunningRun{Task: name, Run: run.number, Percent: percent, Figure: k.tailLatencyMs[name]})
-	}
-	k.reportedThrough = k.endCount
-	for _, e := range k.ended {
-		if e.Number <= k.ackedThrough {
-			continue
-		}
-		if w.endsPerPoll > 0 && len(a.Ended) == w.endsPerPoll {
-			k.reportedThrough = e.Number - 1
-			break
-		}
-		a.Ended = append(a.Ended, e)
-	}
-	l.step(a)
-}
-
-// acknowledge records the ends that the leader acknowledges. Ends before the expiry of the
-// lease do not count, because the leader may have expired their runs.
-func (k *simulatedWorker) acknowledge(w *simulation, upto int) {
-	for _, e := range k.ended {
-		if e.Number > max(k.ackedThrough, k.endsBeforeExpiry) && e.Number <= upto {
-			switch e.How {
-			case orchestrator.EndDone:
-				w.done[e.Task] = true
-				if at := w.startedAt[e.Task]; at.After(k.endedAt[e.Number]) {
-					w.t.Fatalf("%s: run %d of %s has ended as done on %s, acknowledged now, and another began %s later%s", w.elapsed(), e.Run, e.Task,
-						k.entry.ID, at.Sub(k.endedAt[e.Number]), w.history(e.Task))
-				}
-			case orchestrator.EndFailed:
-				w.failed[e.Task]++
-			default:
-			}
-		}
-	}
-	k.ackedThrough = max(k.ackedThrough, upto)
-}
-
-// write writes a leader's changes to the store, which accepts only those of the current
-// leader.
-func (l *simulatedLeader) write(all bool) {
-	if l.storeUnreachable || l.deposed || l.frozen {
-		return
-	}
-	if l.id != l.w.currentLeader {
-		l.deposed = true
-		return
-	}
-	b := l.o.NextBatch(27, all, l.w.now)
-	for _, e := range b.Entries {
-		l.w.checkSucceeded(e.Record)
-		l.w.storedRecords[e.Record.ID] = e.Record
-	}
-	if b.Roster != nil {
-		l.w.roster = *b.Roster
-	}
-	l.step(orchestrator.Confirmed{SentAt: l.w.now})
-	l.step(orchestrator.Written{Batch: b})
-}
-
-// catchUp passes the jobs and cancel requests in the store to the leader again, because it may
-// have missed their events.
-func (l *simulatedLeader) catchUp() {
-	for _, id := range slices.Sorted(maps.Keys(l.w.jobs)) {
-		if r, ok := l.w.storedRecords[id]; !ok || !r.State.Final() {
-			l.step(orchestrator.JobAccepted{Job: l.w.jobs[id], Revision: l.w.jobs[id].Epoch + 1})
-		}
-		if l.w.cancelRequests[id] {
-			l.step(orchestrator.CancelRequested{ID: id})
-		}
-	}
-}
-
-// watchWorkers reports the entries of workers that the leader has missed, and that there are no others.
-func (l *simulatedLeader) watchWorkers() {
-	if l.missedChanges {
-		l.missedChanges = false
-		for _, e := range l.w.listedWorkers() {
-			l.step(orchestrator.WorkerListed{Worker: e})
-		}
-	}
-	l.step(orchestrator.WorkersWatched{SentAt: l.w.now})
-	l.step(orchestrator.EvacuationsListed{FailureDomains: l.w.evacuations.domains()})
-}
-
-// handOver ends a leadership cleanly and reports whether its records name the workers of all
-// runs.
-func (l *simulatedLeader) handOver() bool {
-	l.step(orchestrator.HandOver{})
-	clean := l.o.RecordsNameAllRuns()
-	for range 1000 {
-		if !l.o.HasUnwrittenChanges() {
-			break
-		}
-		l.write(true)
-	}
-	l.deposed = true
-	return clean
-}
-
 // run advances the virtual time by d, in steps of 10 ms.
 func (w *simulation) run(d time.Duration) {
 	const step = 10 * time.Millisecond
