orchestrator: the simulation judges the runs of cancelled jobs

Change: checkSentStart fails a test at a start that an undisturbed leader sends later than 3 s after the request was stored, checkCancelled at a run that is left on a worker for 3 s and a stop after the request, while nothing disturbed the leader or the worker (for a run that began late, from 3 s after its start). Both hold in every simulation, TestInvariantsUnderFaults among them. Workers can hold polls until a run ends, as in the product, and a leader can read the stored state slowly, so that notices come before it.

--- a/internal/orchestrator/simulation_evacuation_test.go
+++ b/internal/orchestrator/simulation_evacuation_test.go
@@ -63,6 +63,9 @@
 func (k *simulatedWorker) checkedStart(w *simulation, c pendingCommand, a orchestrator.StartRun) orchestrator.StartOutcome {
 	before := w.starts
 	outcome := k.startRun(w, c.leader, a)
+	if r := k.runs[a.Task]; w.starts > before && r != nil {
+		r.late = c.worker != ""
+	}
 	at, evacuated := w.evacuations.since[k.entry.FailureDomain]
 	if w.starts > before && evacuated && w.now.Sub(at) > evacuationBound && c.worker == "" && !c.leader.storeUnreachable && w.now.Sub(c.leader.disturbedAt) >= disturbed {
 		w.t.Fatalf("%s: run %d of %s starts on %s, whose failure domain %s was evacuated %s before%s", w.elapsed(), a.Run, a.Task, k.entry.ID,
--- a/internal/orchestrator/simulation_leader_test.go
+++ b/internal/orchestrator/simulation_leader_test.go
@@ -25,18 +25,35 @@
 	wallOffset       time.Duration
 	pendingAnswers   []orchestrator.Event
 	stopped          map[string]int // highest number of a run that it has stopped, by task
+	reads            bool           // it has been elected and has not read the stored state yet
+	held             map[string]heldPoll
+	nextPollAt       map[string]time.Time // by worker, if workers hold polls
 }
 
-// elect adds a new leader. From then on the store accepts only its writes.
+// elect adds a new leader, which reads the stored state at once. From then on the store accepts only its writes.
 func (w *simulation) elect(handedOff bool) *simulatedLeader {
+	l := w.electReader()
+	l.inherit(w.storedState(handedOff))
+	return l
+}
+
+// electReader adds a new leader that has not read the stored state yet: it hears notices, and nothing else. From then on the store
+// accepts only its writes.
+func (w *simulation) electReader() *simulatedLeader {
 	w.epoch += 100
-	l := &simulatedLeader{w: w, id: len(w.leaders), epoch: w.epoch, watched: make(map[string]bool), polledAt: make(map[string]time.Time), wallOffset: w.leaderOffset}
+	l := &simulatedLeader{w: w, id: len(w.leaders), epoch: w.epoch, watched: make(map[string]bool), polledAt: make(map[string]time.Time), wallOffset: w.leaderOffset,
+		reads: true, held: make(map[string]heldPoll), nextPollAt: make(map[string]time.Time)}
 	l.o = orchestrator.New(orchestrator.Settings{
 		Epoch: w.epoch, ElectedAt: w.now, ConfirmedAt: w.now, Lease: w.lease, LeaderLease: 9 * time.Second,
 		MaxLease: 10 * time.Second, Retention: time.Hour, RemoteSlowdown: 3, Disabled: w.disabled, Clock: w.clock,
 	})
 	w.leaders = append(w.leaders, l)
 	w.currentLeader = l.id
+	return l
+}
+
+// storedState returns what a new leader reads from the store.
+func (w *simulation) storedState(handedOff bool) orchestrator.Inherited {
 	inherited := orchestrator.Inherited{Roster: w.roster, HandedOff: handedOff}
 	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
 		j := orchestrator.InheritedJob{Job: w.jobs[id], Cancelled: w.cancelRequests[id]}
@@ -49,13 +66,19 @@
 		}
 		inherited.Jobs = append(inherited.Jobs, j)
 	}
+	return inherited
+}
+
+// inherit passes the state that was read to the leader, which begins its work.
+func (l *simulatedLeader) inherit(state orchestrator.Inherited) {
+	w := l.w
+	l.reads = false
 	if l.wallOffset != 0 {
 		l.step(orchestrator.Tick{WallOffset: l.wallOffset})
 	}
 	l.step(orchestrator.EvacuationsListed{FailureDomains: w.evacuations.domains()})
-	l.step(inherited)
+	l.step(state)
 	l.step(orchestrator.WorkersListed{Workers: w.listedWorkers(), SentAt: w.now})
-	return l
 }
 
 func (w *simulation) leader() *simulatedLeader { return w.leaders[w.currentLeader] }
--- a/internal/orchestrator/simulation_poll_test.go
+++ b/internal/orchestrator/simulation_poll_test.go
@@ -8,31 +8,44 @@
 	"peridotpitch/internal/orchestrator"
 )
 
-// poll sends one poll of the leader to a worker and passes the result to the leader.
+// poll sends one poll of the leader to a worker, which answers at once, and passes the result to the leader.
 func (l *simulatedLeader) poll(k *simulatedWorker) {
+	if _, ok := l.sendPoll(k); ok {
+		l.answerPoll(k, l.w.now)
+	}
+}
+
+// sendPoll sends a poll of the leader to a worker, and reports whether the worker will answer it.
+func (l *simulatedLeader) sendPoll(k *simulatedWorker) (orchestrator.PollRequest, bool) {
 	w := l.w
 	r, ok := l.o.NextPoll(k.entry.ID, w.now)
 	if !ok || l.deposed || l.frozen || k.waitsFor == l {
-		return
+		return r, false
 	}
 	if k.dead || k.unreachableFrom[l] {
 		l.step(orchestrator.PollFailed{Worker: k.entry.ID})
-		return
+		return r, false
 	}
 	if k.replaced {
 		l.step(orchestrator.PollFailed{Worker: k.entry.ID, Replaced: true})
-		return
+		return r, false
 	}
 	if l.epoch < k.fence {
 		l.step(orchestrator.PollFailed{Worker: k.entry.ID, Fenced: true})
-		return
+		return r, false
 	}
 	k.fence = l.epoch
 	if r.LeaseEnd > 0 {
 		k.leaseEnd = max(k.leaseEnd, min(r.LeaseEnd, k.clock(w.now)+10*time.Second))
 	}
 	k.acknowledge(w, r.AckedThrough)
-	a := orchestrator.PollAnswered{Worker: k.entry.ID, Incarnation: k.incarnation, Clock: k.clock(w.now), SentAt: w.now, ReceivedAt: w.now}
+	return r, true
+}
+
+// answerPoll passes the worker's answer to a poll that was sent at a time to the leader.
+func (l *simulatedLeader) answerPoll(k *simulatedWorker, sentAt time.Time) {
+	w := l.w
+	a := orchestrator.PollAnswered{Worker: k.entry.ID, Incarnation: k.incarnation, Clock: k.clock(w.now), SentAt: sentAt, ReceivedAt: w.now}
 	for _, name := range slices.Sorted(maps.Keys(k.runs)) {
 		run := k.runs[name]
 		percent := 100
@@ -78,3 +91,54 @@
 	}
 	k.ackedThrough = max(k.ackedThrough, upto)
 }
+
+// heldPoll is a poll that a worker answers when a run ends, and otherwise when the time that it may hold the poll is over.
+type heldPoll struct {
+	sentAt      time.Time
+	until       time.Time
+	incarnation int64 // of the worker that holds it
+}
+
+const (
+	maxHeldPoll    = 3 * time.Second        // of a late leader, as in the product
+	pollRetryDelay = 250 * time.Millisecond // after a failed poll, as there
+	pollAckDelay   = 160 * time.Millisecond // after an answer with ends, which are to be stored first
+)
+
+// pollHeld answers the poll that a worker holds if it is time to, and sends the next one.
+func (l *simulatedLeader) pollHeld(k *simulatedWorker) {
+	w, id := l.w, k.entry.ID
+	if h, ok := l.held[id]; ok {
+		if k.dead || k.replaced || k.unreachableFrom[l] || k.incarnation != h.incarnation {
+			delete(l.held, id)
+			l.step(orchestrator.PollFailed{Worker: id, Replaced: k.replaced})
+			l.nextPollAt[id] = w.now.Add(pollRetryDelay)
+			return
+		}
+		ended := slices.ContainsFunc(k.ended, func(e orchestrator.EndedRun) bool { return e.Number > k.ackedThrough })
+		if !ended && w.now.Before(h.until) {
+			return
+		}
+		delete(l.held, id)
+		l.answerPoll(k, h.sentAt)
+		if ended {
+			l.nextPollAt[id] = w.now.Add(pollAckDelay)
+		}
+	}
+	if w.now.Before(l.nextPollAt[id]) {
+		return
+	}
+	r, ok := l.sendPoll(k)
+	if !ok {
+		l.nextPollAt[id] = w.now.Add(pollRetryDelay)
+		return
+	}
+	wait := w.holdPolls
+	switch {
+	case r.NoWait:
+		wait = 0
+	case r.ShortWait:
+		wait /= 2
+	}
+	l.held[id] = heldPoll{w.now, w.now.Add(wait), k.incarnation}
+}
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -53,8 +53,10 @@
 	evacuations     evacuationModel
 	work            map[string]eventWork // of the leaders, by kind of event; nil: not measured
 	pollSteps       int64                // steps of run between two polls of a worker
-	startCost       time.Duration        // processor time of the leader's host for a start; 0: none
-	startBacklog    time.Duration        // processor time that the decided starts still need
+	holdPolls       time.Duration        // how long workers hold polls while no run ends; 0: they answer at once, see pollSteps
+	cancels         cancelModel
+	startCost       time.Duration // processor time of the leader's host for a start; 0: none
+	startBacklog    time.Duration // processor time that the decided starts still need
 }
 
 // faults holds the probability of each fault of a command.
@@ -81,6 +83,7 @@
 	size      orchestrator.Resources
 	persists  bool // its task is long-running
 	stopping  bool
+	late      bool // it began by a command that got no answer and was executed later
 	failing   bool // it fails at once
 	speed     int
 }
@@ -112,6 +115,8 @@
 	shrunkAt         time.Time
 	crashAt          time.Time // when it crashes under a task; zero: never
 	tailLatencyMs    map[string]int
+	disturbedAt      time.Time // when it was last seen to restart, to be dead or cut off, or lost a command
+	seenIncarnation  int64     // its process as of disturbedAt
 }
 
 // reporter fails a test: *testing.T or *rapid.T.
@@ -186,11 +191,6 @@
 	w.leader().step(orchestrator.JobAccepted{Job: j, Revision: j.Epoch + 1})
 }
 
-func (w *simulation) cancel(id string) {
-	w.cancelRequests[id] = true
-	w.leader().step(orchestrator.CancelRequested{ID: id})
-}
-
 // deliver executes a command, drops it or delays it.
 func (w *simulation) deliver(c pendingCommand) {
 	answered := c.worker == ""
@@ -208,6 +208,9 @@
 		return
 	}
 	k := w.workers[worker]
+	if a, ok := c.action.(orchestrator.StartRun); ok && answered {
+		w.checkSentStart(c.leader, a)
+	}
 	if k == nil || k.dead || k.unreachableFrom[c.leader] {
 		if answered {
 			w.answerCommand(c, orchestrator.StartUnanswered)
@@ -215,19 +218,23 @@
 		return
 	}
 	if a, ok := c.action.(orchestrator.StartRun); ok && answered && w.drops != nil && w.drops(a.Task) {
+		k.disturbedAt = w.now
 		w.answerCommand(c, orchestrator.StartUnanswered)
 		return
 	}
 	if a, ok := c.action.(orchestrator.StopRun); ok && answered && w.dropsStop != nil && w.dropsStop(a.Task) {
+		k.disturbedAt = w.now
 		w.answerCommand(c, orchestrator.StartUnanswered)
 		return
 	}
 	if answered {
 		switch p := w.rng.Float64(); {
 		case p < w.faults.dropped:
+			k.disturbedAt = w.now
 			w.answerCommand(c, orchestrator.StartUnanswered)
 			return
 		case p < w.faults.dropped+w.faults.appliedLate:
+			k.disturbedAt = w.now
 			w.answerCommand(c, orchestrator.StartUnanswered)
 			c.worker, c.at = worker, w.now.Add(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))))
 			w.pendingCommands = append(w.pendingCommands, c)
@@ -277,6 +284,7 @@
 	case orchestrator.StopRun:
 		if k.ignoredStops > 0 {
 			k.ignoredStops--
+			k.disturbedAt = w.now
 			return orchestrator.StartAccepted
 		}
 		k.lastEndedRun[a.Task] = max(k.lastEndedRun[a.Task], a.Run)
@@ -475,8 +483,9 @@
 		}
 	}
 	w.notePresentTasks()
+	w.checkCancelled()
 	for _, l := range w.leaders {
-		if l.deposed || l.frozen {
+		if l.deposed || l.frozen || l.reads {
 			continue
 		}
 		answers := l.pendingAnswers
@@ -498,7 +507,10 @@
 			l.watchedNames = slices.Sorted(maps.Keys(l.watched))
 		}
 		for i, n := range l.watchedNames {
-			if (ms/10)%w.pollSteps == int64(i)%w.pollSteps {
+			switch {
+			case w.holdPolls > 0:
+				l.pollHeld(w.workers[n])
+			case (ms/10)%w.pollSteps == int64(i)%w.pollSteps:
 				l.poll(w.workers[n])
 			}
 		}
--- a/internal/orchestrator/stop_test.go
+++ b/internal/orchestrator/stop_test.go
@@ -9,7 +9,7 @@
 
 // A task of a cancelled job may run for this long after the request to cancel it was confirmed: cancel_ms of the platform, and the
 // time that a stop takes here.
-const cancelTime = 3*time.Second + 300*time.Millisecond
+const cancelTime = cancelStartBound + stopTime
 
 // The request to cancel a job comes while the start of its task is on its way, and the first three stops get no answer.
 // Guards against a run that goes on because the answer to its start counts as the answer to its stop, so that the stop is not repeated.
