orchestrator: repeat the unanswered stops of runs that the leader does not keep

Callers saw: a task of a cancelled job goes on for seconds after the cancel was acknowledged, under a leader that inherited the cancel.

Cause: a run that a worker lists and the leader does not keep (its job has ended or is unknown, its task has succeeded, the run has expired) has no entry in the leader's table. Its stop is sent when a poll lists it and not repeated in between. A worker holds a poll for 1 s, for a late leader 3 s, so that each lost stop costs that long: two stops with polls of 3 s are all of cancel_ms.

Evidence: TestStopOfUnwantedRunIsRepeated, red on with 3 lost stops and polls of 1 s, and with 1 lost stop and polls of 3 s.

Fix: the leader keeps the key of such a run until the worker no longer lists it, and repeats its stop each 300 ms until it is answered, as for other runs. Strays replace the count unknownRuns. No record, key or message changes.

--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -342,7 +342,11 @@
 		return
 	}
 	r := o.findRun(e.Worker, e.Task, e.Run)
-	if r == nil || r.phase != phaseStopping {
+	if r == nil {
+		o.strayStopAnswered(e)
+		return
+	}
+	if r.phase != phaseStopping {
 		return
 	}
 	r.inFlight = false
@@ -380,7 +384,7 @@
 	}
 	if reason != "" {
 		o.emit(Note{Event: EventStop, Task: row.Task, Run: row.Run, Worker: w.ID, Reason: reason})
-		o.emit(StopRun{Worker: w.ID, Task: row.Task, Run: row.Run})
+		o.stopStray(w, runKey{row.Task, row.Run})
 		return nil
 	}
 	if t.job().inherited && !t.observed {
--- /dev/null
+++ b/internal/orchestrator/stop_stray_test.go
@@ -0,0 +1,40 @@
+package orchestrator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A leader is lost with a run of a job that is cancelled then, and the first stops of its successor, which finds the run but does not keep
+// it, get no answer. Guards against a run that goes on because its stop is repeated only when a poll lists it, and workers hold polls
+// for up to three seconds.
+func TestStopOfUnwantedRunIsRepeated(t *testing.T) {
+	for _, c := range []struct {
+		hold time.Duration
+		lost int
+	}{{time.Second, 0}, {time.Second, 3}, {maxHeldPoll, 1}, {maxHeldPoll, 3}} {
+		t.Run(fmt.Sprintf("polls held for %s, %d stops lost", c.hold, c.lost), func(t *testing.T) {
+			is := is.New(t)
+			w := newCluster(t, 1, cores(8, 32))
+			w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+			w.submit(simpleJob("j1", 1, cores(1, 1)))
+			w.run(500 * time.Millisecond)
+			is.Equal(w.runningOn("j1"), []string{"w0"})
+			w.leader().deposed = true
+			w.cancelUnnoticed("j1")
+			w.holdPolls = c.hold
+			lost := 0
+			w.dropsStop = func(string) bool {
+				lost++
+				return lost <= c.lost
+			}
+			w.elect(false)
+			w.run(cancelTime)
+			is.True(lost > 0) // else the test says nothing
+			is.Equal(len(w.runningOn("j1")), 0)
+		})
+	}
+}
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -77,7 +77,7 @@
 
 	suspects []*run // runs of suspected tasks
 
-	unknownRuns int // runs that the worker lists and the leader stops; their size is unknown
+	strays []*strayRun // their size is unknown
 
 	lastAppliedEnd int // number of the last reported end of a run that has been applied (see appliedEnd)
 	unackedEnds    []appliedEnd
@@ -238,7 +238,7 @@
 		return false, "does not answer"
 	case !w.rostered:
 		return false, "has no roster entry in the store yet"
-	case w.unknownRuns > 0:
+	case len(w.strays) > 0:
 		return false, "still runs tasks of jobs that have ended"
 	case o.mayOutlastLeadership(w):
 		return false, "has restarted, and its leases may outlast this leadership"
@@ -303,19 +303,18 @@
 // applyRunning reconciles the leader's runs on a worker with the runs that the worker lists.
 func (o *Orchestrator) applyRunning(w *worker, e PollAnswered) {
 	tailRatio := 0.0
-	w.unknownRuns = 0
 	for _, row := range e.Running {
 		r := w.runByKey[runKey{row.Task, row.Run}]
 		if r == nil {
 			r = o.adopt(w, row)
 		}
 		if r == nil {
-			w.unknownRuns++
 			continue
 		}
 		o.updateRun(r, row)
 		tailRatio = max(tailRatio, r.tailRatio)
 	}
+	w.forgetStrays(e.Running)
 	o.removeUnlisted(w, e)
 	if w.load.latencyCritical > 0 {
 		w.tailRatio, w.tailRatioAt = tailRatio, e.ReceivedAt
@@ -473,6 +472,7 @@
 	for _, r := range w.runs {
 		o.resendCommands(r)
 	}
+	o.resendStrayStops(w)
 	if w.load.bestEffort > 0 && w.load.latencyCritical > 0 {
 		o.throttle(w)
 	}
