orchestrator: a worker that was unreachable must not hold the next poll

Callers saw: a task of a cancelled job goes on for seconds after its worker can be reached again.

Cause: from a failed poll on, a worker counts as unreachable and gets no stop again and no start until it answers a poll. It holds that poll like any other, for 1 s, for a late leader 3 s, although it can be reached from its begin. With polls of 3 s the stop of a cancelled job comes up to 3.3 s after the contact is back.

Evidence: TestWorkerThatAnswersAgainIsReachedAtOnce, red on with polls of 1 s and of 3 s: the run is there 1 s after the contact is back.

--- a/internal/orchestrator/stop_stray_test.go
+++ b/internal/orchestrator/stop_stray_test.go
@@ -38,3 +38,26 @@
 		})
 	}
 }
+
+// A worker is cut off for a moment while a job is cancelled, and the next poll reaches it. Guards against stops that are not sent while the
+// worker counts as unreachable, which it does until it answers a poll that it may hold for up to three seconds.
+func TestWorkerThatAnswersAgainIsReachedAtOnce(t *testing.T) {
+	for _, hold := range []time.Duration{time.Second, maxHeldPoll} {
+		t.Run(hold.String(), func(t *testing.T) {
+			is := is.New(t)
+			w := newCluster(t, 1, cores(8, 32))
+			w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+			w.holdPolls = hold
+			w.submit(simpleJob("j1", 1, cores(1, 1)))
+			w.run(1500 * time.Millisecond)
+			is.Equal(w.runningOn("j1"), []string{"w0"})
+			k := w.workers["w0"]
+			k.unreachableFrom[w.leader()] = true
+			w.cancel("j1")
+			w.run(20 * time.Millisecond)
+			clear(k.unreachableFrom)
+			w.run(time.Second)
+			is.Equal(len(w.runningOn("j1")), 0)
+		})
+	}
+}
