orchestrator: a property of cancelled jobs under faults

Cause: the simulation judges cancelled jobs, but TestInvariantsUnderFaults is rarely quiet for long enough, answers polls at once, and repeats all requests to cancel to each leader each second.

A leader hears of a request that was stored before it read the state only with that state, as in the product.

--- a/internal/orchestrator/simulation_cancel_test.go
+++ b/internal/orchestrator/simulation_cancel_test.go
@@ -19,10 +19,10 @@
 
 // cancelModel holds when the requests to cancel were stored.
 type cancelModel struct {
+	stored      []string             // the jobs, in the order in which the requests were stored
 	storedAt    map[string]time.Time // by job
 	disturbedAt time.Time            // when the current leader was last seen to be new, frozen, cut off from the store or deposed
 	seenLeader  int                  // the current leader as of disturbedAt
-	latestEnd   time.Duration        // the longest time by which a run outlasted what it is counted from, of those that were judged
 }
 
 // cancel stores the request to cancel a job, and notifies the current leader.
@@ -40,6 +40,7 @@
 	}
 	if _, ok := w.cancels.storedAt[id]; !ok {
 		w.cancels.storedAt[id] = w.now
+		w.cancels.stored = append(w.cancels.stored, id)
 	}
 }
 
@@ -92,7 +93,6 @@
 	if began := r.startedAt.Add(disturbed); r.late && began.After(from) {
 		from = began
 	}
-	c.latestEnd = max(c.latestEnd, w.now.Sub(from))
 	if w.now.Sub(from) > cancelStartBound+stopTime {
 		w.t.Fatalf("%s: run %d of %s is on %s, %s after the cancel and %s after the last disturbance (late=%t, stopping=%t)%s", w.elapsed(), r.number, r.task,
 			k.entry.ID, w.now.Sub(at), w.now.Sub(from), r.late, r.stopping, w.history(r.task))
--- a/internal/orchestrator/simulation_leader_test.go
+++ b/internal/orchestrator/simulation_leader_test.go
@@ -25,6 +25,7 @@
 	wallOffset       time.Duration
 	pendingAnswers   []orchestrator.Event
 	stopped          map[string]int // highest number of a run that it has stopped, by task
+	cancelsRead      int            // requests to cancel that it has read from the store, in the order in which they were stored
 	reads            bool           // it has been elected and has not read the stored state yet
 	held             map[string]heldPoll
 	nextPollAt       map[string]time.Time // by worker, if workers hold polls
@@ -33,7 +34,7 @@
 // elect adds a new leader, which reads the stored state at once. From then on the store accepts only its writes.
 func (w *simulation) elect(handedOff bool) *simulatedLeader {
 	l := w.electReader()
-	l.inherit(w.storedState(handedOff))
+	l.inherit(l.readState(handedOff))
 	return l
 }
 
@@ -52,8 +53,10 @@
 	return l
 }
 
-// storedState returns what a new leader reads from the store.
-func (w *simulation) storedState(handedOff bool) orchestrator.Inherited {
+// readState returns what a new leader reads from the store. It hears of later requests to cancel only, see catchUp.
+func (l *simulatedLeader) readState(handedOff bool) orchestrator.Inherited {
+	w := l.w
+	l.cancelsRead = len(w.cancels.stored)
 	inherited := orchestrator.Inherited{Roster: w.roster, HandedOff: handedOff}
 	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
 		j := orchestrator.InheritedJob{Job: w.jobs[id], Cancelled: w.cancelRequests[id]}
@@ -166,17 +169,18 @@
 	l.step(orchestrator.Written{Batch: b})
 }
 
-// catchUp passes the jobs and cancel requests in the store to the leader again, because it may
-// have missed their events.
+// catchUp passes the jobs in the store to the leader again, because it may have missed their events, and the requests to cancel that were
+// stored since it last read any.
 func (l *simulatedLeader) catchUp() {
 	for _, id := range slices.Sorted(maps.Keys(l.w.jobs)) {
 		if r, ok := l.w.storedRecords[id]; !ok || !r.State.Final() {
 			l.step(orchestrator.JobAccepted{Job: l.w.jobs[id], Revision: l.w.jobs[id].Epoch + 1})
 		}
-		if l.w.cancelRequests[id] {
-			l.step(orchestrator.CancelRequested{ID: id})
-		}
 	}
+	for _, id := range l.w.cancels.stored[l.cancelsRead:] {
+		l.step(orchestrator.CancelRequested{ID: id})
+	}
+	l.cancelsRead = len(l.w.cancels.stored)
 }
 
 // watchWorkers reports the entries of workers that the leader has missed, and that there are no others.
--- a/internal/orchestrator/simulation_poll_test.go
+++ b/internal/orchestrator/simulation_poll_test.go
@@ -100,9 +100,10 @@
 }
 
 const (
-	maxHeldPoll    = 3 * time.Second        // of a late leader, as in the product
-	pollRetryDelay = 250 * time.Millisecond // after a failed poll, as there
-	pollAckDelay   = 160 * time.Millisecond // after an answer with ends, which are to be stored first
+	maxHeldPoll      = 3 * time.Second        // of a late leader, as in the product
+	maxShortHeldPoll = time.Second            // if the answer is needed soon, as there
+	pollRetryDelay   = 250 * time.Millisecond // after a failed poll, as there
+	pollAckDelay     = 160 * time.Millisecond // after an answer with ends, which are to be stored first
 )
 
 // pollHeld answers the poll that a worker holds if it is time to, and sends the next one.
@@ -138,7 +139,7 @@
 	case r.NoWait:
 		wait = 0
 	case r.ShortWait:
-		wait /= 2
+		wait = min(maxShortHeldPoll, wait/2)
 	}
 	l.held[id] = heldPoll{w.now, w.now.Add(wait), k.incarnation}
 }
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -34,11 +34,12 @@
 	startedAt       map[string]time.Time // last start of each task
 	starts          int
 	faults          faults
-	succeeds        func(task string, run int) bool // whether a run ends as done
-	refuses         func(task string) bool          // whether a worker refuses a start for lack of capacity; nil: never
-	drops           func(task string) bool          // whether a start gets no answer and is not executed; nil: never
-	dropsStop       func(task string) bool          // the same for a stop
-	defers          func(task string) bool          // whether the leader's host lacks the connection for a start; nil: never
+	succeeds        func(task string, run int) bool   // whether a run ends as done
+	refuses         func(task string) bool            // whether a worker refuses a start for lack of capacity; nil: never
+	drops           func(task string) bool            // whether a start gets no answer and is not executed; nil: never
+	dropsStop       func(task string) bool            // the same for a stop
+	failsStop       func(a orchestrator.StopRun) bool // whether a stop is not sent, for lack of connections of the leader's host; nil: never
+	defers          func(task string) bool            // whether the leader's host lacks the connection for a start; nil: never
 	runTime         func(task string, w *simulatedWorker) time.Duration
 	notes           []orchestrator.Note
 	wallOffset      time.Duration
@@ -207,6 +208,10 @@
 		w.answerCommand(c, orchestrator.StartDeferred)
 		return
 	}
+	if a, ok := c.action.(orchestrator.StopRun); ok && answered && w.failsStop != nil && w.failsStop(a) {
+		w.answerCommand(c, orchestrator.StartUnanswered)
+		return
+	}
 	k := w.workers[worker]
 	if a, ok := c.action.(orchestrator.StartRun); ok && answered {
 		w.checkSentStart(c.leader, a)
