coordinator: a notice that nobody takes is repeated at the next leader

What callers saw: after a change of leaders, a cancel that was acknowledged could reach the leader only by its poll of the inputs, once in a second and later if that read failed. Until then tasks of the job could start.

Cause: a host answered a notice with an empty answer whatever it did with it. A host that does not lead, was deposed, hands over or whose scheduler has panicked ignored it, and the sender counted it as delivered and stopped its repeats. A host that still had such a leadership itself told nobody at all.

Evidence: red before in all four states of the receiver (TestNoticeThatNobodyTakesIsRepeatedAtNextLeader) and of the sender (TestNoticeIsSentToNextLeaderByFormerOne), and TestTriesOfNoticeAreBounded with 1 try instead of 6. The sender without a leadership was red only because the test has no monitor that reads the term.

Fix: handleNotice reports whether the request was applied by a leader that goes on, and the answer says so if not. The sender then reads the term after its pause and repeats the notice at the leader of that term. cancelNoticeTries is unchanged, so there are at most 5 further notices and reads of the term for a cancel, in 3.1 s and the time of the calls. A leader that hands over still applies the request, for the records that it writes, but does not count as having taken it.

Builds side by side: NotTaken is left out while false, so a taken notice is answered as before. A host of the build before skips the field and does not repeat the notice, and its own empty answer counts as taken; TestAnswersToNoticesOfBuildBefore (green before: it guards the format).

The log has CancelNotice with the outcome "not taken", and CancelIgnored on each host that does not take one.

--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -299,19 +299,31 @@
 		"Outcome", "scheduling passes wait for as long")
 }
 
-// handleNotice applies a job or cancel request that another host has stored. A job of
-// another term is ignored here; load or pollInputs finds it.
-func (ld *leadership) handleNotice(n notice) {
+// handleNotice applies a job or cancel request that another host has stored, and reports whether this leader will act on it. A
+// job of another term is ignored here; load or pollInputs finds it.
+func (ld *leadership) handleNotice(n notice) bool {
+	applied := false
 	if n.Job != nil && n.Epoch == ld.term.Revision {
 		if err := n.Job.Validate(); err != nil {
 			ld.c.log.Error("JobUnreadable", "Key", prefixJob+n.Job.ID, "Cause", err.Error())
-			return
+			return false
 		}
 		ld.apply(orchestrator.JobAccepted{Job: *n.Job, Revision: n.Revision})
+		applied = true
 	}
 	if n.Cancel != "" {
 		ld.apply(orchestrator.CancelRequested{ID: n.Cancel, Source: orchestrator.CancelNotice})
+		applied = true
 	}
+	return applied && ld.acts()
+}
+
+// acts reports whether this leader still acts on what it is told. None of the states that it checks ever ends, so that an event
+// applied before took effect.
+func (ld *leadership) acts() bool {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	return !ld.failed && !ld.handingOver && !ld.deposed.Load()
 }
 
 // state returns a job's state, whether the job is known, and whether this leader has
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -68,6 +68,21 @@
 	Cancel   string // ID of the job to be cancelled; empty: none
 }
 
+// noticeAnswer answers a notice. A host of the build before answers with an empty message, which means taken, and skips NotTaken.
+type noticeAnswer struct {
+	// NotTaken means that the request was not applied by a leader that goes on, so that the present leader must be told.
+	NotTaken bool `msgpack:",omitempty"`
+}
+
+// noticeOutcome is the outcome of a try to send a notice.
+type noticeOutcome string
+
+const (
+	noticeDelivered noticeOutcome = "delivered" // it need not be repeated
+	noticeLost      noticeOutcome = "lost"      // no answer
+	noticeNotTaken  noticeOutcome = "not taken" // the leader of the known term does not lead or its leadership ends, or there is none
+)
+
 const (
 	// noticeTimeout bounds one try to send a notice. No caller waits for it, so that it allows for a leader that is late.
 	noticeTimeout = 2 * time.Second
@@ -86,20 +101,11 @@
 	State   orchestrator.State
 }
 
-type emptyAnswer struct{}
-
 // peerMethods returns the methods that other entry hosts may call.
 func (c *Coordinator) peerMethods() map[string]messenger.Method {
 	return map[string]messenger.Method{
-		methodPing: messenger.NewMethod(c.servePing),
-		methodNotice: messenger.NewMethod(func(_ context.Context, n notice) (emptyAnswer, error) {
-			if ld := c.currentLeadership(); ld != nil {
-				ld.handleNotice(n)
-			} else if n.Cancel != "" {
-				c.log.Info("CancelIgnored", "Job", n.Cancel, "Reason", "this host does not lead")
-			}
-			return emptyAnswer{}, nil
-		}),
+		methodPing:   messenger.NewMethod(c.servePing),
+		methodNotice: messenger.NewMethod(c.serveNotice),
 		methodState: messenger.NewMethod(func(_ context.Context, r stateRequest) (stateAnswer, error) {
 			return c.localState(r.ID), nil
 		}),
@@ -139,12 +145,17 @@
 	}
 	go func() {
 		defer c.checkingTerm.Store(false)
-		if _, err := c.readTerm(context.Background()); err != nil {
-			c.log.Debug("TermNotRead", "Cause", err.Error())
-		}
+		c.refreshTerm(context.Background())
 	}()
 }
 
+// refreshTerm reads the term. If that fails, the known one stays.
+func (c *Coordinator) refreshTerm(ctx context.Context) {
+	if _, err := c.readTerm(ctx); err != nil {
+		c.log.Debug("TermNotRead", "Cause", err.Error())
+	}
+}
+
 // pingLeader pings the leader of term t. It returns an error if there was no answer.
 func (c *Coordinator) pingLeader(ctx context.Context, t term) (pingAnswer, error) {
 	var a pingAnswer
@@ -195,12 +206,26 @@
 	return a, err
 }
 
+// serveNotice takes a notice of another host.
+func (c *Coordinator) serveNotice(_ context.Context, n notice) (noticeAnswer, error) {
+	reason := "this host does not lead"
+	if ld := c.currentLeadership(); ld != nil {
+		if ld.handleNotice(n) {
+			return noticeAnswer{}, nil
+		}
+		reason = "the leadership of this host ends"
+	}
+	if n.Cancel != "" {
+		c.log.Info("CancelIgnored", "Job", n.Cancel, "Reason", reason)
+	}
+	return noticeAnswer{NotTaken: true}, nil
+}
+
 // notifyLeader sends a notice to the leader without waiting for the answer. If the notice
 // is lost, the leader finds the change in the store within inputPollInterval, or later if it is short of processor time: the
 // notice of a cancel request is repeated.
 func (c *Coordinator) notifyLeader(n notice) {
-	if ld := c.currentLeadership(); ld != nil {
-		ld.handleNotice(n)
+	if ld := c.currentLeadership(); ld != nil && ld.handleNotice(n) {
 		return
 	}
 	tries := 1
@@ -209,50 +234,53 @@
 	}
 	go func() {
 		for i := range tries {
-			delivered := c.sendNotice(n)
-			c.recordNotice(n, i+1, delivered)
-			if delivered {
+			o := c.sendNotice(n)
+			c.recordNotice(n, i+1, o)
+			if o == noticeDelivered || i+1 == tries {
 				return
 			}
 			sleep(context.Background(), noticeRetryDelay<<i)
+			if o == noticeNotTaken {
+				c.refreshTerm(context.Background()) // by now another host may lead
+			}
 		}
 	}()
 }
 
-// recordNotice counts a try to send the notice of a request to cancel, and logs the try if it was not the first or got no answer.
-func (c *Coordinator) recordNotice(n notice, try int, delivered bool) {
+// recordNotice counts a try to send the notice of a request to cancel, and logs the try if it was not the first or was not delivered.
+func (c *Coordinator) recordNotice(n notice, try int, o noticeOutcome) {
 	if n.Cancel == "" {
 		return
 	}
-	outcome := "delivered"
-	if !delivered {
-		outcome = "lost"
-	}
-	c.metrics.cancelNotices.WithLabelValues(outcome).Inc()
-	if delivered && try == 1 {
+	c.metrics.cancelNotices.WithLabelValues(string(o)).Inc()
+	if o == noticeDelivered && try == 1 {
 		return
 	}
 	t, _ := c.currentTerm()
-	c.log.Info("CancelNotice", "Job", n.Cancel, "Outcome", outcome, "Try", try, "Tries", cancelNoticeTries, "Leader", t.Host, "Epoch", t.Revision)
+	c.log.Info("CancelNotice", "Job", n.Cancel, "Outcome", string(o), "Try", try, "Tries", cancelNoticeTries, "Leader", t.Host, "Epoch", t.Revision)
 }
 
-// sendNotice sends a notice to the present leader, which may be this host by now, and reports whether it need not be
-// repeated.
-func (c *Coordinator) sendNotice(n notice) bool {
-	if ld := c.currentLeadership(); ld != nil {
-		ld.handleNotice(n)
-		return true
+// sendNotice sends a notice to the leader of the known term, which may be this host by now.
+func (c *Coordinator) sendNotice(n notice) noticeOutcome {
+	if ld := c.currentLeadership(); ld != nil && ld.handleNotice(n) {
+		return noticeDelivered
 	}
 	t, known := c.currentTerm()
-	if !known || !t.address().IsValid() {
-		return false
-	}
-	if n.Job != nil && n.Epoch != t.Revision {
-		return true // this leader finds the job when it reads the state of earlier ones
+	switch {
+	case !known, !t.address().IsValid():
+		return noticeNotTaken
+	case n.Job != nil && n.Epoch != t.Revision:
+		return noticeDelivered // this leader finds the job when it reads the state of earlier ones
+	case t.Process == c.processID:
+		return noticeNotTaken
 	}
-	if err := c.client(t.address()).Invoke(context.Background(), noticeTimeout, methodNotice, &n, &emptyAnswer{}); err != nil {
+	var a noticeAnswer
+	if err := c.client(t.address()).Invoke(context.Background(), noticeTimeout, methodNotice, &n, &a); err != nil {
 		c.log.Debug("NoticeLost", "Leader", t.Host, "Cause", err.Error())
-		return false
+		return noticeLost
+	}
+	if a.NotTaken {
+		return noticeNotTaken
 	}
-	return true
+	return noticeDelivered
 }
