coordinator: commands for a worker's former address are reported as not sent

What callers saw: nothing that was traced to this. The fault was found by reading: a task whose start was waiting when its worker was listed at another address never began, and one whose stop was waiting ran on although its cancel was acknowledged.

Cause: startPoller cancels the poller of the former address, and its senders leave the queue as it is. The scheduler takes such a command for sent, and sends it again only after an answer (inFlight, resendCommands).

By the platform's description a worker may start again under its ID; that its address changes within one life is not described. The window is narrow: commands wait only while both senders wait for answers.

Fix: the queue of a replaced poller is emptied, and each command is reported as not sent, outside leadership.mu as in enqueueCommand. No sender takes a command after the cancel, so that none is reported twice or sent afterwards. A start is then decided anew, or stopped if an earlier try may still be executed; a stop is sent again after 300 ms.

Not changed, because nothing waits for an outcome there: stopPoller (the scheduler drops only a worker that is proved idle, and forgets it with its runs), send on a deposed leader (apply ignores events then), and a hand-over (the leadership sends nothing more).

--- a/internal/coordinator/late_leader_test.go
+++ b/internal/coordinator/late_leader_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,6 +154,8 @@
 	ended []orchestrator.EndedRun
 	count int // of ends
 	polls int
+	born  time.Time // zero: long ago
+	down  bool      // polls fail
 }
 
 type memoryRun struct {
@@ -184,10 +187,16 @@
 		m.mu.Lock()
 		w := m.worker(t.ID)
 		w.ended = slices.DeleteFunc(w.ended, func(e orchestrator.EndedRun) bool { return e.Number <= l.AckedThrough })
-		if len(w.ended) > 0 || !time.Now().Before(deadline) || ctx.Err() != nil {
+		if len(w.ended) > 0 || w.down || !time.Now().Before(deadline) || ctx.Err() != nil {
 			defer m.mu.Unlock()
 			w.polls++
+			if w.down {
+				return orchestrator.PollAnswered{}, syscall.ECONNRESET
+			}
 			a := orchestrator.PollAnswered{Incarnation: 1, Clock: time.Since(time.Unix(0, 0)), Ended: slices.Clone(w.ended)}
+			if !w.born.IsZero() {
+				a.Incarnation, a.Clock = w.born.UnixNano(), time.Since(w.born)
+			}
 			for task, r := range w.runs {
 				a.Running = append(a.Running, orchestrator.RunningRun{Task: task, Run: r.number, Percent: 100 - int(100*time.Until(r.endsAt)/r.length)})
 			}
@@ -218,6 +227,32 @@
 	return nil
 }
 
+// restart ends a worker with its runs, and begins another one with the same ID a time later.
+func (m *memoryWorkers) restart(id string, after time.Duration) {
+	m.mu.Lock()
+	m.workers[id] = &memoryWorker{runs: make(map[string]memoryRun), down: true}
+	m.mu.Unlock()
+	time.Sleep(after)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.workers[id].born, m.workers[id].down = time.Now(), false
+}
+
+// running returns how many tasks of a job run.
+func (m *memoryWorkers) running(job string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for id := range m.workers {
+		for task := range m.worker(id).runs {
+			if strings.HasPrefix(task, job+".") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (m *memoryWorkers) CloseConnections(netip.AddrPort) {}
 
 // lateLeader is a leadership in virtual time, with a store and workers in memory.
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -76,7 +76,7 @@
 		if p.target.Address == w.Address {
 			return
 		}
-		p.cancel()
+		ld.replacePoller(p)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &poller{ld: ld, target: Target{ID: w.ID, Address: w.Address}, ctx: ctx, cancel: cancel}
@@ -84,7 +84,20 @@
 	go p.run(recorded)
 }
 
-// stopPoller stops the poller of a worker and closes its connections. ld.mu must be held.
+// replacePoller cancels a poller whose worker gets another one, and reports its queued commands as not sent: the worker's runs
+// remain, and the scheduler sends a command again only after an answer. ld.mu must be held.
+func (ld *leadership) replacePoller(p *poller) {
+	p.cancel()
+	commands := p.takeCommands()
+	go func() {
+		for _, c := range commands {
+			ld.reportNotSent(c.action)
+		}
+	}()
+}
+
+// stopPoller stops the poller of a worker and closes its connections. The scheduler has dropped the worker and has no runs on
+// it, so that it waits for no answer to a queued command. ld.mu must be held.
 func (ld *leadership) stopPoller(id string) {
 	p := ld.pollers[id]
 	if p == nil {
@@ -136,6 +149,15 @@
 	return c, true
 }
 
+// takeCommands empties the queue of a cancelled poller. No sender takes a command from it any more.
+func (p *poller) takeCommands() []command {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cs := p.commands
+	p.commands = nil
+	return cs
+}
+
 // reportNotSent reports to the orchestrator that a command was not sent.
 func (ld *leadership) reportNotSent(a orchestrator.Action) {
 	switch a := a.(type) {
@@ -299,7 +321,7 @@
 
 // send sends a command, unless another host has been elected since the command was decided, or the command is a
 // start in a failure domain whose evacuation has become known since. A start that has waited for maxStartDelay is
-// deferred.
+// deferred. A deposed leader needs no outcome: it applies no events.
 func (p *poller) send(c command) {
 	ld, begin := p.ld, time.Now()
 	if ld.deposed.Load() {
