coordinator: a request to cancel is stored in a known term

What callers saw: a task began up to 3.8 s after the cancel of its job was acknowledged, 3 s are allowed.

Cause: a host stores a request just after an election that neither it nor the former leader knows of. The former leader takes the notice, so that it is not repeated; the next leader may have read the requests before and then learns of this one by its poll of the inputs, which was late.

Evidence: TestCancelIsToldToLeaderElectedJustBefore, red before.

Fix: the write of the request expects the term that the host knows, as the write of a job does. If another host was elected before, the write fails, the host reads the term and tries again, and its notice goes to the present leader; one that is elected afterwards reads the request with the inputs.

Builds side by side: nothing stored or sent changes. Hosts of the build before store requests without the condition.

--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -252,8 +252,10 @@
 		if job.Revision == 0 {
 			return c.cancelFinished(ctx, id)
 		}
+		// A leader elected after this finds the request when it reads the inputs. One elected before gets the notice.
+		t, _ := c.currentTerm()
 		_, err = c.store.Commit(ctx, storer.Transaction{
-			Conditions: []storer.Condition{{Key: prefixJob + id, Revision: job.Revision}},
+			Conditions: []storer.Condition{{Key: prefixJob + id, Revision: job.Revision}, {Key: keyTerm, Revision: t.Revision}},
 			Puts:       []storer.Entry{{Key: prefixCancel + id, Value: []byte(c.processID)}},
 		})
 		var conflict *storer.ConflictError
@@ -265,8 +267,11 @@
 			// Cancelling is idempotent, so the caller may retry the request.
 			return Answer{Outcome: OutcomeUndecided, Reason: err.Error()}
 		}
+		if conflict.Revision(keyTerm) != t.Revision {
+			c.refreshTerm(ctx)
+		}
 	}
-	return Answer{Outcome: OutcomeUnavailable, Reason: "the job changed during every try",
+	return Answer{Outcome: OutcomeUnavailable, Reason: "the job or the leader changed during every try",
 		RetryAfter: c.retryAfter(readmitter.Refusal{Cause: readmitter.CauseLeaderChange, ID: id})}
 }
 
--- a/internal/coordinator/notice_test.go
+++ b/internal/coordinator/notice_test.go
@@ -201,3 +201,24 @@
 		is.NoErr(before.client(netip.MustParseAddrPort(formerAddress)).Invoke(t.Context(), noticeTimeout, methodNotice, &notice{Cancel: "j1"}, &struct{}{}))
 	})
 }
+
+// Another host has been elected just before a request to cancel is stored, and neither the host that stores it nor the former
+// leader knows. Guards against a notice that only the former leader takes: the next one heard of the request by its poll of the
+// inputs only if it had read them before, and tasks began up to 3.8 s after the acknowledgement while reads were late.
+func TestCancelIsToldToLeaderElectedJustBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newNoticePair(t)
+		store := newDelayedStore(8 * time.Millisecond)
+		value, err := msgpack.Marshal(&term{Host: "c", Process: "c/1", Address: nextAddress})
+		is.NoErr(err)
+		store.revision = 9
+		store.entries[keyTerm] = storer.Entry{Key: keyTerm, Value: value, Revision: 9}
+		store.entries[prefixJob+"j1"] = storer.Entry{Key: prefixJob + "j1", Revision: 5}
+		p.host.store = store
+		is.Equal(p.host.Cancel(t.Context(), "j1").Outcome, OutcomeDone)
+		time.Sleep(100 * time.Millisecond)
+		state, _, _ := p.next.state("j1")
+		is.Equal(state, orchestrator.StateCancelled)
+	})
+}
