--- a/internal/coordinator/cancel.go
+++ b/internal/coordinator/cancel.go
@@ -45,27 +45,43 @@
 			}
 			return a
 		}
-		_, err = c.store.Commit(ctx, storer.Transaction{
-			Conditions: []storer.Condition{{Key: prefixJob + id, Revision: job.Revision}},
-			Puts:       []storer.Entry{{Key: prefixCancel + id, Value: []byte(c.processID)}},
-		})
+		err = c.storeCancel(ctx, id, storer.Condition{Key: prefixJob + id, Revision: job.Revision})
 		var conflict *storer.ConflictError
 		switch {
 		case err == nil:
-			c.notifyLeader(notice{Cancel: id})
 			return Answer{Outcome: OutcomeDone, State: orchestrator.StateCancelled}
 		case !errors.As(err, &conflict):
 			// Cancelling is idempotent, so the caller may retry the request.
 			return Answer{Outcome: OutcomeUndecided, Reason: err.Error()}
 		}
 	}
-	return Answer{Outcome: OutcomeUnavailable, Reason: "the job changed during every try",
+	return Answer{Outcome: OutcomeUnavailable, Reason: "the job or the leader changed during every try",
 		RetryAfter: c.retryAfter(readmitter.Refusal{Cause: readmitter.CauseLeaderChange, ID: id})}
 }
 
+// storeCancel stores a request to cancel a job while the conditions hold, and notifies the leader of it. The request is stored in the
+// term that this host knows: a leader that is elected afterwards finds it when it reads the inputs, and one that was elected before
+// gets the notice. If another host has been elected, the write fails, and the term is read again for the next try.
+func (c *Coordinator) storeCancel(ctx context.Context, id string, conditions ...storer.Condition) error {
+	t, _ := c.currentTerm()
+	_, err := c.store.Commit(ctx, storer.Transaction{
+		Conditions: append(conditions, storer.Condition{Key: keyTerm, Revision: t.Revision}),
+		Puts:       []storer.Entry{{Key: prefixCancel + id, Value: []byte(c.processID)}},
+	})
+	var conflict *storer.ConflictError
+	switch {
+	case err == nil:
+		c.notifyLeader(notice{Cancel: id})
+	case errors.As(err, &conflict) && conflict.Revision(keyTerm) != t.Revision:
+		c.refreshTerm(ctx)
+	}
+	return err
+}
+
 // cancelUnknown answers a request to cancel a job that is not among the unfinished jobs. Without a record of the job, its
 // submission may still be on the way to the store, so the request is stored on the condition that there is neither: whenever the
-// job is accepted, the leader cancels it. changed reports that there is one by now.
+// job is accepted, the leader cancels it. changed reports that there is one by now, or
+// another leader.
 func (c *Coordinator) cancelUnknown(ctx context.Context, id string) (a Answer, changed bool) {
 	e, err := c.store.Get(ctx, prefixRecord+id)
 	switch {
@@ -76,15 +92,11 @@
 	case !c.mayStoreUnknownCancel():
 		return Answer{Outcome: OutcomeUnavailable, Reason: "too many requests to cancel jobs that are not known", RetryAfter: unknownCancelRetryAfter}, false
 	}
-	_, err = c.store.Commit(ctx, storer.Transaction{
-		Conditions: []storer.Condition{{Key: prefixJob + id}, {Key: prefixRecord + id}},
-		Puts:       []storer.Entry{{Key: prefixCancel + id, Value: []byte(c.processID)}},
-	})
+	err = c.storeCancel(ctx, id, storer.Condition{Key: prefixJob + id}, storer.Condition{Key: prefixRecord + id})
 	var conflict *storer.ConflictError
 	var unknown *storer.UnknownOutcomeError
 	switch {
 	case err == nil:
-		c.notifyLeader(notice{Cancel: id})
 		return Answer{Outcome: OutcomeNoSuchJob, Reason: "no such job; it is cancelled if it is accepted later"}, false
 	case errors.As(err, &conflict):
 		return Answer{}, true
