coordinator: tests of late submissions set up their store before the leader runs

Cause: lateSubmission replaced the store of a leader whose goroutines already used it, which is a data race (seen by go test -race; the test passed).

Change: delayedStore can forget its history, so that no second store is needed. What the tests check is unchanged.

Measured: go test -race ./internal/coordinator -run Cancel passes.

--- a/internal/coordinator/cancel_test.go
+++ b/internal/coordinator/cancel_test.go
@@ -16,23 +16,16 @@
 	"peridotpitch/internal/storer"
 )
 
-// listedStore is a delayedStore without a history: inputs are always listed.
-type listedStore struct{ *delayedStore }
-
-func (s listedStore) Watch(context.Context, string, uint64, time.Duration) (storer.Events, error) {
-	return storer.Events{Compacted: true}, nil
-}
-
 // lateSubmission returns a leader of one worker and a job whose submission has got no answer and is executed after delay.
 func lateSubmission(t *testing.T, delay time.Duration) (l lateLeader, j orchestrator.Job, closeLeader func()) {
 	t.Helper()
 	store := newDelayedStore(8 * time.Millisecond)
+	store.forgets = true
 	store.lateBy = func() time.Duration { return delay }
 	store.lose = func(tx storer.Transaction) bool {
 		return slices.ContainsFunc(tx.Puts, func(e storer.Entry) bool { return strings.HasPrefix(e.Key, prefixJob) })
 	}
 	l, closeLeader = newLateLeader(t, 1, store, &memoryWorkers{runTime: time.Minute})
-	l.c.store = observedStore{TransactionalStore: listedStore{store}, onResult: l.c.recordStoreResult}
 	j = orchestrator.Job{ID: "00000000000000aa", Submitted: time.Now(), Policy: orchestrator.Policy{Queue: "q", Service: "s", Attempts: 3, Guarded: true},
 		Steps: []orchestrator.Step{{Count: 1, Size: orchestrator.Resources{CPU: 500, Memory: 100}, Estimate: time.Second}}}
 	if a := l.c.submit(t.Context(), j); a.Outcome != OutcomeUndecided {
@@ -109,9 +102,10 @@
 func TestUnknownCancelsAreRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		l, closeLeader := newLateLeader(t, 1, newDelayedStore(0), &memoryWorkers{runTime: time.Second})
+		store := newDelayedStore(0)
+		store.forgets = true
+		l, closeLeader := newLateLeader(t, 1, store, &memoryWorkers{runTime: time.Second})
 		defer closeLeader()
-		l.c.store = observedStore{TransactionalStore: listedStore{l.store}, onResult: l.c.recordStoreResult}
 		const cancels = 25
 		for i := range cancels {
 			is.Equal(l.c.Cancel(t.Context(), fmt.Sprintf("%016x", i)).Outcome, OutcomeNoSuchJob)
--- a/internal/coordinator/late_leader_test.go
+++ b/internal/coordinator/late_leader_test.go
@@ -31,6 +31,8 @@
 	// lose, if set, reports whether a transaction gets no answer. It is executed lateBy later, if its conditions still hold.
 	lose   func(t storer.Transaction) bool
 	lateBy func() time.Duration
+	// forgets makes watches fail as if the history had been dropped, so that inputs are listed.
+	forgets bool
 
 	mu       sync.Mutex // guards the fields below
 	revision uint64
@@ -127,6 +129,9 @@
 
 // Watch waits without a change.
 func (s *delayedStore) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) (storer.Events, error) {
+	if s.forgets {
+		return storer.Events{Compacted: true}, nil
+	}
 	sleep(ctx, wait)
 	return storer.Events{}, ctx.Err()
 }
