orchestrator: a test for later occurrences of a cancelled job

No test failed with the conditions off that keep occurrences of a cancelled job from beginning (found while the paths of an acknowledged cancel were listed).

Measured: passes; with the condition of beginOccurrences off it still passes, because updateReady checks the same; with both off it fails.

--- a/internal/orchestrator/stop_test.go
+++ b/internal/orchestrator/stop_test.go
@@ -38,3 +38,22 @@
 	is.True(w.starts == 1) // else the test says nothing
 	is.Equal(len(w.runningOn("j1")), 0)
 }
+
+// A scheduled job is cancelled while its leader does not reach the store, so that the leader keeps the job. Guards against later
+// occurrences that begin after the cancel.
+func TestLaterOccurrenceOfCancelledJobDoesNotStart(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 1, cores(8, 32))
+	j := simpleJob("j1", 1, cores(1, 1))
+	j.Occurrences, j.First, j.Interval = 50, w.now, 100*time.Millisecond
+	j.Policy.Guarded = true // otherwise a leader without the store soon starts nothing
+	w.submit(j)
+	w.run(250 * time.Millisecond)
+	w.leader().storeUnreachable = true
+	w.cancel("j1")
+	w.run(50 * time.Millisecond) // starts that were on their way arrive
+	before := w.starts
+	is.True(before > 0) // else the test says nothing
+	w.run(2 * time.Second)
+	is.Equal(w.starts, before)
+}
