--- a/internal/orchestrator/model_test.go
+++ b/internal/orchestrator/model_test.go
@@ -19,8 +19,8 @@
 // executed late, workers restart, change their capacity or crash under tasks, and failure domains are evacuated.
 // simulation.checkStart checks each start, and checkCrashes and checkGivenUp that a task which crashes its workers is given up,
 // and no task is that has been on fewer than two workers that ended. checkedStart checks that nothing starts in evacuated failure
-// domains, and checkEvacuationStop that a step does not miss more tasks than it may for an evacuation. After the last
-// fault every job must reach a final state.
+// domains, checkSentStart and checkCancelled that no task of a cancelled job starts or goes on, and checkEvacuationStop that a
+// step does not miss more tasks than it may for an evacuation. After the last fault every job must reach a final state.
 func TestInvariantsUnderFaults(t *testing.T) { rapid.Check(t, checkInvariants) }
 
 // setFlag sets a flag until the test ends.
@@ -148,6 +148,7 @@
 	w.pendingCommands = slices.DeleteFunc(w.pendingCommands, func(o pendingCommand) bool { return o.worker == k.entry.ID })
 	k.incarnation, k.startedAt, k.fence, k.leaseEnd, k.endCount, k.ackedThrough, k.endsBeforeExpiry, k.reportedThrough = w.now.UnixMilli(), w.now, 0, 0, 0, 0, 0, 0
 	k.ended = nil
+	clear(k.listedAt)
 	clear(k.runs)
 	clear(k.lastEndedRun)
 }
