orchestrator: draining workers and ends in parts in the property of cancelled jobs

Cause: starts are withdrawn and runs are stopped when a worker drains, and a worker that lists few ends at once leaves runs in the leader's table for longer. TestCancelsUnderFaults had neither.

Change: workers drain and are taken in again, and list 1 to 3 ends at once, or all.

--- a/internal/orchestrator/model_cancel_test.go
+++ b/internal/orchestrator/model_cancel_test.go
@@ -25,6 +25,7 @@
 		w.holdPolls, w.lease = maxHeldPoll, 6*time.Second
 	}
 	m := &cancelPlay{rt: rt, w: w, workers: []string{"w0", "w1", "w2"}}
+	w.endsPerPoll = rapid.IntRange(0, 3).Draw(rt, "ends")
 	w.succeeds = func(string, int) bool { return w.rng.Float64() > 0.03 }
 	w.runTime = func(string, *simulatedWorker) time.Duration {
 		if w.rng.IntN(3) > 0 {
@@ -80,7 +81,8 @@
 	w.dropsStop = func(string) bool { return w.rng.Float64() < lostStops }
 	for range rapid.IntRange(2, 10).Draw(m.rt, "events") {
 		switch rapid.SampledFrom([]string{"job", "job", "job", "cancel", "cancel", "elect", "lose all hosts", "read slowly", "hand over", "partition", "disconnect",
-			"heal", "restart", "crash", "freeze", "toggle store", "evacuate", "take back", "lose contact", "lose contact"}).Draw(m.rt, "event") {
+			"heal", "restart", "crash", "freeze", "toggle store", "evacuate", "take back", "lose contact", "lose contact",
+			"drain", "take in"}).Draw(m.rt, "event") {
 		case "job":
 			m.submit()
 		case "cancel":
@@ -122,6 +124,10 @@
 		case "toggle store":
 			l := w.leader()
 			l.storeUnreachable, l.disturbedAt = !l.storeUnreachable, w.now
+		case "drain":
+			m.setDraining(true)
+		case "take in":
+			m.setDraining(false)
 		case "evacuate":
 			w.evacuate(m.worker().entry.FailureDomain)
 		case "take back":
@@ -157,6 +163,18 @@
 	w.run(m.duration("quiet", 3500, 7500))
 }
 
+// setDraining changes whether a worker drains. Leaders that reach the store hear of it.
+func (m *cancelPlay) setDraining(drains bool) {
+	k := m.worker()
+	k.entry.Draining = drains
+	for _, l := range m.w.leaders {
+		l.missedChanges = l.missedChanges || l.storeUnreachable || l.frozen
+		if !l.storeUnreachable && !l.reads {
+			l.step(orchestrator.WorkerListed{Worker: k.entry})
+		}
+	}
+}
+
 // loseContact cuts a worker off for a moment, while a job is cancelled.
 func (m *cancelPlay) loseContact() {
 	k, l := m.worker(), m.w.leader()
