orchestrator: a start that is withdrawn on a draining worker no longer ends the leadership

Callers would see: the leader panics and its leadership ends.

Cause: tickWorker goes through a worker's runs with range while resendCommands removes one of them: a run whose start has not left the host (deferred, or without a lease), on a worker that drains meanwhile. slices.Delete clears the last element, which range still visits if the removed run was not the last: a nil pointer.

Evidence: TestDeferredStartOnDrainingWorkerIsWithdrawn, red on (panic in resendCommands). Found by a trial of TestCancelsUnderFaults in which late commands survive restarts of workers, rapid.

Fix: the index advances only if the run is still there. The other callers of startNotExecuted, removeRun and expireRun go through copies, or backwards.

Measured: go test ./internal/orchestrator passes.

--- a/internal/orchestrator/deferral_test.go
+++ b/internal/orchestrator/deferral_test.go
@@ -1,6 +1,7 @@
 package orchestrator_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -87,3 +88,22 @@
 	is.Equal(w.starts, 2)
 	is.Equal(w.state("j1"), orchestrator.StateSucceeded)
 }
+
+// The start of a task is deferred, its worker has a later run too, and drains. Guards against a leader that panics because the deferred start is
+// withdrawn while the worker's runs are gone through, and loses its leadership.
+func TestDeferredStartOnDrainingWorkerIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 1, cores(8, 32))
+	w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+	w.defers = func(task string) bool { return strings.HasPrefix(task, "j1.") }
+	w.submit(simpleJob("j1", 1, cores(1, 1)))
+	w.run(100 * time.Millisecond)
+	w.submit(simpleJob("j2", 1, cores(1, 1)))
+	w.run(100 * time.Millisecond)
+	is.Equal(w.runningOn("j2"), []string{"w0"})
+	k := w.workers["w0"]
+	k.entry.Draining = true
+	w.leader().step(orchestrator.WorkerListed{Worker: k.entry})
+	w.run(time.Second)
+	is.Equal(w.starts, 1)
+}
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -469,8 +469,12 @@
 		o.stopBeforeDrainEnds(w)
 	}
 	o.withdrawStarts(w)
-	for _, r := range w.runs {
+	for i := 0; i < len(w.runs); { // resendCommands may remove the run
+		r := w.runs[i]
 		o.resendCommands(r)
+		if i < len(w.runs) && w.runs[i] == r {
+			i++
+		}
 	}
 	o.resendStrayStops(w)
 	if w.load.bestEffort > 0 && w.load.latencyCritical > 0 {
