coordinator: a cancel between acceptance and progress of its job takes effect

Callers would see: a cancel is answered with 2xx, and the job runs to its end.

The host reads the job, which is absent, and then the record. A record of any state counted as the end of the job, also one of the progress of a job that was accepted between the two reads.

Fix: a record that is not final means that the job has come: the cancel starts over and finds it. No record, key or message changes.

Measured: the tests of cancels pass with the race detector.

--- a/internal/coordinator/cancel.go
+++ b/internal/coordinator/cancel.go
@@ -87,6 +87,8 @@
 	switch {
 	case err != nil:
 		return c.unavailableAnswer(err, id, requestPriority), false
+	case e.Revision > 0 && !finalRecord(e):
+		return Answer{}, true // the job was accepted after it was read
 	case e.Revision > 0:
 		return Answer{Outcome: OutcomeDone, Reason: "it has ended"}, false
 	case !c.mayStoreUnknownCancel():
@@ -106,6 +108,13 @@
 	return c.unavailableAnswer(err, id, requestPriority), false
 }
 
+// finalRecord reports whether a record is of a job in a final state. One that can't be read counts as such: its job is left out by
+// every leader.
+func finalRecord(e storer.Entry) bool {
+	r, err := orchestrator.DecodeRecord(e.Value)
+	return err != nil || r.State.Final()
+}
+
 // mayStoreUnknownCancel reports whether this host may store another request to cancel an unknown job. The hosts share
 // unknownCancelRate.
 func (c *Coordinator) mayStoreUnknownCancel() bool {
--- a/internal/coordinator/cancel_test.go
+++ b/internal/coordinator/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"slices"
 	"strings"
 	"testing"
@@ -128,6 +129,44 @@
 	})
 }
 
+// slowRecordStore takes a time for each read of a record.
+type slowRecordStore struct {
+	storer.TransactionalStore
+	delay time.Duration
+}
+
+func (s slowRecordStore) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if strings.HasPrefix(key, prefixRecord) {
+		time.Sleep(s.delay)
+	}
+	return s.TransactionalStore.Get(ctx, key)
+}
+
+// A job is accepted, and its progress written, between the reads of the job and of its record. Guards against a cancel that is answered as one
+// of a job that has ended, while the job runs.
+func TestCancelFindsJobAcceptedBetweenReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newDelayedStore(8 * time.Millisecond)
+		store.forgets = true
+		l, closeLeader := newLateLeader(t, 1, store, &memoryWorkers{runTime: time.Minute})
+		defer closeLeader()
+		host := New(Settings{Name: "b"}, Dependencies{Store: slowRecordStore{store, 200 * time.Millisecond}}, slog.New(slog.DiscardHandler))
+		host.recordStoreResult(nil)
+		j := orchestrator.Job{ID: "00000000000000aa", Submitted: time.Now(), Policy: orchestrator.Policy{Queue: "q", Service: "s", Attempts: 3, Guarded: true},
+			Steps: []orchestrator.Step{{Count: 1, LongRunning: true, Size: orchestrator.Resources{CPU: 500, Memory: 100}, Estimate: time.Second}}}
+		answer := make(chan Answer, 1)
+		go func() { answer <- host.Cancel(t.Context(), j.ID) }()
+		time.Sleep(time.Millisecond) // it has read the job
+		is.Equal(l.c.submit(t.Context(), j).Outcome, OutcomeDone)
+		is.Equal((<-answer).Outcome, OutcomeDone)
+		var position watchPosition
+		is.NoErr(l.pollInputsOnce(t.Context(), &position))
+		time.Sleep(visibleTime)
+		is.Equal(l.workers.running(j.ID), 0)
+	})
+}
+
 // arrivingStore accepts a job between the first read of it and the next call.
 type arrivingStore struct {
 	*delayedStore
