coordinator: a job that comes before the removal of its cancel is cancelled

Callers would see: a cancel is answered 410, the job is submitted again after the retention, and runs until another leader is elected, which cancels it.

Cause: a leader drops a request without a job after the retention, and the removal from the store follows within a second. If the job came in between, the removal was given up, as it must be, and the leader had forgotten the request.

Evidence: found by the reviewer; TestJobThatComesBeforeRemovalIsCancelled, red before: the task runs.

Fix: a removal that finds the job cancels it.

--- a/internal/coordinator/cancel.go
+++ b/internal/coordinator/cancel.go
@@ -171,19 +171,19 @@
 		ld.c.log.Debug("CancelsNotRemoved", "Cause", err.Error())
 		return false
 	}
-	ld.mu.Lock()
-	defer ld.mu.Unlock()
 	var kept []orchestrator.RemoveCancel
 	if conflict != nil {
 		for _, e := range expired {
-			if conflict.Revision(prefixJob+e.ID) == 0 && conflict.Revision(prefixCancel+e.ID) == e.Revision {
+			switch unchanged := conflict.Revision(prefixCancel+e.ID) == e.Revision; {
+			case unchanged && conflict.Revision(prefixJob+e.ID) > 0:
+				ld.apply(orchestrator.CancelRequested{ID: e.ID, Revision: e.Revision, Source: orchestrator.CancelListed})
+			case unchanged:
 				kept = append(kept, e)
 			}
 		}
-		if len(kept) == n { // the term has changed: the next leader removes them
-			return false
-		}
 	}
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
 	ld.expiredCancels = append(kept, ld.expiredCancels[n:]...)
-	return len(ld.expiredCancels) > 0
+	return len(kept) < n && len(ld.expiredCancels) > 0 // all are kept if the term has changed: the next leader removes them
 }
--- a/internal/coordinator/cancel_test.go
+++ b/internal/coordinator/cancel_test.go
@@ -51,7 +51,7 @@
 		l.workers.mu.Lock()
 		defer l.workers.mu.Unlock()
 		is.Equal(len(l.workers.started), 0)
-		state, known := l.orch.State(j.ID)
+		state, known, _ := l.state(j.ID)
 		is.True(known) // else the write was not executed, and the test says nothing
 		is.Equal(state, orchestrator.StateCancelled)
 	})
@@ -129,6 +129,29 @@
 	})
 }
 
+// A job comes after the leader has dropped the request to cancel it, and before the request is removed. Guards against a request that stays
+// in the store without effect: its job runs until another leader reads both.
+func TestJobThatComesBeforeRemovalIsCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newDelayedStore(0)
+		store.forgets = true
+		l, closeLeader := newLateLeader(t, 1, store, &memoryWorkers{runTime: time.Minute})
+		defer closeLeader()
+		const id = "00000000000000aa"
+		is.Equal(l.c.Cancel(t.Context(), id).Outcome, OutcomeNoSuchJob)
+		var position watchPosition
+		is.NoErr(l.pollInputsOnce(t.Context(), &position))
+		time.Sleep(l.c.settings.StatusRetention + 2*time.Second)
+		l.submit(id, 1)
+		l.removeCancelsOnce(t.Context())
+		time.Sleep(visibleTime)
+		is.Equal(l.workers.running(id), 0)
+		state, _, _ := l.state(id)
+		is.Equal(state, orchestrator.StateCancelled)
+	})
+}
+
 // slowRecordStore takes a time for each read of a record.
 type slowRecordStore struct {
 	storer.TransactionalStore
