coordinator, orchestrator: the retention of a cancel without a job counts over leaders

Operators would see: requests to cancel whose jobs never come stay in the store while leaders follow each other, and each election writes a log line for each of them, up to 6,000, which is more than the log keeps.

Cause: a new leader counted the retention from its own election.

TestRetentionOfEarlyCancelsOutlivesLeaders needs the new field StoredAt, so that it was not seen red as it stands.

Fix: the value of a request holds the time at which it was stored, and a leader counts from then, at the latest from when it learns of the request. The scan for old ones runs once a second instead of with each Tick. A leader writes one line for all requests that it inherits.

A host of the build before does not read the value. Its own values have no time and count from when the leader learns of them (TestRequestsOfBuildBeforeAreRead).

Measured: the tests of cancels pass.

--- a/internal/coordinator/cancel.go
+++ b/internal/coordinator/cancel.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/time/rate"
 
 	"peridotpitch/internal/orchestrator"
@@ -59,14 +61,35 @@
 		RetryAfter: c.retryAfter(readmitter.Refusal{Cause: readmitter.CauseLeaderChange, ID: id})}
 }
 
+// cancelValue is the value of a request to cancel a job. Hosts of the build before write their process alone.
+type cancelValue struct {
+	Process  string
+	StoredAt time.Time // by the clock of the host
+}
+
+func encodeCancel(v cancelValue) ([]byte, error) { return msgpack.Marshal(&v) }
+
+// cancelRequest returns the request to cancel that an entry under prefixCancel holds. A value of the build before has no time.
+func cancelRequest(e storer.Entry, source orchestrator.CancelSource) orchestrator.CancelRequested {
+	var v cancelValue
+	if err := msgpack.Unmarshal(e.Value, &v); err != nil {
+		v = cancelValue{}
+	}
+	return orchestrator.CancelRequested{ID: strings.TrimPrefix(e.Key, prefixCancel), Revision: e.Revision, StoredAt: v.StoredAt, Source: source}
+}
+
 // storeCancel stores a request to cancel a job while the conditions hold, and notifies the leader of it. The request is stored in the
 // term that this host knows: a leader that is elected afterwards finds it when it reads the inputs, and one that was elected before
 // gets the notice. If another host has been elected, the write fails, and the term is read again for the next try.
 func (c *Coordinator) storeCancel(ctx context.Context, id string, conditions ...storer.Condition) error {
 	t, _ := c.currentTerm()
-	_, err := c.store.Commit(ctx, storer.Transaction{
+	value, err := encodeCancel(cancelValue{Process: c.processID, StoredAt: time.Now().Round(0)})
+	if err != nil {
+		return err
+	}
+	_, err = c.store.Commit(ctx, storer.Transaction{
 		Conditions: append(conditions, storer.Condition{Key: keyTerm, Revision: t.Revision}),
-		Puts:       []storer.Entry{{Key: prefixCancel + id, Value: []byte(c.processID)}},
+		Puts:       []storer.Entry{{Key: prefixCancel + id, Value: value}},
 	})
 	var conflict *storer.ConflictError
 	switch {
--- a/internal/coordinator/cancel_test.go
+++ b/internal/coordinator/cancel_test.go
@@ -216,3 +216,14 @@
 	is.Equal(ld.c.Cancel(t.Context(), "00000000000000aa").Outcome, OutcomeDone)
 	is.True(store.entries[prefixCancel+"00000000000000aa"].Revision > 0)
 }
+
+// Guards against requests of the build before, which hold no time, that can't be read or seem to be old.
+func TestRequestsOfBuildBeforeAreRead(t *testing.T) {
+	is := is.New(t)
+	before := cancelRequest(storer.Entry{Key: prefixCancel + "j1", Value: []byte("entry-1/3d5adf7a50de2dd1"), Revision: 7}, orchestrator.CancelWatched)
+	is.Equal(before, orchestrator.CancelRequested{ID: "j1", Revision: 7, Source: orchestrator.CancelWatched})
+	at := time.Unix(1e9, 5e6)
+	value, err := encodeCancel(cancelValue{Process: "entry-1/3d5adf7a50de2dd1", StoredAt: at})
+	is.NoErr(err)
+	is.True(cancelRequest(storer.Entry{Key: prefixCancel + "j1", Value: value, Revision: 7}, orchestrator.CancelWatched).StoredAt.Equal(at))
+}
--- a/internal/coordinator/input.go
+++ b/internal/coordinator/input.go
@@ -97,10 +97,10 @@
 			inherited.Finished = append(inherited.Finished, r)
 		}
 	}
-	cancelled := make(map[string]uint64) // revisions of the requests, by ID of the job
+	cancelled := make(map[string]storer.Entry) // requests by ID of the job
 	for _, e := range inputs {
 		if id, ok := strings.CutPrefix(e.Key, prefixCancel); ok {
-			cancelled[id] = e.Revision
+			cancelled[id] = e
 		}
 	}
 	for _, e := range inputs {
@@ -115,11 +115,11 @@
 		if unreadable[j.ID] {
 			continue // without its progress, tasks that have succeeded would run again
 		}
-		inherited.Jobs = append(inherited.Jobs, orchestrator.InheritedJob{Job: j, Revision: e.Revision, Record: recordByID[j.ID], Cancelled: cancelled[j.ID] > 0})
+		inherited.Jobs = append(inherited.Jobs, orchestrator.InheritedJob{Job: j, Revision: e.Revision, Record: recordByID[j.ID], Cancelled: cancelled[j.ID].Revision > 0})
 		delete(cancelled, j.ID)
 	}
 	for _, id := range slices.Sorted(maps.Keys(cancelled)) {
-		inherited.EarlyCancels = append(inherited.EarlyCancels, orchestrator.CancelRequested{ID: id, Revision: cancelled[id], Source: orchestrator.CancelInherited})
+		inherited.EarlyCancels = append(inherited.EarlyCancels, cancelRequest(cancelled[id], orchestrator.CancelInherited))
 	}
 	return inherited, revision, nil
 }
@@ -231,8 +231,8 @@
 	if e.Deleted {
 		return
 	}
-	if id, ok := strings.CutPrefix(e.Key, prefixCancel); ok {
-		ld.apply(orchestrator.CancelRequested{ID: id, Revision: e.Revision, Source: source})
+	if strings.HasPrefix(e.Key, prefixCancel) {
+		ld.apply(cancelRequest(e, source))
 		return
 	}
 	if !strings.HasPrefix(e.Key, prefixJob) {
--- a/internal/orchestrator/cancel.go
+++ b/internal/orchestrator/cancel.go
@@ -8,7 +8,7 @@
 // earlyCancel is a request to cancel a job that the leader does not know yet.
 type earlyCancel struct {
 	CancelRequested
-	at time.Time // when the leader last learned of it
+	at time.Time // when it was stored, or when the leader learned of it if that is not known
 }
 
 // cancelJob cancels a job. The request may arrive before the job: notices of hosts overtake each other, a list of the
@@ -41,8 +41,12 @@
 		return // known
 	}
 	e.Revision = max(e.Revision, c.Revision)
-	o.earlyCancels[e.ID] = earlyCancel{CancelRequested: e, at: o.now}
-	if !kept {
+	at := o.now
+	if !e.StoredAt.IsZero() && e.StoredAt.Before(at) {
+		at = e.StoredAt // so that the retention does not begin anew with each leader
+	}
+	o.earlyCancels[e.ID] = earlyCancel{CancelRequested: e, at: at}
+	if !kept && e.Source != CancelInherited { // inherit notes all of these in one line
 		o.emit(Note{Event: EventCancelEarly, Job: e.ID, Outcome: "kept until the job is known", Reason: string(e.Source), Figures: fmt.Sprintf("Kept=%d", len(o.earlyCancels))})
 	}
 }
--- a/internal/orchestrator/cancel_test.go
+++ b/internal/orchestrator/cancel_test.go
@@ -102,3 +102,37 @@
 	o.Apply(orchestrator.Tick{}, begin.Add(time.Minute+time.Second))
 	is.Equal(notes(o.Apply(orchestrator.CancelRequested{ID: "j1"}, begin.Add(time.Minute+time.Second))), 1)
 }
+
+// Leaders follow each other within the retention. Guards against requests to cancel that are kept for ever because their retention begins
+// anew with each leader, and against a log line for each of thousands of them at an election.
+func TestRetentionOfEarlyCancelsOutlivesLeaders(t *testing.T) {
+	is := is.New(t)
+	begin := time.Unix(1e9, 0)
+	o := orchestrator.New(orchestrator.Settings{Epoch: 1, ElectedAt: begin, ConfirmedAt: begin, Lease: 4 * time.Second,
+		LeaderLease: 9 * time.Second, MaxLease: 10 * time.Second, Retention: time.Minute})
+	var early []orchestrator.CancelRequested
+	for _, age := range []time.Duration{50 * time.Second, 40 * time.Second, -time.Second} { // the last by a clock that is ahead
+		early = append(early, orchestrator.CancelRequested{ID: age.String(), Revision: 7, StoredAt: begin.Add(-age), Source: orchestrator.CancelInherited})
+	}
+	lines := 0
+	for _, a := range o.Apply(orchestrator.Inherited{EarlyCancels: early}, begin) {
+		if n, ok := a.(orchestrator.Note); ok && n.Event == orchestrator.EventCancelEarly {
+			lines++
+		}
+	}
+	is.Equal(lines, 1)
+	removed := func(after time.Duration) int {
+		n := 0
+		for _, a := range o.Apply(orchestrator.Tick{}, begin.Add(after)) {
+			if _, ok := a.(orchestrator.RemoveCancel); ok {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(removed(9*time.Second), 0)
+	is.Equal(removed(11*time.Second), 1)
+	is.Equal(removed(21*time.Second), 1)
+	is.Equal(removed(59*time.Second), 0)
+	is.Equal(removed(62*time.Second), 1)
+}
--- a/internal/orchestrator/event.go
+++ b/internal/orchestrator/event.go
@@ -37,7 +37,8 @@
 // CancelRequested reports that the request to cancel a job is in the store.
 type CancelRequested struct {
 	ID       string
-	Revision uint64 // of the request in the store; 0: unknown
+	Revision uint64    // of the request in the store; 0: unknown
+	StoredAt time.Time // by the clock of the host that has stored it; zero: unknown
 	Source   CancelSource
 }
 
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -346,6 +346,7 @@
 		o.loadNotedAt = o.now
 		o.noteLoad()
 		o.forgetLapsed()
+		o.dropEarlyCancels()
 	}
 }
 
@@ -374,6 +375,10 @@
 	for _, c := range e.EarlyCancels {
 		o.cancelJob(c)
 	}
+	if len(e.EarlyCancels) > 0 {
+		o.emit(Note{Event: EventCancelEarly, Outcome: "kept until their jobs are known", Reason: string(CancelInherited),
+			Figures: fmt.Sprintf("Inherited=%d Kept=%d", len(e.EarlyCancels), len(o.earlyCancels))})
+	}
 	recorded := o.recordedWorkers()
 	for _, r := range e.Roster.Workers {
 		w := o.worker(r.ID)
@@ -487,7 +492,6 @@
 			o.expired = append(o.expired, id)
 		}
 	}
-	o.dropEarlyCancels()
 }
 
 // State returns a job's state as callers may see it: a final state only once it is in the
