coordinator: requests to cancel unknown jobs keep their limit in large fleets

Callers and operators would see, in a fleet of 300 hosts: a caller that cancels an unknown job is told to return after 1 s while its host may store one such request in 7.5 s; and hosts whose leader is not known, or all hosts with a full allowance, store far more than the limit of all hosts together.

Cause: the limit of a host follows the number of hosts, Retry-After and the burst did not, an unknown number counted as one, and each try of one call took from the allowance.

TestUnknownCancelsAreLimited now checks the share of a host for 8, 300 and an unknown number of hosts, and that a caller who returns when told to is served; that a known job has no limit is checked by a test of its own.

Fix: Retry-After and the burst follow the share of the host, 100 hosts are assumed until a leader has told the number, and the tries of one call share one permission. A host that does not know the term reads it before its write.

--- a/internal/coordinator/cancel.go
+++ b/internal/coordinator/cancel.go
@@ -19,10 +19,10 @@
 	// unknownCancelRate is the number of requests to cancel unknown jobs that all hosts together store in a second, a tenth of the
 	// writes that the platform's store accepts. With the retention of such requests it bounds how many the store holds.
 	unknownCancelRate = 40
-	// unknownCancelBurst is the number of these that one host stores at once.
-	unknownCancelBurst = 10
-	// unknownCancelRetryAfter is how long a caller should wait whose request to cancel an unknown job is not stored.
-	unknownCancelRetryAfter = time.Second
+	// unknownCancelBurstTime is the time in whose share of unknownCancelRate a host may store at once.
+	unknownCancelBurstTime = 2 * time.Second
+	// assumedHosts is the number of hosts that a host assumes while no leader has told it.
+	assumedHosts = 100
 )
 
 // Cancel implements JobService. It stores the cancel request before it answers the caller.
@@ -35,13 +35,14 @@
 }
 
 func (c *Coordinator) cancel(ctx context.Context, id string) Answer {
+	var allowance unknownCancelAllowance
 	for range maxTransactionAttempts {
 		job, err := c.store.Get(ctx, prefixJob+id)
 		if err != nil {
 			return c.unavailableAnswer(err, id, requestPriority)
 		}
 		if job.Revision == 0 {
-			a, changed := c.cancelUnknown(ctx, id)
+			a, changed := c.cancelUnknown(ctx, id, &allowance)
 			if changed {
 				continue
 			}
@@ -82,7 +83,13 @@
 // term that this host knows: a leader that is elected afterwards finds it when it reads the inputs, and one that was elected before
 // gets the notice. If another host has been elected, the write fails, and the term is read again for the next try.
 func (c *Coordinator) storeCancel(ctx context.Context, id string, conditions ...storer.Condition) error {
-	t, _ := c.currentTerm()
+	t, known := c.currentTerm()
+	if !known {
+		var err error
+		if t, err = c.readTerm(ctx); err != nil {
+			return err
+		}
+	}
 	value, err := encodeCancel(cancelValue{Process: c.processID, StoredAt: time.Now().Round(0)})
 	if err != nil {
 		return err
@@ -103,9 +110,9 @@
 
 // cancelUnknown answers a request to cancel a job that is not among the unfinished jobs. Without a record of the job, its
 // submission may still be on the way to the store, so the request is stored on the condition that there is neither: whenever the
-// job is accepted, the leader cancels it. changed reports that there is one by now, or
-// another leader.
-func (c *Coordinator) cancelUnknown(ctx context.Context, id string) (a Answer, changed bool) {
+// job is accepted, the leader cancels it. changed
+// reports that there is one by now, or another leader.
+func (c *Coordinator) cancelUnknown(ctx context.Context, id string, allowance *unknownCancelAllowance) (a Answer, changed bool) {
 	e, err := c.store.Get(ctx, prefixRecord+id)
 	switch {
 	case err != nil:
@@ -114,8 +121,9 @@
 		return Answer{}, true // the job was accepted after it was read
 	case e.Revision > 0:
 		return Answer{Outcome: OutcomeDone, Reason: "it has ended"}, false
-	case !c.mayStoreUnknownCancel():
-		return Answer{Outcome: OutcomeUnavailable, Reason: "too many requests to cancel jobs that are not known", RetryAfter: unknownCancelRetryAfter}, false
+	}
+	if wait := allowance.take(c); wait > 0 {
+		return Answer{Outcome: OutcomeUnavailable, Reason: "too many requests to cancel jobs that are not known", RetryAfter: wait}, false
 	}
 	err = c.storeCancel(ctx, id, storer.Condition{Key: prefixJob + id}, storer.Condition{Key: prefixRecord + id})
 	var conflict *storer.ConflictError
@@ -138,16 +146,28 @@
 	return err != nil || r.State.Final()
 }
 
-// mayStoreUnknownCancel reports whether this host may store another request to cancel an unknown job. The hosts share
-// unknownCancelRate.
-func (c *Coordinator) mayStoreUnknownCancel() bool {
-	hosts := max(c.knownHosts.Load(), 1)
+// unknownCancelAllowance is the permission of one call to store a request to cancel an unknown job, which its further tries share.
+type unknownCancelAllowance bool
+
+// take returns 0 if the request may be stored, and otherwise how long the caller should wait. The hosts share unknownCancelRate.
+func (p *unknownCancelAllowance) take(c *Coordinator) time.Duration {
+	if *p {
+		return 0
+	}
+	hosts := int(c.knownHosts.Load())
 	if ld := c.currentLeadership(); ld != nil {
-		hosts = int64(ld.hosts.count(timekeeper.Now()) + 1)
+		hosts = ld.hosts.count(timekeeper.Now()) + 1
+	}
+	if hosts == 0 {
+		hosts = assumedHosts
+	}
+	now, interval := timekeeper.Now(), time.Duration(hosts)*time.Second/unknownCancelRate
+	c.unknownCancels.SetLimitAt(now, rate.Every(interval))
+	c.unknownCancels.SetBurstAt(now, max(1, int(unknownCancelBurstTime/interval)))
+	if *p = unknownCancelAllowance(c.unknownCancels.AllowN(now, 1)); !*p {
+		return max(defaultRetryAfter, interval)
 	}
-	now := timekeeper.Now()
-	c.unknownCancels.SetLimitAt(now, rate.Limit(unknownCancelRate)/rate.Limit(hosts))
-	return c.unknownCancels.AllowN(now, 1)
+	return 0
 }
 
 const (
--- a/internal/coordinator/cancel_test.go
+++ b/internal/coordinator/cancel_test.go
@@ -15,6 +15,7 @@
 
 	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/storer"
+	"peridotpitch/internal/timekeeper"
 )
 
 // lateSubmission returns a leader of one worker and a job whose submission has got no answer and is executed after delay.
@@ -76,26 +77,60 @@
 	})
 }
 
-// Guards against a write for each request to cancel a job that does not exist: all hosts share the store's rate of writes.
+// Guards against a write for each request to cancel a job that does not exist: all hosts share the store's rate of writes, also a
+// fleet of 300 whose leader is not known. A caller that returns when it is told to is served.
 func TestUnknownCancelsAreLimited(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		l, closeLeader := newLateLeader(t, 1, newDelayedStore(0), &memoryWorkers{runTime: time.Second})
-		defer closeLeader()
-		const seconds = 10
-		answers := make(map[Outcome]int)
-		for i := range seconds * 1000 {
-			a := l.c.Cancel(t.Context(), fmt.Sprintf("%016x", i))
-			answers[a.Outcome]++
-			is.True(a.Outcome == OutcomeNoSuchJob || a.RetryAfter > 0)
-			time.Sleep(time.Millisecond)
-		}
-		is.True(answers[OutcomeNoSuchJob] <= seconds*unknownCancelRate+unknownCancelBurst)
-		is.Equal(answers[OutcomeNoSuchJob]+answers[OutcomeUnavailable], seconds*1000)
-		// A job that is known is cancelled however many others are not.
-		l.submit("00000000000000aa", 1)
-		is.Equal(l.c.Cancel(t.Context(), "00000000000000aa").Outcome, OutcomeDone)
-	})
+	for name, c := range map[string]struct {
+		known int64   // hosts, as the leader has told
+		share float64 // of unknownCancelRate
+	}{
+		"8 hosts":                 {8, 1.0 / 8},
+		"300 hosts":               {300, 1.0 / 300},
+		"no leader has told them": {0, 1.0 / assumedHosts},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				defer timekeeper.Replace(time.Now)()
+				h := New(Settings{Name: "a"}, Dependencies{Store: newDelayedStore(0)}, slog.New(slog.DiscardHandler))
+				h.recordStoreResult(nil)
+				h.knownHosts.Store(c.known)
+				const seconds = 60
+				stored, wait := 0, time.Duration(0)
+				for i := range seconds * 100 {
+					switch a := h.Cancel(t.Context(), fmt.Sprintf("%016x", i)); a.Outcome {
+					case OutcomeNoSuchJob:
+						stored++
+					case OutcomeUnavailable:
+						wait = a.RetryAfter
+					default:
+						t.Fatalf("the answer is %q", a.Outcome)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				limit := unknownCancelRate * c.share * (seconds + unknownCancelBurstTime.Seconds())
+				is.True(stored >= 1 && float64(stored) <= max(limit, 1)+1)
+				is.True(wait >= time.Second)
+				time.Sleep(wait)
+				is.Equal(h.Cancel(t.Context(), "00000000000000bb").Outcome, OutcomeNoSuchJob)
+				time.Sleep(time.Minute) // the tries of the notices end
+			})
+		})
+	}
+}
+
+// Guards against a job that can't be cancelled because many other requests are for jobs that don't exist.
+func TestKnownJobIsCancelledBesideManyUnknownOnes(t *testing.T) {
+	is := is.New(t)
+	store := newDelayedStore(0)
+	store.entries[prefixJob+"00000000000000aa"] = storer.Entry{Key: prefixJob + "00000000000000aa", Revision: 1}
+	h := New(Settings{Name: "a"}, Dependencies{Store: store}, slog.New(slog.DiscardHandler))
+	h.recordStoreResult(nil)
+	for i := range 50 {
+		h.Cancel(t.Context(), fmt.Sprintf("%016x", i))
+	}
+	is.Equal(h.Cancel(t.Context(), "00000000000000ab").Outcome, OutcomeUnavailable)
+	is.Equal(h.Cancel(t.Context(), "00000000000000aa").Outcome, OutcomeDone)
 }
 
 // Guards against requests to cancel that stay in the store for ever because their jobs have never come, and against the removal of one
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -104,7 +104,7 @@
 		settings: s, deps: p, log: log, metrics: newMetrics(), processID: processID, startedAt: timekeeper.Now(),
 		jitter:  func(d time.Duration) time.Duration { return rand.N(d + 1) },
 		clients: make(map[netip.AddrPort]*messenger.Client), forwardSlots: make(chan struct{}, maxForwardedSubmissions),
-		servedSlots: make(chan struct{}, maxServedSubmissions), unknownCancels: rate.NewLimiter(unknownCancelRate, unknownCancelBurst),
+		servedSlots: make(chan struct{}, maxServedSubmissions), unknownCancels: rate.NewLimiter(unknownCancelRate, 1),
 	}
 	c.store = observedStore{TransactionalStore: p.Store, onResult: c.recordStoreResult}
 	return c
