--- a/internal/orchestrator/model_cancel_test.go
+++ b/internal/orchestrator/model_cancel_test.go
@@ -79,6 +79,8 @@
 	w.faults = faults{dropped: 0.1, appliedLate: 0.15}
 	lostStops := float64(rapid.IntRange(0, 10).Draw(m.rt, "lost stops")) / 10
 	w.dropsStop = func(string) bool { return w.rng.Float64() < lostStops }
+	deferred := float64(rapid.IntRange(0, 5).Draw(m.rt, "deferred starts")) / 10
+	w.defers = func(string) bool { return w.rng.Float64() < deferred }
 	for range rapid.IntRange(2, 10).Draw(m.rt, "events") {
 		switch rapid.SampledFrom([]string{"job", "job", "job", "cancel", "cancel", "elect", "lose all hosts", "read slowly", "hand over", "partition", "disconnect",
 			"heal", "restart", "crash", "freeze", "toggle store", "evacuate", "take back", "lose contact", "lose contact",
@@ -141,7 +143,7 @@
 // Jobs are submitted and cancelled in it too.
 func (m *cancelPlay) quietPhase() {
 	w := m.w
-	w.faults, w.dropsStop = faults{}, nil
+	w.faults, w.dropsStop, w.defers = faults{}, nil, nil
 	if rapid.Bool().Draw(m.rt, "contact is lost last") {
 		m.loseContact()
 	}
