orchestrator: the answer to a start changes nothing of the stop of its run

Operators would see: the repetitions of a stop have no Resend line, and a stop is put off by up to 0.3 s or sent twice.

The answer to a start of a run that is being stopped cleared inFlight of the stop, and a start that was deferred moved sentAt and set deferred, which nothing cleared.

Evidence: found by the reviewer; TestDeferredStartDoesNotPutOffStop, red before: no Resend for five repeated stops.

Fix: these fields belong to the last command. While a run is being stopped, an answer to its start leaves them alone.

--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -40,7 +40,7 @@
 	ackedAt          time.Time // when the worker answered the last start or stop; zero: not yet
 	inFlight         bool      // a start or stop is sent and not answered
 	lostAt           time.Time // when it was found that the run has ended with its worker's process; zero: not found
-	deferred         bool      // its last start or stop has not left this host, for lack of connections
+	deferred         bool      // its last start has not left this host, for lack of connections
 	startUnanswered  bool      // a start without an answer may still be executed
 	saved            string    // checkpoint that the start passes on
 	ticket           string
@@ -192,8 +192,9 @@
 		return
 	}
 	w := r.worker
-	r.inFlight, r.deferred = false, false
-	if r.phase == phaseStopping {
+	if r.phase != phaseStopping {
+		r.inFlight, r.deferred = false, false
+	} else { // inFlight, deferred and sentAt are of the stop
 		o.emit(Note{Event: EventStartOvertaken, Job: r.task.job().ID, Task: e.Task, Run: e.Run, Worker: e.Worker, Outcome: string(e.Outcome), Age: o.now.Sub(r.sentAt)})
 	}
 	switch e.Outcome {
@@ -217,7 +218,9 @@
 		w.unansweredAt = o.now
 		o.startNotExecuted(r)
 	case StartDeferred:
-		r.deferred, r.sentAt = true, o.now // resendCommands sends it again
+		if r.phase != phaseStopping {
+			r.deferred, r.sentAt = true, o.now // resendCommands sends it again
+		}
 	case StartNoCapacity:
 		w.noCapacityUntil = o.now.Add(resendInterval)
 		o.startNotExecuted(r)
@@ -313,51 +316,6 @@
 	return !w.Draining && !o.evacuations.Evacuates(w.FailureDomain)
 }
 
-// stop begins to stop a run. The run is removed once its worker lists its end.
-func (o *Orchestrator) stop(r *run, reason string) {
-	if r.phase == phaseStopping {
-		return
-	}
-	r.phase, r.ackedAt = phaseStopping, time.Time{}
-	o.emit(Note{Event: EventStop, Job: r.task.job().ID, Task: r.task.name, Run: r.number, Worker: r.worker.ID, Reason: reason,
-		Age: o.now.Sub(r.startedAt), Figures: fmt.Sprintf("Percent=%d", r.progressPercent)})
-	o.sendStop(r)
-}
-
-func (o *Orchestrator) sendStop(r *run) {
-	r.inFlight, r.sentAt = true, o.now
-	o.emit(StopRun{Worker: r.worker.ID, Task: r.task.name, Run: r.number})
-}
-
-// stopRuns stops all runs of a task.
-func (o *Orchestrator) stopRuns(t *task, reason string) {
-	for _, r := range slices.Clone(t.runs) {
-		o.stop(r, reason)
-	}
-}
-
-func (o *Orchestrator) stopAnswered(e StopAnswered) {
-	if e.Fenced {
-		o.stepDown("worker " + e.Worker + " has accepted a later leader")
-		return
-	}
-	r := o.findRun(e.Worker, e.Task, e.Run)
-	if r == nil {
-		o.strayStopAnswered(e)
-		return
-	}
-	if r.phase != phaseStopping {
-		return
-	}
-	r.inFlight = false
-	if e.Answered {
-		r.ackedAt = o.now
-		return
-	}
-	r.worker.unansweredAt = o.now
-	o.emit(Note{Event: EventStopUnanswered, Job: r.task.job().ID, Task: e.Task, Run: e.Run, Worker: e.Worker, Age: o.now.Sub(r.sentAt)})
-}
-
 // findRun returns a run on a worker, or nil if there is none.
 func (o *Orchestrator) findRun(worker, task string, number int) *run {
 	w := o.workers[worker]
@@ -384,7 +342,7 @@
 	}
 	if reason != "" {
 		o.emit(Note{Event: EventStop, Task: row.Task, Run: row.Run, Worker: w.ID, Reason: reason})
-		o.stopStray(w, runKey{row.Task, row.Run})
+		o.stopUnwanted(w, runKey{row.Task, row.Run})
 		return nil
 	}
 	if t.job().inherited && !t.observed {
--- a/internal/orchestrator/stop_test.go
+++ b/internal/orchestrator/stop_test.go
@@ -5,12 +5,25 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"peridotpitch/internal/orchestrator"
 )
 
 // A task of a cancelled job may run for this long after the request to cancel it was confirmed: cancel_ms of the platform, and the
 // time that a stop takes here.
 const cancelTime = cancelStartBound + stopTime
 
+// runUntilSent advances the virtual time until a command is on its way.
+func (w *simulation) runUntilSent() {
+	for range 100 {
+		if len(w.pendingCommands) > 0 {
+			return
+		}
+		w.run(10 * time.Millisecond)
+	}
+	w.t.Fatalf("no command was sent in a second")
+}
+
 // The request to cancel a job comes while the start of its task is on its way, and the first three stops get no answer.
 // Guards against a run that goes on because the answer to its start counts as the answer to its stop, so that the stop is not repeated.
 func TestStopIsRepeatedAfterAnswerToStart(t *testing.T) {
@@ -24,15 +37,7 @@
 		return lost <= 3
 	}
 	w.submit(simpleJob("j1", 1, cores(1, 1)))
-	w.run(10 * time.Millisecond)
-	for range 100 { // until a pass has decided the start, which has not arrived yet
-		if len(w.pendingCommands) > 0 {
-			break
-		}
-		w.now = w.now.Add(10 * time.Millisecond)
-		w.tick(10 * time.Millisecond)
-	}
-	is.Equal(len(w.pendingCommands), 1)
+	w.runUntilSent()
 	w.cancel("j1")
 	w.run(cancelTime)
 	is.True(w.starts == 1) // else the test says nothing
@@ -57,3 +62,30 @@
 	w.run(2 * time.Second)
 	is.Equal(w.starts, before)
 }
+
+// The start of a run that is being stopped can't leave the leader's host, for lack of connections, and the stop gets no answer. Guards
+// against an answer to the start that passes for one to the stop: the stop is put off, and its repetitions have no line in the log.
+func TestDeferredStartDoesNotPutOffStop(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 1, cores(8, 32))
+	w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+	w.defers = func(string) bool { return true }
+	stops := 0
+	w.dropsStop = func(string) bool {
+		stops++
+		return stops <= 5
+	}
+	w.submit(simpleJob("j1", 1, cores(1, 1)))
+	w.runUntilSent()
+	w.cancel("j1")
+	w.run(3 * time.Second)
+	is.Equal(stops, 6)
+	is.Equal(len(w.notesOf(orchestrator.EventStartOvertaken)), 1) // else the test says nothing
+	resent := 0
+	for _, n := range w.notesOf(orchestrator.EventResend) {
+		if n.Outcome == "stop" {
+			resent++
+		}
+	}
+	is.Equal(resent, 5)
+}
--- a/internal/orchestrator/worker.go
+++ b/internal/orchestrator/worker.go
@@ -77,7 +77,7 @@
 
 	suspects []*run // runs of suspected tasks
 
-	strays []*strayRun // their size is unknown
+	unwanted []*unwantedRun // runs that the worker lists and the leader stops; their size is unknown
 
 	lastAppliedEnd int // number of the last reported end of a run that has been applied (see appliedEnd)
 	unackedEnds    []appliedEnd
@@ -238,7 +238,7 @@
 		return false, "does not answer"
 	case !w.rostered:
 		return false, "has no roster entry in the store yet"
-	case len(w.strays) > 0:
+	case len(w.unwanted) > 0:
 		return false, "still runs tasks of jobs that have ended"
 	case o.mayOutlastLeadership(w):
 		return false, "has restarted, and its leases may outlast this leadership"
@@ -314,7 +314,7 @@
 		o.updateRun(r, row)
 		tailRatio = max(tailRatio, r.tailRatio)
 	}
-	w.forgetStrays(e.Running)
+	w.forgetUnwanted(e.Running)
 	o.removeUnlisted(w, e)
 	if w.load.latencyCritical > 0 {
 		w.tailRatio, w.tailRatioAt = tailRatio, e.ReceivedAt
@@ -476,7 +476,7 @@
 			i++
 		}
 	}
-	o.resendStrayStops(w)
+	o.resendUnwantedStops(w)
 	if w.load.bestEffort > 0 && w.load.latencyCritical > 0 {
 		o.throttle(w)
 	}
