coordinator, platform: the poll of an unreachable worker is as patient as before

Callers would see: tasks on a worker behind a slow link, with ends that are not acknowledged, lapse: once a poll has failed, no later one is answered in time.

Cause: the poll of an unreachable worker asks for an answer at once.

Fix: how long a poll may be held and after which time it counts as failed are separate. For an unreachable worker the latter stays as long as that of a poll that it may hold. The pause between two polls of a silent worker is as long as before.

--- a/internal/coordinator/command_test.go
+++ b/internal/coordinator/command_test.go
@@ -63,3 +63,14 @@
 	p.run(true)
 	is.Equal(recorder.request.Lag, 1200*time.Millisecond)
 }
+
+// Guards against a worker that is given less time for the poll that would end its being unreachable than for the one that failed.
+func TestPollOfUnreachableWorkerIsPatient(t *testing.T) {
+	is := is.New(t)
+	ld, _ := newTestLeadership(nil)
+	is.Equal(ld.workerPoll(orchestrator.PollRequest{}).Wait, maxPollWait)
+	q := ld.workerPoll(orchestrator.PollRequest{NoWait: true, Unreachable: true})
+	is.Equal(q.Wait, 0*time.Second)
+	is.Equal(q.Patience, maxPollWait)
+	is.Equal(ld.workerPoll(orchestrator.PollRequest{NoWait: true}).Patience, 0*time.Second) // an answer is due at once
+}
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -184,7 +184,7 @@
 			return
 		}
 		sent := timekeeper.Now()
-		a, err := ld.c.deps.Workers.Poll(p.ctx, p.target, PollRequest{Fence: ld.term.Revision, LeaseEnd: r.LeaseEnd, AckedThrough: r.AckedThrough, Wait: requestedWait(r, time.Duration(ld.meanLag.Load())), Lag: time.Duration(ld.lag.Load())})
+		a, err := ld.c.deps.Workers.Poll(p.ctx, p.target, ld.workerPoll(r))
 		if p.ctx.Err() != nil {
 			return
 		}
@@ -206,6 +206,17 @@
 	}
 }
 
+// workerPoll returns the poll with the parameters r. The answer of an unreachable worker is waited for as long as that of one that may
+// hold the poll: a worker behind a slow link would otherwise stay unreachable once a poll has failed.
+func (ld *leadership) workerPoll(r orchestrator.PollRequest) PollRequest {
+	lag := time.Duration(ld.meanLag.Load())
+	q := PollRequest{Fence: ld.term.Revision, LeaseEnd: r.LeaseEnd, AckedThrough: r.AckedThrough, Wait: requestedWait(r, lag), Lag: time.Duration(ld.lag.Load())}
+	if r.Unreachable {
+		q.Patience = pollWait(r.ShortWait, lag)
+	}
+	return q
+}
+
 // requestedWait returns how long a worker may hold a poll with the parameters r if the leader's average lag is lag.
 func requestedWait(r orchestrator.PollRequest, lag time.Duration) time.Duration {
 	if r.NoWait {
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -144,6 +144,7 @@
 	LeaseEnd     time.Duration // new end of the run leases on the worker's clock; 0: unchanged
 	AckedThrough int           // ended runs up to this number are stored and need not be reported again
 	Wait         time.Duration // how long the worker may hold the poll until a run ends
+	Patience     time.Duration // the least time, without the margin of an answer, after which the poll counts as failed; Wait if it is shorter
 	Lag          time.Duration // how late this host is in general: its answers may be read that much later
 }
 
--- a/internal/orchestrator/poll.go
+++ b/internal/orchestrator/poll.go
@@ -8,6 +8,7 @@
 	AckedThrough int           // ends up to this number are in the store
 	ShortWait    bool          // the worker's tail latencies or runs are needed soon, so it waits for changes only briefly
 	NoWait       bool          // the answer is needed at once: further ended runs, or that an unreachable worker answers
+	Unreachable  bool          // the last poll failed
 }
 
 // NextPoll returns the parameters of the next poll of a worker, and false if the worker must
@@ -20,6 +21,7 @@
 	o.now = now
 	r := PollRequest{AckedThrough: w.ackedThrough, ShortWait: w.load.latencyCritical > 0 && w.load.bestEffort > 0 || len(w.runs) == 0 && !w.runsKnown}
 	// An unreachable worker gets no commands before it answers a poll, so it must not hold that poll.
+	r.Unreachable = w.unreachable
 	r.NoWait = w.unreachable || w.runsKnown && (w.unaccounted > 0 || w.unreached())
 	// A poll without an answer may still have reached the worker. If each such poll extended
 	// the leases of an unreachable worker, its runs would never expire.
