--- a/internal/coordinator/cancel.go
+++ b/internal/coordinator/cancel.go
@@ -110,8 +110,7 @@
 
 // cancelUnknown answers a request to cancel a job that is not among the unfinished jobs. Without a record of the job, its
 // submission may still be on the way to the store, so the request is stored on the condition that there is neither: whenever the
-// job is accepted, the leader cancels it. changed
-// reports that there is one by now, or another leader.
+// job is accepted, the leader cancels it. changed reports that there is a job by now, or another leader: the caller tries again.
 func (c *Coordinator) cancelUnknown(ctx context.Context, id string, allowance *unknownCancelAllowance) (a Answer, changed bool) {
 	e, err := c.store.Get(ctx, prefixRecord+id)
 	switch {
