coordinator: logs say how old the configuration is by which a host decides

The age of the configuration is now the time since the version in effect is known to have been the newest one: for an answered read since it was sent, for a watch without a change until its end. Before, it was the time since the last answer, which may have been as old as its transfer was long. ConfigurationLate names the call in flight, its age and the time since the store served any call, once in 2 s from an age of 2 s on. No decision changes.

--- a/internal/coordinator/accept.go
+++ b/internal/coordinator/accept.go
@@ -32,7 +32,8 @@
 	a, host := c.admitAndSubmit(ctx, j)
 	c.metrics.observeRequest("submit", j.Policy.Queue, string(a.Outcome), time.Since(begin))
 	fields := []any{"Job", j.ID, "Queue", j.Policy.Queue, "Outcome", string(a.Outcome), "Reason", a.Reason,
-		"Took", time.Since(begin).Round(time.Millisecond).String(), "Version", c.configVersion()}
+		"Took", time.Since(begin).Round(time.Millisecond).String(), "Version", c.configVersion(),
+		"CheckedAgo", c.timeSinceConfigurationCheck().Round(time.Millisecond).String()}
 	if host != "" {
 		fields = append(fields, "Forwarded", host)
 	}
@@ -240,6 +241,17 @@
 
 // Pending implements JobService.
 func (c *Coordinator) Pending(queue string) (int, bool) {
+	n, known := c.pending(queue)
+	outcome := OutcomeDone
+	if !known {
+		outcome = OutcomeUnavailable
+	}
+	c.log.Info("Pending", "Queue", queue, "Outcome", string(outcome), "Jobs", n, "Version", c.configVersion(),
+		"CheckedAgo", c.timeSinceConfigurationCheck().Round(time.Millisecond).String())
+	return n, known
+}
+
+func (c *Coordinator) pending(queue string) (int, bool) {
 	if ld := c.currentLeadership(); ld != nil {
 		p := ld.pending()
 		return p[queue], p != nil
--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -22,6 +22,11 @@
 	// configurationFailureLogInterval is the shortest time between two log lines about failed
 	// reads of the configuration.
 	configurationFailureLogInterval = 2 * time.Second
+	// lateConfigurationAge is the age of the configuration from which this host logs that it is late. It is the
+	// shortest bound for the effect of a configuration on the platform.
+	lateConfigurationAge = 2 * time.Second
+	// lateConfigurationLogInterval is the shortest time between two log lines about a late configuration.
+	lateConfigurationLogInterval = 2 * time.Second
 )
 
 // configurationCall is a call to the store that brings the configuration.
@@ -32,6 +37,12 @@
 	callWatch configurationCall = "watch"
 )
 
+// configurationCallInFlight is a call to the store that may bring the configuration and has not ended.
+type configurationCallInFlight struct {
+	call configurationCall
+	sent time.Time // timekeeper time
+}
+
 // failedReads counts failed reads of the configuration since the last log line about them.
 type failedReads struct {
 	count    int
@@ -73,6 +84,7 @@
 // readConfiguration reads the configuration and applies it if it is newer.
 func (c *Coordinator) readConfiguration(ctx context.Context, s *configurationSync) error {
 	wanted, begin, asked := c.otherHostsVersion.Load(), time.Now(), timekeeper.Now()
+	c.configCall.Store(&configurationCallInFlight{call: callRead, sent: asked})
 	entries, revision, err := c.store.List(ctx, c.deps.Keys.Configuration)
 	c.recordConfigurationCall(callRead, begin, err, &s.failed)
 	if err != nil {
@@ -88,6 +100,7 @@
 		}
 	}
 	c.configAskedAt.Store(asked.UnixNano())
+	c.noteConfigurationChecked(asked)
 	return nil
 }
 
@@ -95,11 +108,16 @@
 // change that the store has dropped from its history makes the next call a read.
 func (c *Coordinator) watchConfiguration(ctx context.Context, s *configurationSync) error {
 	begin, asked := time.Now(), timekeeper.Now()
+	c.configCall.Store(&configurationCallInFlight{call: callWatch, sent: asked})
 	es, err := c.store.Watch(ctx, c.deps.Keys.Configuration, s.position.start(), configurationWatchTimeout)
 	c.recordConfigurationCall(callWatch, begin, err, &s.failed)
 	if err != nil {
 		return err
 	}
+	checked := asked // an answer with a change is as of any time since then
+	if len(es.Events) == 0 {
+		checked = earlier(asked.Add(configurationWatchTimeout), timekeeper.Now())
+	}
 	var newest storer.Entry
 	for _, e := range es.Events {
 		if e.Key == c.deps.Keys.Configuration && !e.Deleted {
@@ -119,9 +137,18 @@
 		s.position.advance(es.StoreRevision, time.Now())
 	}
 	c.configAskedAt.Store(asked.UnixNano())
+	c.noteConfigurationChecked(checked)
 	return nil
 }
 
+// earlier returns the earlier of two times.
+func earlier(t, u time.Time) time.Time {
+	if u.Before(t) {
+		return u
+	}
+	return t
+}
+
 // pausedSinceConfiguration reports whether this process has been paused since it asked the store for the
 // configuration in effect, so that a newer one may have been in effect elsewhere for long. An answer that was on
 // its way during the pause does not count.
@@ -134,7 +161,6 @@
 	took := time.Since(begin)
 	if err == nil {
 		c.metrics.configReads.WithLabelValues(string(call), "done").Observe(took.Seconds())
-		c.configCheckedAt.Store(timekeeper.Now().UnixNano())
 		return
 	}
 	c.metrics.configReads.WithLabelValues(string(call), "failed").Observe(took.Seconds())
@@ -147,8 +173,18 @@
 	*failed = failedReads{loggedAt: time.Now()}
 }
 
-// timeSinceConfigurationCheck returns the time since the store last answered a read or watch
-// of the configuration, or 0 if it has answered none yet.
+// noteConfigurationChecked records that the version in effect was the newest one at a time.
+func (c *Coordinator) noteConfigurationChecked(at time.Time) {
+	for {
+		known := c.configCheckedAt.Load()
+		if at.UnixNano() <= known || c.configCheckedAt.CompareAndSwap(known, at.UnixNano()) {
+			return
+		}
+	}
+}
+
+// timeSinceConfigurationCheck returns the age of the configuration in effect: the time since it is known to
+// have been the newest one, or 0 if there is none yet.
 func (c *Coordinator) timeSinceConfigurationCheck() time.Duration {
 	at := c.configCheckedAt.Load()
 	if at == 0 {
@@ -157,6 +193,20 @@
 	return timekeeper.Now().Sub(time.Unix(0, at))
 }
 
+// logLateConfiguration logs that the configuration in effect may have been replaced for some time, and what this host is
+// doing about it. loggedAt is when it last did so; the result is its new value.
+func (c *Coordinator) logLateConfiguration(loggedAt time.Time) time.Time {
+	age, call := c.timeSinceConfigurationCheck(), c.configCall.Load()
+	if age < lateConfigurationAge || call == nil || time.Since(loggedAt) < lateConfigurationLogInterval {
+		return loggedAt
+	}
+	c.log.Warn("ConfigurationLate", "Version", c.configVersion(), "CheckedAgo", age.Round(time.Millisecond).String(),
+		"OtherHostsVersion", c.otherHostsVersion.Load(), "Call", string(call.call),
+		"CallSentAgo", timekeeper.Now().Sub(call.sent).Round(time.Millisecond).String(),
+		"StoreSilence", c.timeSinceStoreSuccess().Round(time.Millisecond).String())
+	return time.Now()
+}
+
 // applyConfiguration puts a configuration that call has brought into effect, unless it is
 // unreadable or not newer than the one in effect.
 func (c *Coordinator) applyConfiguration(e storer.Entry, call configurationCall) {
@@ -173,7 +223,7 @@
 	c.metrics.configVersion.Set(float64(n.Version))
 	c.metrics.configBytes.Set(float64(len(e.Value)))
 	c.log.Info("ConfigurationApplied", "Version", n.Version, "Revision", e.Revision, "Queues", len(n.Queues),
-		"Bytes", len(e.Value), "Call", string(call))
+		"Bytes", len(e.Value), "Call", string(call), "CheckedAgo", c.timeSinceConfigurationCheck().Round(time.Millisecond).String())
 }
 
 // noteOtherHostsVersion makes syncConfiguration read the configuration if this host's version is
--- a/internal/coordinator/configuration_test.go
+++ b/internal/coordinator/configuration_test.go
@@ -57,6 +57,31 @@
 	is.True(strings.Contains(log.String(), "Failures=5"))
 }
 
+// A transfer of the configuration lasts while the store answers other calls. Guards against logs that say nothing until the
+// transfer has failed, so that a host without the newest version can't be told from one that has it.
+func TestLateConfigurationIsLogged(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	c := New(Settings{Name: "a"}, Dependencies{}, slog.New(slog.NewTextHandler(&log, nil)))
+	c.config.Store(&Configuration{Version: 12})
+	c.noteOtherHostsVersion(15)
+	c.noteConfigurationChecked(timekeeper.Now().Add(-1900 * time.Millisecond))
+	c.lastStoreSuccess.Store(timekeeper.Now().UnixNano())
+	c.configCall.Store(&configurationCallInFlight{call: callWatch, sent: timekeeper.Now().Add(-2 * time.Second)})
+	is.True(c.logLateConfiguration(time.Time{}).IsZero()) // not late yet
+
+	c.configCheckedAt.Store(timekeeper.Now().Add(-3 * time.Second).UnixNano())
+	loggedAt := c.logLateConfiguration(time.Time{})
+	c.logLateConfiguration(loggedAt)
+	is.Equal(strings.Count(log.String(), "msg=ConfigurationLate"), 1)
+	is.True(strings.Contains(log.String(), "Version=12 CheckedAgo=3"))
+	is.True(strings.Contains(log.String(), "OtherHostsVersion=15 Call=watch CallSentAgo=2"))
+
+	_, known := c.Pending("q")
+	is.True(!known)
+	is.True(strings.Contains(log.String(), "msg=Pending Queue=q Outcome=unavailable Jobs=0 Version=12 CheckedAgo=3"))
+}
+
 const (
 	// largeConfigurationBytes is about the size of a configuration with 4,245 queues.
 	largeConfigurationBytes = 800_000
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -66,9 +66,10 @@
 	leaving           atomic.Bool
 
 	pauses           pauseDetector
-	configAskedAt    atomic.Int64 // timekeeper time at which the last answered read or watch of the configuration was sent, Unix ns
-	configCheckedAt  atomic.Int64 // timekeeper time of the last answer to a read or watch of the configuration, Unix ns
-	lastStoreSuccess atomic.Int64 // timekeeper time of the last served call, Unix ns
+	configAskedAt    atomic.Int64                              // timekeeper time at which the last answered read or watch of the configuration was sent, Unix ns
+	configCheckedAt  atomic.Int64                              // last timekeeper time at which the version in effect is known to have been the newest, Unix ns; 0: none
+	configCall       atomic.Pointer[configurationCallInFlight] // the last call of syncConfiguration; nil: none yet
+	lastStoreSuccess atomic.Int64                              // timekeeper time of the last served call, Unix ns
 	storeUnavailable atomic.Bool
 	probingStore     atomic.Bool
 	checkingTerm     atomic.Bool
@@ -107,6 +108,7 @@
 		servedSlots: make(chan struct{}, maxServedSubmissions), unknownCancels: rate.NewLimiter(unknownCancelRate, 1),
 	}
 	c.store = observedStore{TransactionalStore: p.Store, onResult: c.recordStoreResult}
+	c.metrics.registerConfigurationAge(c.timeSinceConfigurationCheck)
 	return c
 }
 
--- a/internal/coordinator/election.go
+++ b/internal/coordinator/election.go
@@ -127,11 +127,13 @@
 }
 
 // monitorLeader checks the leader while this host does not lead, and campaigns if the leader
-// has failed. It also probes a store that has been silent.
+// has failed. It also probes a store that has been silent, and logs a late configuration.
 func (c *Coordinator) monitorLeader(ctx context.Context) {
 	var o headObservation
+	var lateLoggedAt time.Time
 	for ctx.Err() == nil {
 		c.probeStore(ctx)
+		lateLoggedAt = c.logLateConfiguration(lateLoggedAt)
 		pause := pingInterval
 		if c.currentLeadership() == nil && !c.leaving.Load() {
 			pause = c.checkLeader(ctx, &o)
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -93,6 +93,12 @@
 	return m
 }
 
+// registerConfigurationAge registers the metric of the age of the configuration in effect.
+func (m *metrics) registerConfigurationAge(age func() time.Duration) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "peridotpitch", Name: "configuration_age_seconds",
+		Help: "Time since the configuration in force is known to have been the newest one."}, func() float64 { return age().Seconds() }))
+}
+
 func (m *metrics) observeRequest(call, queue, outcome string, took time.Duration) {
 	m.requestDuration.WithLabelValues(call, queue, outcome).Observe(took.Seconds())
 }
