coordinator: requests are not handled by a configuration replaced for longer than its deadline

Callers saw requests handled by a version that had been replaced: counts and jobs of a removed queue were answered 200, and an added queue 404, for as long as the transfer of the newer version lasted or failed.

Cause: a host decided by the version in effect however old its knowledge was. The bound for the effect of a change was kept by the speed of the transfer alone. Readiness, which asks for any served call, does not see it, and requests that are sent to a host directly don't care for readiness.

A host now decides by its configuration only while it is known to have been the newest one within the new setting Deadline of the section Configuration (configApplyMs of the platform): by the store's answers, or by a leader that has the same or an older version and tells how old its own knowledge is. Otherwise it asks the leader for the queue (method Route), so that it serves on. If the leader can't be asked or can't tell, requests are refused with 503, except those that submit nothing while the store does not serve the host at all. A host that has used a newer version of the leader does not go back to its own. After a change that took long to arrive, a watch without a wait shows that it is still the newest version.

Why this keeps the bound: a request that arrives more than the deadline after a confirmation is handled by a version that was the newest one at a moment later than the confirmation.

The other build: an older leader gives no age and does not know Route. A newer host takes its version as confirmed when the store last served the leader, and refuses where it would have asked.

Measured: TestReplacedConfigurationIsNotUsed failed before and passes.

--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"peridotpitch/internal/storer"
@@ -52,6 +53,7 @@
 // configurationSync is the state of syncConfiguration.
 type configurationSync struct {
 	known        bool // the configuration has been read since the last failed call
+	applied      bool // the last answer had a configuration
 	position     watchPosition
 	readAt       time.Time
 	readBytes    int
@@ -90,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	s.known = true
+	s.known, s.applied = true, true
 	s.position.restart(revision, begin)
 	s.readAt, s.readBytes, s.triedVersion = time.Now(), 0, wanted
 	for _, e := range entries {
@@ -107,16 +109,16 @@
 // watchConfiguration runs one watch and applies the newest of the changes that it reports. A
 // change that the store has dropped from its history makes the next call a read.
 func (c *Coordinator) watchConfiguration(ctx context.Context, s *configurationSync) error {
-	begin, asked := time.Now(), timekeeper.Now()
+	begin, asked, wait := time.Now(), timekeeper.Now(), c.nextConfigurationWait(s.applied)
 	c.configCall.Store(&configurationCallInFlight{call: callWatch, sent: asked})
-	es, err := c.store.Watch(ctx, c.deps.Keys.Configuration, s.position.start(), configurationWatchTimeout)
+	es, err := c.store.Watch(ctx, c.deps.Keys.Configuration, s.position.start(), wait)
 	c.recordConfigurationCall(callWatch, begin, err, &s.failed)
 	if err != nil {
 		return err
 	}
 	checked := asked // an answer with a change is as of any time since then
 	if len(es.Events) == 0 {
-		checked = earlier(asked.Add(configurationWatchTimeout), timekeeper.Now())
+		checked = earlier(asked.Add(wait), timekeeper.Now())
 	}
 	var newest storer.Entry
 	for _, e := range es.Events {
@@ -129,11 +131,13 @@
 		s.known = false
 		return nil
 	case newest.Revision > 0:
+		s.applied = true
 		// Versions are whole: what a watch has missed before the newest one does not matter.
 		s.readBytes = len(newest.Value)
 		s.position.restart(newest.Revision, time.Now())
 		c.applyConfiguration(newest, callWatch)
 	default:
+		s.applied = false
 		s.position.advance(es.StoreRevision, time.Now())
 	}
 	c.configAskedAt.Store(asked.UnixNano())
@@ -228,11 +232,17 @@
 
 // noteOtherHostsVersion makes syncConfiguration read the configuration if this host's version is
 // older than version, which is in effect on another host.
-func (c *Coordinator) noteOtherHostsVersion(version uint64) {
+func (c *Coordinator) noteOtherHostsVersion(version uint64) { raise(&c.otherHostsVersion, version) }
+
+// raise sets a value to n unless it is higher, and reports whether it is.
+func raise(value *atomic.Uint64, n uint64) (higher bool) {
 	for {
-		known := c.otherHostsVersion.Load()
-		if version <= known || c.otherHostsVersion.CompareAndSwap(known, version) {
-			return
+		known := value.Load()
+		if n <= known {
+			return n < known
+		}
+		if value.CompareAndSwap(known, n) {
+			return false
 		}
 	}
 }
--- a/internal/coordinator/configuration_test.go
+++ b/internal/coordinator/configuration_test.go
@@ -26,8 +26,8 @@
 	c.config.Store(&Configuration{Version: 15})
 	c.configCheckedAt.Store(timekeeper.Now().Add(-3 * time.Second).UnixNano())
 
-	_, _, ok := c.Route("mill.example", "/added/"+strings.Repeat("x", 1<<10))
-	is.True(!ok)
+	_, _, answer := c.Route(context.Background(), RouteRequest{Host: "mill.example", Path: "/added/" + strings.Repeat("x", 1<<10)})
+	is.Equal(answer.Outcome, OutcomeNoSuchQueue)
 	line := log.String()
 	is.True(strings.Contains(line, "msg=QueueUnknown RequestHost=mill.example Path=/added/"))
 	is.True(strings.Contains(line, "Outcome=unknown Version=15 CheckedAgo=3"))
@@ -234,7 +234,13 @@
 // until the test ends.
 func startSync(t *testing.T, store *configurationStore) *Coordinator {
 	t.Helper()
-	c := New(Settings{Name: "a"}, Dependencies{Store: store, Decoder: versionDecoder{}, Keys: StoreKeys{Configuration: configurationKey}},
+	return startSyncWithin(t, store, 0)
+}
+
+// startSyncWithin is like startSync, for a host with a deadline for the effect of a configuration.
+func startSyncWithin(t *testing.T, store *configurationStore, deadline time.Duration) *Coordinator {
+	t.Helper()
+	c := New(Settings{Name: "a", ConfigurationDeadline: deadline}, Dependencies{Store: store, Decoder: versionDecoder{}, Keys: StoreKeys{Configuration: configurationKey}},
 		slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -63,7 +63,10 @@
 
 	config            atomic.Pointer[Configuration]
 	otherHostsVersion atomic.Uint64 // newest version of the configuration that another host has told
-	leaving           atomic.Bool
+	// leadersVersionUsed is the newest version by which the leader has routed a request of this host, so that no later
+	// one is handled by an older version.
+	leadersVersionUsed atomic.Uint64
+	leaving            atomic.Bool
 
 	pauses           pauseDetector
 	configAskedAt    atomic.Int64                              // timekeeper time at which the last answered read or watch of the configuration was sent, Unix ns
@@ -84,6 +87,7 @@
 	knownHosts         atomic.Int64  // number of hosts, from the leader's last answer that has it; 0: unknown
 	forwardSlots       chan struct{} // holds one element for each submission that is being forwarded
 	servedSlots        chan struct{} // holds one element for each forwarded submission that this host stores as leader
+	routeSlots         chan struct{} // holds one element for each question for a queue that is in flight to the leader
 	recentForwards     recentCounter // submissions sent to the leader
 	returns            returnCounter
 	admission          admission
@@ -105,7 +109,7 @@
 		settings: s, deps: p, log: log, metrics: newMetrics(), processID: processID, startedAt: timekeeper.Now(),
 		jitter:  func(d time.Duration) time.Duration { return rand.N(d + 1) },
 		clients: make(map[netip.AddrPort]*messenger.Client), forwardSlots: make(chan struct{}, maxForwardedSubmissions),
-		servedSlots: make(chan struct{}, maxServedSubmissions), unknownCancels: rate.NewLimiter(unknownCancelRate, 1),
+		routeSlots: make(chan struct{}, maxRouteQuestions), servedSlots: make(chan struct{}, maxServedSubmissions), unknownCancels: rate.NewLimiter(unknownCancelRate, 1),
 	}
 	c.store = observedStore{TransactionalStore: p.Store, onResult: c.recordStoreResult}
 	c.metrics.registerConfigurationAge(c.timeSinceConfigurationCheck)
@@ -179,7 +183,7 @@
 
 // Ready implements JobService.
 func (c *Coordinator) Ready() bool {
-	return !c.leaving.Load() && c.Configured() && c.timeSinceStoreSuccess() < maxReadyStoreSilence
+	return !c.leaving.Load() && c.Configured() && c.timeSinceStoreSuccess() < maxReadyStoreSilence && c.routesRequests()
 }
 
 // Leaving implements JobService.
@@ -202,17 +206,6 @@
 // maxLoggedPath is the longest path of a request in a log line, in bytes.
 const maxLoggedPath = 200
 
-// Route implements JobService.
-func (c *Coordinator) Route(host, path string) (Queue, string, bool) {
-	q, rest, ok := c.config.Load().route(host, path)
-	if !ok {
-		c.metrics.requestDuration.WithLabelValues("route", "", string(OutcomeNoSuchQueue)).Observe(0)
-		c.log.Info("QueueUnknown", "RequestHost", host, "Path", path[:min(len(path), maxLoggedPath)], "Outcome", string(OutcomeNoSuchQueue),
-			"Version", c.configVersion(), "CheckedAgo", c.timeSinceConfigurationCheck().Round(time.Millisecond).String())
-	}
-	return q, rest, ok
-}
-
 // timeSinceStoreSuccess returns the time since the store last served a call of this host.
 func (c *Coordinator) timeSinceStoreSuccess() time.Duration {
 	return timekeeper.Now().Sub(time.Unix(0, c.lastStoreSuccess.Load()))
--- a/internal/coordinator/forward.go
+++ b/internal/coordinator/forward.go
@@ -93,18 +93,28 @@
 		(c.storeUnavailable.Load() || c.timeSinceStoreSuccess() >= storeProbeSilence)
 }
 
-// forwardingLeader returns the term of the leader that can store submissions, or what speaks against it.
-func (c *Coordinator) forwardingLeader() (t term, obstacle string) {
-	p := c.lastLeaderPing.Load()
+// answeringLeader returns the last answer to a ping of a leader that answers them, or what speaks against it.
+func (c *Coordinator) answeringLeader() (p *leaderPing, obstacle string) {
+	p = c.lastLeaderPing.Load()
 	if p == nil {
-		return term{}, "the leader has answered no ping"
+		return nil, "the leader has answered no ping"
 	}
 	if age := timekeeper.Now().Sub(p.sent); age >= max(maxLeaderPingAge, time.Duration(c.leaderPingInterval.Load())+pingAnswerTime) {
-		return term{}, "the leader's last answer to a ping is " + age.Round(time.Millisecond).String() + " old"
+		return nil, "the leader's last answer to a ping is " + age.Round(time.Millisecond).String() + " old"
+	}
+	if p.answer.Process != p.term.Process || !p.answer.Leading {
+		return nil, "the host of the last leader does not lead"
+	}
+	return p, ""
+}
+
+// forwardingLeader returns the term of the leader that can store submissions, or what speaks against it.
+func (c *Coordinator) forwardingLeader() (t term, obstacle string) {
+	p, obstacle := c.answeringLeader()
+	if obstacle != "" {
+		return term{}, obstacle
 	}
 	switch a := p.answer; {
-	case a.Process != p.term.Process || !a.Leading:
-		return term{}, "the host of the last leader does not lead"
 	case !a.Loaded:
 		return term{}, "the leader has not loaded its state"
 	case a.StoreSilence >= maxForwardStoreSilence:
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -17,6 +17,7 @@
 	methodState  = "State"
 	methodStatus = "Status"
 	methodSubmit = "Submit"
+	methodRoute  = "Route"
 )
 
 // leaderCallTimeout bounds calls to the leader other than pings. It is short because a
@@ -50,7 +51,9 @@
 	// leader it is at least the time since its last confirmed write was sent.
 	StoreSilence time.Duration
 	Version      uint64
-	Pending      map[string]int
+	// ConfigurationAge is the time since Version is known to have been the newest one; 0: not told.
+	ConfigurationAge time.Duration `msgpack:",omitempty"`
+	Pending          map[string]int
 	// Hosts is the number of hosts that the leader hears of, with itself; 0: unknown.
 	Hosts int `msgpack:",omitempty"`
 	// PingInterval is the shortest interval at which a host should ping this leader; 0: any.
@@ -111,12 +114,14 @@
 		}),
 		methodStatus: messenger.NewMethod(c.serveStatus),
 		methodSubmit: messenger.NewMethod(c.serveSubmit),
+		methodRoute:  messenger.NewMethod(c.serveRoute),
 	}
 }
 
 func (c *Coordinator) servePing(_ context.Context, p pingRequest) (pingAnswer, error) {
 	c.noteOtherHostsVersion(p.Version)
-	a := pingAnswer{Process: c.processID, StoreSilence: c.timeSinceStoreSuccess(), Version: c.configVersion()}
+	age := c.configurationAge() // before the version: that of a newer one says nothing about this one
+	a := pingAnswer{Process: c.processID, StoreSilence: c.timeSinceStoreSuccess(), Version: c.configVersion(), ConfigurationAge: age}
 	if ld := c.currentLeadership(); ld != nil && !ld.deposed.Load() {
 		if p.Epoch > ld.term.Revision {
 			c.checkTerm()
@@ -168,6 +173,7 @@
 		return pingAnswer{}, err
 	}
 	c.noteOtherHostsVersion(a.Version)
+	c.noteLeadersConfiguration(a, sent)
 	c.lastLeaderPing.Store(&leaderPing{answer: a, term: t, sent: sent})
 	c.leaderPingInterval.Store(int64(min(a.PingInterval, maxPingInterval)))
 	if a.Hosts > 0 {
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -35,6 +35,7 @@
 	cancelNotices   *prometheus.CounterVec
 	retryAfter      *prometheus.HistogramVec
 	forwardOutcomes *prometheus.CounterVec
+	routes          *prometheus.CounterVec
 	panics          prometheus.Counter
 	leading         prometheus.Gauge
 	leaderLag       prometheus.Gauge
@@ -79,6 +80,7 @@
 		cancelNotices:   counters("cancel_notices_total", "Tries to tell the leader of a request to cancel, by outcome.", "outcome"),
 		retryAfter:      histogram("retry_after_seconds", "Time after which refused submissions should be repeated, by queue.", prometheus.LinearBuckets(1, 1, 6), "queue"),
 		forwardOutcomes: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "peridotpitch", Name: "submissions_forwarded_total", Help: "Submissions forwarded to the leader, by outcome."}, []string{"outcome"}),
+		routes:          counters("routes_total", "Requests by the configuration by which their queue was found: that of this host, the leader's, one of this host that may have been replaced, or none.", "basis"),
 		panics:          counter("panics_total", "Panics of the scheduler or of a request's handler that were contained."),
 		leading:         gauge("leading", "1 while this host leads."),
 		leaderLag:       gauge("leader_lag_seconds", "How late the leader's last regular event was applied."),
@@ -88,7 +90,7 @@
 		evacuated:       gauge("evacuated_failure_domains", "Failure domains that operators evacuate, as this host knows while it leads."),
 	}
 	m.registry.MustRegister(m.requestDuration, m.commandDuration, m.commandWait, m.jobDuration, m.jobStart, m.events, m.eventWait, m.eventWork, m.decisions, m.admissions, m.taskStarts, m.polls, m.leaderWrites, m.electionsWon, m.storeFailures, m.inputFailures, m.cancelNotices,
-		m.evacuated, m.panics, m.retryAfter, m.forwardOutcomes, m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads,
+		m.evacuated, m.panics, m.retryAfter, m.forwardOutcomes, m.routes, m.leading, m.leaderLag, m.configVersion, m.configBytes, m.configReads,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return m
 }
--- a/internal/coordinator/types.go
+++ b/internal/coordinator/types.go
@@ -29,6 +29,10 @@
 	// evacuated failure domain; 0: the requests are not read.
 	EvacuationDeadline time.Duration
 
+	// ConfigurationDeadline is the time after the confirmation of a configuration from which no request is handled by
+	// an older one; 0: requests are handled by the configuration in effect however old it is.
+	ConfigurationDeadline time.Duration
+
 	Memory         int64 // bytes
 	ProcessorShare float64
 	DrainTimeout   time.Duration
@@ -68,9 +72,8 @@
 	Policy  orchestrator.Policy
 }
 
-// route returns the matching queue with the longest prefix and the rest of the path. It
-// returns false if no queue matches.
-func (c *Configuration) route(host, path string) (Queue, string, bool) {
+// route returns the matching queue with the longest prefix, and false if no queue matches.
+func (c *Configuration) route(host, path string) (Queue, bool) {
 	best := -1
 	for i, q := range c.Queues {
 		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (best < 0 || len(q.Prefix) > len(c.Queues[best].Prefix)) {
@@ -78,11 +81,11 @@
 		}
 	}
 	if best < 0 {
-		return Queue{}, "", false
+		return Queue{}, false
 	}
 	q := c.Queues[best]
 	q.MaxBody = c.MaxBody
-	return q, path[len(q.Prefix):], true
+	return q, true
 }
 
 // Outcome classifies an Answer.
@@ -118,9 +121,9 @@
 	Configured() bool
 	// NotConfigured returns the answer to requests that arrive while Configured reports false.
 	NotConfigured() Answer
-	// Route returns the queue of a request and the rest of its path, and false if there
-	// is no such queue. It must not be called before Configured reports true.
-	Route(host, path string) (Queue, string, bool)
+	// Route returns the queue of a request and the rest of its path, or the answer to the request if there is no such
+	// queue or this can't be told. It must not be called before Configured reports true.
+	Route(ctx context.Context, r RouteRequest) (Queue, string, *Answer)
 	// Submit stores a job. A repeated submission of a job has no further effect.
 	Submit(ctx context.Context, j orchestrator.Job) Answer
 	State(ctx context.Context, id string) Answer
