--- a/internal/coordinator/forward.go
+++ b/internal/coordinator/forward.go
@@ -93,13 +93,14 @@
 		(c.storeUnavailable.Load() || c.timeSinceStoreSuccess() >= storeProbeSilence)
 }
 
-// answeringLeader returns the last answer to a ping of a leader that answers them, or what speaks against it.
-func (c *Coordinator) answeringLeader() (p *leaderPing, obstacle string) {
+// answeringLeader returns the last answer to a ping of a leader that answers them, or what speaks against it. The answer may be
+// maxAge old, or longer if the leader asks for fewer pings.
+func (c *Coordinator) answeringLeader(maxAge time.Duration) (p *leaderPing, obstacle string) {
 	p = c.lastLeaderPing.Load()
 	if p == nil {
 		return nil, "the leader has answered no ping"
 	}
-	if age := timekeeper.Now().Sub(p.sent); age >= max(maxLeaderPingAge, time.Duration(c.leaderPingInterval.Load())+pingAnswerTime) {
+	if age := timekeeper.Now().Sub(p.sent); age >= max(maxAge, time.Duration(c.leaderPingInterval.Load())+pingAnswerTime) {
 		return nil, "the leader's last answer to a ping is " + age.Round(time.Millisecond).String() + " old"
 	}
 	if p.answer.Process != p.term.Process || !p.answer.Leading {
@@ -110,7 +111,7 @@
 
 // forwardingLeader returns the term of the leader that can store submissions, or what speaks against it.
 func (c *Coordinator) forwardingLeader() (t term, obstacle string) {
-	p, obstacle := c.answeringLeader()
+	p, obstacle := c.answeringLeader(maxLeaderPingAge)
 	if obstacle != "" {
 		return term{}, obstacle
 	}
--- a/internal/coordinator/routing.go
+++ b/internal/coordinator/routing.go
@@ -9,9 +9,17 @@
 	"peridotpitch/internal/readmitter"
 )
 
-// maxRouteQuestions bounds the questions for a queue that a host has in flight to the leader. Each holds a connection, and the
-// leader answers those of all hosts.
-const maxRouteQuestions = 32
+const (
+	// maxRouteQuestions bounds the questions for a queue that a host has in flight to the leader. Each holds a connection, and
+	// the leader answers those of all hosts.
+	maxRouteQuestions = 32
+	// maxRouteTime bounds the wait for the leader's answer to a question. The leader needs a millisecond, but the question is
+	// asked when a transfer fills the link.
+	maxRouteTime = time.Second
+	// maxSilenceForRoute is the age of the leader's last answer to a ping up to which it is asked. It is longer than
+	// maxLeaderPingAge: pings fail too while a transfer fills the link.
+	maxSilenceForRoute = 2500 * time.Millisecond
+)
 
 // RouteRequest asks for the queue of a caller's request.
 type RouteRequest struct {
@@ -126,7 +134,11 @@
 		return routeAnswer{}, term{}, errRouteQuestionsBusy
 	}
 	var a routeAnswer
-	err = c.client(p.term.address()).Invoke(ctx, leaderCallTimeout, methodRoute,
+	timeout := maxRouteTime
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline)-forwardAnswerMargin)
+	}
+	err = c.client(p.term.address()).Invoke(ctx, timeout, methodRoute,
 		&routeQuestion{From: c.settings.Name, RequestHost: r.Host, Path: r.Path}, &a)
 	switch {
 	case err != nil:
@@ -153,7 +165,7 @@
 	if c.currentLeadership() != nil {
 		return nil, errThisHostLeads
 	}
-	p, obstacle := c.answeringLeader()
+	p, obstacle := c.answeringLeader(maxSilenceForRoute)
 	switch {
 	case obstacle != "":
 		return nil, errors.New(obstacle)
