coordinator: a transfer that stalls or lasts is no outage of the store

Callers of a host whose transfer of the configuration stalled were refused with "the store has served no call" until a transfer ended, 62 s in the test, while the store answered small calls.

Cause: an answer of which a part had arrived counted as a failed store. After a failure the host makes no call for callers, and probes nothing because the configuration is read again, which stalls again.

An answer that stalls no longer counts as a failure of the store; the next call or probe shows whether small calls are served.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -214,9 +214,9 @@
 // probeStore reads the term in the background if the store has served no call for
 // storeProbeSilence. A call that brings a large configuration over a slow link takes longer, and
 // would otherwise look like a store that does not answer. If the last call failed, probeStore does
-// nothing: syncConfiguration repeats its calls until one is served.
+// nothing, because syncConfiguration repeats its calls until one is served, unless one of these lasts.
 func (c *Coordinator) probeStore(ctx context.Context) {
-	if c.timeSinceStoreSuccess() < storeProbeSilence || c.storeUnavailable.Load() || !c.probingStore.CompareAndSwap(false, true) {
+	if c.timeSinceStoreSuccess() < storeProbeSilence || c.storeUnavailable.Load() && !c.longConfigurationCall() || !c.probingStore.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -227,13 +227,23 @@
 	}()
 }
 
+// longConfigurationCall reports whether a call that may bring the configuration has been in flight for storeProbeSilence.
+func (c *Coordinator) longConfigurationCall() bool {
+	call := c.configCall.Load()
+	return call != nil && timekeeper.Now().Sub(call.sent) >= storeProbeSilence
+}
+
 // recordStoreResult updates the store's availability from the result of a call. Conflicts
-// count as served calls.
+// count as served calls. An answer that stalls says nothing: the store may answer small calls, or none any more, as the next
+// call or probe shows.
 func (c *Coordinator) recordStoreResult(err error) {
 	var unavailable *storer.UnavailableError
 	var unknown *storer.UnknownOutcomeError
 	if errors.As(err, &unavailable) || errors.As(err, &unknown) {
 		c.metrics.storeFailures.Inc()
+		if unavailable != nil && unavailable.Incomplete {
+			return
+		}
 		if !c.storeUnavailable.Swap(true) {
 			c.log.Warn("StoreLost", "Cause", err.Error())
 		}
--- a/internal/coordinator/store_health_test.go
+++ b/internal/coordinator/store_health_test.go
@@ -116,6 +116,30 @@
 	is.Equal(len(store.reads), 0)
 }
 
+// A transfer of the configuration lasts or stalls after a call has failed. Guards against a host that makes no other call, so that it
+// takes the store for lost until the transfer ends, and against one that takes the stalled transfer itself for an outage.
+func TestStoreIsProbedDuringLongTransferAfterFailure(t *testing.T) {
+	is := is.New(t)
+	store := termStore{reads: make(chan string, 10)}
+	c := New(Settings{Name: "a"}, Dependencies{Store: store}, slog.New(slog.DiscardHandler))
+	c.recordStoreResult(nil)
+	c.recordStoreResult(&storer.UnavailableError{Incomplete: true})
+	is.True(!c.storeUnavailable.Load())
+
+	c.recordStoreResult(&storer.UnavailableError{})
+	is.True(c.storeUnavailable.Load())
+	c.lastStoreSuccess.Store(timekeeper.Now().Add(-maxReadyStoreSilence).UnixNano())
+	c.configCall.Store(&configurationCallInFlight{call: callRead, sent: timekeeper.Now().Add(-storeProbeSilence / 2)})
+	c.probeStore(context.Background()) // the read may soon be repeated
+	is.Equal(len(store.reads), 0)
+	c.configCall.Store(&configurationCallInFlight{call: callRead, sent: timekeeper.Now().Add(-storeProbeSilence)})
+	c.probeStore(context.Background())
+	is.Equal(<-store.reads, keyTerm)
+	for c.storeUnavailable.Load() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // The store stops answering while callers submit jobs. Guards against submissions that wait
 // for the store although this host knows that it serves no call: callers could try again in
 // time. Guards also against a refusal as not executed of a submission that was sent.
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -73,6 +73,8 @@
 type UnavailableError struct {
 	Address netip.AddrPort
 	Reason  string
+	// Incomplete means that a part of the answer has arrived, so that the store has served the call.
+	Incomplete bool
 }
 
 func (e *UnavailableError) Error() string {
