--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -89,6 +89,7 @@
 	c.configCall.Store(&configurationCallInFlight{call: callRead, sent: asked})
 	entries, revision, err := c.store.List(ctx, c.deps.Keys.Configuration)
 	c.recordConfigurationCall(callRead, begin, err, &s.failed)
+	c.noteTransfer(asked, err)
 	if err != nil {
 		return err
 	}
@@ -113,6 +114,9 @@
 	c.configCall.Store(&configurationCallInFlight{call: callWatch, sent: asked})
 	es, err := c.store.Watch(ctx, c.deps.Keys.Configuration, s.position.start(), wait)
 	c.recordConfigurationCall(callWatch, begin, err, &s.failed)
+	if err != nil || len(es.Events) > 0 {
+		c.noteTransfer(asked, err)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -68,11 +68,14 @@
 	leadersVersionUsed atomic.Uint64
 	leaving            atomic.Bool
 
-	pauses           pauseDetector
-	configAskedAt    atomic.Int64                              // timekeeper time at which the last answered read or watch of the configuration was sent, Unix ns
-	configCheckedAt  atomic.Int64                              // last timekeeper time at which the version in effect is known to have been the newest, Unix ns; 0: none
-	configCall       atomic.Pointer[configurationCallInFlight] // the last call of syncConfiguration; nil: none yet
-	lastStoreSuccess atomic.Int64                              // timekeeper time of the last served call, Unix ns
+	pauses        pauseDetector
+	configAskedAt atomic.Int64 // timekeeper time at which the last answered read or watch of the configuration was sent, Unix ns
+	// configCheckedAt is the last timekeeper time at which the version in effect is known to have been the newest, Unix ns; 0: none.
+	configCheckedAt atomic.Int64
+	configCall      atomic.Pointer[configurationCallInFlight] // the last call of syncConfiguration; nil: none yet
+	// transferredAt is the timekeeper time at which a long transfer of the configuration last ended or stalled, Unix ns.
+	transferredAt    atomic.Int64
+	lastStoreSuccess atomic.Int64 // timekeeper time of the last served call, Unix ns
 	storeUnavailable atomic.Bool
 	probingStore     atomic.Bool
 	checkingTerm     atomic.Bool
--- a/internal/coordinator/forward.go
+++ b/internal/coordinator/forward.go
@@ -93,9 +93,9 @@
 		(c.storeUnavailable.Load() || c.timeSinceStoreSuccess() >= storeProbeSilence)
 }
 
-// answeringLeader returns the last answer to a ping of a leader that answers them, or what speaks against it. The answer may be
+// answeringHost returns the last answer to a ping of the leader's host, or what speaks against relying on it. The answer may be
 // maxAge old, or longer if the leader asks for fewer pings.
-func (c *Coordinator) answeringLeader(maxAge time.Duration) (p *leaderPing, obstacle string) {
+func (c *Coordinator) answeringHost(maxAge time.Duration) (p *leaderPing, obstacle string) {
 	p = c.lastLeaderPing.Load()
 	if p == nil {
 		return nil, "the leader has answered no ping"
@@ -103,19 +103,18 @@
 	if age := timekeeper.Now().Sub(p.sent); age >= max(maxAge, time.Duration(c.leaderPingInterval.Load())+pingAnswerTime) {
 		return nil, "the leader's last answer to a ping is " + age.Round(time.Millisecond).String() + " old"
 	}
-	if p.answer.Process != p.term.Process || !p.answer.Leading {
-		return nil, "the host of the last leader does not lead"
-	}
 	return p, ""
 }
 
 // forwardingLeader returns the term of the leader that can store submissions, or what speaks against it.
 func (c *Coordinator) forwardingLeader() (t term, obstacle string) {
-	p, obstacle := c.answeringLeader(maxLeaderPingAge)
+	p, obstacle := c.answeringHost(maxLeaderPingAge)
 	if obstacle != "" {
 		return term{}, obstacle
 	}
 	switch a := p.answer; {
+	case a.Process != p.term.Process || !a.Leading:
+		return term{}, "the host of the last leader does not lead"
 	case !a.Loaded:
 		return term{}, "the leader has not loaded its state"
 	case a.StoreSilence >= maxForwardStoreSilence:
--- a/internal/coordinator/routing.go
+++ b/internal/coordinator/routing.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"peridotpitch/internal/readmitter"
+	"peridotpitch/internal/storer"
+	"peridotpitch/internal/timekeeper"
 )
 
 const (
@@ -76,8 +78,7 @@
 		return c.routed(r, a.Queue, a.Found, basisLeader, a.Version, t.Host)
 	}
 	q, found := own.route(r.Host, r.Path)
-	silence := c.timeSinceStoreSuccess()
-	outage := silence >= c.settings.ConfigurationDeadline
+	outage := c.storeUnavailable.Load() && c.timeSinceStoreSuccess() >= minOutageSilence && !c.transferring()
 	if found && outage && !r.Submission && own.Version >= c.leadersVersionUsed.Load() {
 		return c.routed(r, q, true, basisOutdated, own.Version, "")
 	}
@@ -160,12 +161,13 @@
 	return a, p.term, nil
 }
 
-// leaderToAsk returns the last answer to a ping of a leader that can find queues, or what speaks against it.
+// leaderToAsk returns the last answer to a ping of a leader that can find queues, or what speaks against it. A host that does
+// not lead any more can find them too.
 func (c *Coordinator) leaderToAsk() (*leaderPing, error) {
 	if c.currentLeadership() != nil {
 		return nil, errThisHostLeads
 	}
-	p, obstacle := c.answeringLeader(maxSilenceForRoute)
+	p, obstacle := c.answeringHost(maxSilenceForRoute)
 	switch {
 	case obstacle != "":
 		return nil, errors.New(obstacle)
@@ -208,6 +210,21 @@
 	c.noteConfigurationChecked(sent.Add(-age))
 }
 
+// transferring reports whether a large configuration is or was just on its way here, so that the store serves this host, although
+// it may answer no other call in time.
+func (c *Coordinator) transferring() bool {
+	return c.longConfigurationCall() || timekeeper.Now().Sub(time.Unix(0, c.transferredAt.Load())) < 2*storeProbeSilence
+}
+
+// noteTransfer records the end of a call that has brought a configuration, or a part of it, if it took long.
+func (c *Coordinator) noteTransfer(sent time.Time, err error) {
+	var unavailable *storer.UnavailableError
+	now := timekeeper.Now()
+	if errors.As(err, &unavailable) && unavailable.Incomplete || err == nil && now.Sub(sent) >= storeProbeSilence {
+		c.transferredAt.Store(now.UnixNano())
+	}
+}
+
 // configurationAge returns the age of the configuration for the answer to a ping, in which 0 means that it is not told.
 func (c *Coordinator) configurationAge() time.Duration {
 	return max(time.Nanosecond, c.timeSinceConfigurationCheck())
--- a/internal/coordinator/routing_test.go
+++ b/internal/coordinator/routing_test.go
@@ -83,7 +83,11 @@
 	leader.setConfiguration(number(fields[5]), duration(fields[6]))
 	pair.ping(is)
 	host.leadersVersionUsed.Store(number(fields[4]))
-	host.lastStoreSuccess.Store(timekeeper.Now().Add(-duration(fields[8])).UnixNano())
+	silence, transferring := strings.CutSuffix(fields[8], "+transfer")
+	host.lastStoreSuccess.Store(timekeeper.Now().Add(-duration(silence)).UnixNano())
+	if transferring {
+		host.noteTransfer(timekeeper.Now().Add(-2*time.Second), nil)
+	}
 	switch fields[7] {
 	case "no-ping":
 		host.lastLeaderPing.Store(nil)
@@ -112,7 +116,7 @@
 	}
 	canRoute := outcome != OutcomeUnavailable && fields[10] != string(basisOutdated)
 	if canRoute || fields[7] == "no-ping" || duration(fields[6]) >= testDeadline {
-		is.Equal(host.Ready(), canRoute && duration(fields[8]) < maxReadyStoreSilence)
+		is.Equal(host.Ready(), canRoute && duration(silence) < maxReadyStoreSilence)
 	}
 }
 
