coordinator: nothing starts while the evacuations are out of time

A domain that operators had evacuated for longer than EvacuationDeadline got new tasks.

The leader knows until when its list was complete. Starts that are sent later than the deadline after that are deferred while the store confirms its writes. A leader that has lost the store goes on as before.

TestNothingStartsWhileEvacuationsAreOutOfTime fails without the check before the send (one start) and passes.

--- a/internal/coordinator/evacuations.go
+++ b/internal/coordinator/evacuations.go
@@ -9,6 +9,7 @@
 
 	"peridotpitch/internal/orchestrator"
 	"peridotpitch/internal/storer"
+	"peridotpitch/internal/timekeeper"
 )
 
 const (
@@ -18,6 +19,11 @@
 	// made while the store is about to drop its history.
 	evacuationReadInterval = 2 * time.Second
 	evacuationRetryDelay   = 150 * time.Millisecond
+	// maxConfirmedWriteAge is how long ago the last confirmed write may have been sent for the store to count as serving the
+	// leader, which writes each headWriteInterval.
+	maxConfirmedWriteAge = time.Second
+	// lateEvacuationsLogInterval is the shortest time between two log lines on late evacuations.
+	lateEvacuationsLogInterval = 2 * time.Second
 )
 
 // evacuationEntry is what one key under the evacuations' prefix says.
@@ -33,6 +39,8 @@
 	revision uint64                     // of the store, at the last read of all or change
 	position watchPosition
 	readAt   time.Time // when the last read of all was sent; zero: the next call is one
+
+	lateLoggedAt time.Time // of the last EvacuationsLate
 }
 
 // failureDomains returns the evacuated failure domains, sorted and without repetitions.
@@ -53,7 +61,7 @@
 	if prefix == "" {
 		return nil
 	}
-	begin := time.Now()
+	begin, asked := time.Now(), timekeeper.Now()
 	entries, revision, err := ld.list(ctx, prefix)
 	if err != nil {
 		return err
@@ -69,6 +77,7 @@
 	l.revision, l.readAt = revision, begin
 	l.position.restart(revision, begin)
 	ld.passEvacuations()
+	ld.evacuationsCheckedAt.Store(asked.UnixNano())
 	return nil
 }
 
@@ -83,16 +92,41 @@
 			update = ld.readEvacuations
 		}
 		if err := update(ctx); err != nil {
-			ld.c.log.Debug("EvacuationsNotRead", "Cause", err.Error())
+			ld.logEvacuationsNotRead(err)
 			ld.evacuations.readAt = time.Time{}
 			sleep(ctx, evacuationRetryDelay)
 		}
 	}
 }
 
+// logEvacuationsNotRead logs a failed call for the evacuations if starts wait for it.
+func (ld *leadership) logEvacuationsNotRead(err error) {
+	l := &ld.evacuations
+	if !ld.evacuationsOutOfTime() || time.Since(l.lateLoggedAt) < lateEvacuationsLogInterval {
+		ld.c.log.Debug("EvacuationsNotRead", "Cause", err.Error())
+		return
+	}
+	l.lateLoggedAt = time.Now()
+	ld.c.log.Warn("EvacuationsLate", "Epoch", ld.term.Revision, "Age", ld.evacuationsAge().Round(time.Millisecond).String(),
+		"Outcome", "nothing starts until the evacuations are known", "Cause", err.Error())
+}
+
+// evacuationsAge returns the time since the leader's list of evacuations is known to have been complete.
+func (ld *leadership) evacuationsAge() time.Duration {
+	return timekeeper.Now().Sub(time.Unix(0, ld.evacuationsCheckedAt.Load()))
+}
+
+// evacuationsOutOfTime reports whether an evacuation may have been requested longer ago than the deadline without this leader's
+// knowing, although the store serves it. A leader that has lost the store goes on: its starts keep accepted jobs running, and
+// operators can't reach the store either, or the leader is replaced.
+func (ld *leadership) evacuationsOutOfTime() bool {
+	d := ld.c.settings.EvacuationDeadline
+	return d > 0 && ld.c.deps.Keys.Evacuations != "" && ld.evacuationsAge() >= d && ld.timeSinceConfirmedWrite() < maxConfirmedWriteAge
+}
+
 // watchEvacuationsOnce runs one watch, which ends when the next read of all is due.
 func (ld *leadership) watchEvacuationsOnce(ctx context.Context) error {
-	l, begin := &ld.evacuations, time.Now()
+	l, begin, asked := &ld.evacuations, time.Now(), timekeeper.Now()
 	wait := max(time.Millisecond, min(evacuationWatchTimeout, l.readAt.Add(evacuationReadInterval).Sub(begin)))
 	es, err := ld.c.store.Watch(ctx, ld.c.deps.Keys.Evacuations, l.position.start(), wait)
 	if err != nil {
@@ -114,9 +148,10 @@
 		// found by the next read of all.
 		l.position.restart(l.revision, begin)
 		ld.passEvacuations()
-		return nil
+	} else {
+		l.position.advance(es.StoreRevision, begin)
 	}
-	l.position.advance(es.StoreRevision, begin)
+	ld.evacuationsCheckedAt.Store(asked.UnixNano())
 	return nil
 }
 
--- a/internal/coordinator/evacuations_test.go
+++ b/internal/coordinator/evacuations_test.go
@@ -192,6 +192,36 @@
 	is.Equal(workers.starts, 1)
 }
 
+// Calls for the evacuations fail while the store serves the leader's other calls. Guards against starts in a failure domain that was
+// evacuated longer ago than the deadline, and against a leader that starts nothing while it has lost the store.
+func TestNothingStartsWhileEvacuationsAreOutOfTime(t *testing.T) {
+	is := is.New(t)
+	ld, log := newEvacuationLeadership(entryStore{})
+	workers := &countingWorkers{}
+	ld.c.deps.Workers, ld.c.settings.EvacuationDeadline = workers, maxEvacuationDeadline
+	is.NoErr(ld.readEvacuations(context.Background()))
+	start := decideStart(t, ld)
+	p := &poller{ld: ld, target: Target{ID: "w0"}, ctx: context.Background()}
+	confirmed := func(age time.Duration) { ld.lastConfirmedSent.Store(timekeeper.Now().Add(-age).UnixNano()) }
+	ld.evacuationsCheckedAt.Store(timekeeper.Now().Add(-maxEvacuationDeadline).UnixNano())
+	confirmed(0)
+	p.send(command{start, time.Now()})
+	is.Equal(workers.starts, 0)
+	is.True(strings.Contains(log(), "msg=StartDeferred Job=j1 Task=j1.0.0.0"))
+	ld.logEvacuationsNotRead(errors.New("status 429"))
+	ld.logEvacuationsNotRead(errors.New("status 429"))
+	is.Equal(strings.Count(log(), "msg=EvacuationsLate"), 1)
+
+	confirmed(maxConfirmedWriteAge)
+	p.send(command{start, time.Now()})
+	is.Equal(workers.starts, 1)
+
+	confirmed(0)
+	is.NoErr(ld.readEvacuations(context.Background()))
+	p.send(command{start, time.Now()})
+	is.Equal(workers.starts, 2)
+}
+
 // A start waits in a sender's queue, because the leader is late. Guards against a start that is sent when what was known of
 // its worker no longer holds: workers that had begun to drain 4 s before got tasks.
 func TestLateStartIsDecidedAgain(t *testing.T) {
--- a/internal/coordinator/lead.go
+++ b/internal/coordinator/lead.go
@@ -110,6 +110,8 @@
 
 	evacuations evacuationList           // used by load, and then by watchEvacuations only
 	evacuated   atomic.Pointer[[]string] // evacuated failure domains, sorted; nil: not read
+	// evacuationsCheckedAt is the last timekeeper time at which evacuated is known to have been complete, Unix ns.
+	evacuationsCheckedAt atomic.Int64
 
 	deposed           atomic.Bool  // another host has been elected: nothing is sent any more
 	lag               atomic.Int64 // how late this leader was at the last Tick, ns; see measureLag
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -342,7 +342,7 @@
 	ld.c.metrics.commandWait.Observe(begin.Sub(c.decidedAt).Seconds())
 	switch a := c.action.(type) {
 	case orchestrator.StartRun:
-		if begin.Sub(c.decidedAt) > maxStartDelay {
+		if begin.Sub(c.decidedAt) > maxStartDelay || ld.evacuationsOutOfTime() {
 			ld.commands.add("start", startWork(orchestrator.StartDeferred))
 			ld.apply(orchestrator.StartAnswered{Worker: a.Worker, Task: a.Task, Run: a.Run, Outcome: orchestrator.StartDeferred})
 			return
