orchestrator: a step that names an earlier step twice no longer waits for good

Dependencies are counted once for each different step. The estimates of run times take the largest of the dependencies, which repetition does not change.

--- a/internal/orchestrator/load_test.go
+++ b/internal/orchestrator/load_test.go
@@ -38,6 +38,19 @@
 	return -1
 }
 
+// A step names the same earlier step twice. Guards against a job that waits for good: the step counted two dependencies, and the end of
+// the earlier step settled one.
+func TestDependencyNamedTwiceIsOne(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t, 1, cores(4, 16))
+	j := simpleJob("j1", 2, cores(1, 1))
+	j.Steps = append(j.Steps, j.Steps[0], j.Steps[0])
+	j.Steps[1].After, j.Steps[2].After = []int{0, 0}, []int{1, 0, 1}
+	w.submit(j)
+	w.run(10 * time.Second)
+	is.Equal(w.state("j1"), orchestrator.StateSucceeded)
+}
+
 // A worker with running tasks dies. Guards against polls of the dead worker that extend its
 // leases: the runs would never expire and the tasks never start elsewhere.
 func TestTasksOfDeadWorkerRestart(t *testing.T) {
--- a/internal/orchestrator/occurrence.go
+++ b/internal/orchestrator/occurrence.go
@@ -94,8 +94,8 @@
 	}
 	for _, s := range oc.steps {
 		s.unfinishedDependencies = 0
-		for _, a := range s.After {
-			if oc.steps[a].unfinished > 0 {
+		for i, a := range s.After {
+			if oc.steps[a].unfinished > 0 && !slices.Contains(s.After[:i], a) { // a caller may name a step twice
 				s.unfinishedDependencies++
 			}
 		}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -156,7 +156,7 @@
 	index                  int
 	tasks                  []*task
 	unfinished             int    // tasks that have not succeeded
-	unfinishedDependencies int    // steps in After with unfinished tasks
+	unfinishedDependencies int    // different steps in After with unfinished tasks
 	rack                   string // of the first task that started
 	readyAt                time.Time
 	waitingKnown           bool          // waiting is up to date
