coordinator: what concerns the age of the configuration stands beside its reads

The functions move from routing.go to configuration.go without a change, and two comments say more plainly why. An age below 0 in an answer to a ping counts as 0, so that no host can vouch for the future: one case more in TestPingShowsThatConfigurationIsInTime.

--- a/internal/coordinator/configuration.go
+++ b/internal/coordinator/configuration.go
@@ -24,6 +24,11 @@
 	// configurationFailureLogInterval is the shortest time between two log lines about failed
 	// reads of the configuration.
 	configurationFailureLogInterval = 2 * time.Second
+	// confirmationAge is the age of a configuration that has just arrived from which the next watch does not wait for a
+	// change. After a long transfer, or a long wait for the change, the age would soon be over the deadline.
+	confirmationAge = 250 * time.Millisecond
+	// confirmationWait is the wait of a watch that only asks whether the configuration has changed.
+	confirmationWait = time.Millisecond
 	// lateConfigurationAge is the age of the configuration from which this host logs that it is late. It is the
 	// shortest bound for the effect of a configuration on the platform.
 	lateConfigurationAge = 2 * time.Second
@@ -87,8 +92,8 @@
 	}
 }
 
-// startedAnswer reports whether a call failed after its answer had begun. An answer to a watch that has become too large to arrive
-// has more than one version of the configuration; a read brings the newest one only.
+// startedAnswer reports whether a call failed after its answer had begun. The answer to a watch may have several versions of the
+// configuration, so that a read, which brings the newest one only, may arrive where that answer does not.
 func startedAnswer(err error) bool {
 	var unavailable *storer.UnavailableError
 	var unknown *storer.UnknownOutcomeError
@@ -213,6 +218,57 @@
 	return timekeeper.Now().Sub(time.Unix(0, at))
 }
 
+// noteLeadersConfiguration takes over what a leader's answer to a ping says about the configuration in effect here: it was the
+// newest one when the leader's was, unless the leader has a newer one.
+func (c *Coordinator) noteLeadersConfiguration(a pingAnswer, sent time.Time) {
+	if a.Version == 0 || a.Version > c.configVersion() {
+		return
+	}
+	age := a.ConfigurationAge
+	if age == 0 {
+		age = a.StoreSilence // the build before does not tell the age
+	}
+	c.noteConfigurationChecked(sent.Add(-max(0, age)))
+}
+
+// transferring reports whether a large configuration is or was just on its way here, so that the store serves this host, although
+// it may answer no other call in time.
+func (c *Coordinator) transferring() bool {
+	return c.longConfigurationCall() || timekeeper.Now().Sub(time.Unix(0, c.transferredAt.Load())) < 2*storeProbeSilence
+}
+
+// noteTransfer records the end of a call that has brought a configuration, or a part of it, if it took long.
+func (c *Coordinator) noteTransfer(sent time.Time, err error) {
+	var unavailable *storer.UnavailableError
+	now := timekeeper.Now()
+	if errors.As(err, &unavailable) && unavailable.Incomplete || err == nil && now.Sub(sent) >= storeProbeSilence {
+		c.transferredAt.Store(now.UnixNano())
+	}
+}
+
+// configurationAge returns the age of the configuration for the answer to a ping, in which 0 means that it is not told.
+func (c *Coordinator) configurationAge() time.Duration {
+	return max(time.Nanosecond, c.timeSinceConfigurationCheck())
+}
+
+// configurationWait returns how long a watch of the configuration waits for a change. A watch that ends without one shows that
+// the configuration is in time for as long as the next one lasts.
+func (c *Coordinator) configurationWait() time.Duration {
+	if d := c.settings.ConfigurationDeadline; d > 0 {
+		return min(configurationWatchTimeout, d/2)
+	}
+	return configurationWatchTimeout
+}
+
+// nextConfigurationWait returns the wait of the next watch. After a failed call the watch does not wait, so that its answer shows at
+// once whether the store is back.
+func (c *Coordinator) nextConfigurationWait(s *configurationSync) time.Duration {
+	if s.repeats || s.applied && c.timeSinceConfigurationCheck() >= confirmationAge {
+		return confirmationWait
+	}
+	return c.configurationWait()
+}
+
 // logLateConfiguration logs that the configuration in effect may have been replaced for some time, and what this host is
 // doing about it. loggedAt is when it last did so; the result is its new value.
 func (c *Coordinator) logLateConfiguration(loggedAt time.Time) time.Time {
--- a/internal/coordinator/routing.go
+++ b/internal/coordinator/routing.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"peridotpitch/internal/readmitter"
-	"peridotpitch/internal/storer"
-	"peridotpitch/internal/timekeeper"
 )
 
 const (
@@ -196,60 +194,3 @@
 	_, err := c.leaderToAsk()
 	return err == nil
 }
-
-// noteLeadersConfiguration takes over what a leader's answer to a ping says about the configuration in effect here: it was the
-// newest one when the leader's was, unless the leader has a newer one.
-func (c *Coordinator) noteLeadersConfiguration(a pingAnswer, sent time.Time) {
-	if a.Version == 0 || a.Version > c.configVersion() {
-		return
-	}
-	age := a.ConfigurationAge
-	if age == 0 {
-		age = a.StoreSilence // the build before does not tell the age
-	}
-	c.noteConfigurationChecked(sent.Add(-age))
-}
-
-// transferring reports whether a large configuration is or was just on its way here, so that the store serves this host, although
-// it may answer no other call in time.
-func (c *Coordinator) transferring() bool {
-	return c.longConfigurationCall() || timekeeper.Now().Sub(time.Unix(0, c.transferredAt.Load())) < 2*storeProbeSilence
-}
-
-// noteTransfer records the end of a call that has brought a configuration, or a part of it, if it took long.
-func (c *Coordinator) noteTransfer(sent time.Time, err error) {
-	var unavailable *storer.UnavailableError
-	now := timekeeper.Now()
-	if errors.As(err, &unavailable) && unavailable.Incomplete || err == nil && now.Sub(sent) >= storeProbeSilence {
-		c.transferredAt.Store(now.UnixNano())
-	}
-}
-
-// configurationAge returns the age of the configuration for the answer to a ping, in which 0 means that it is not told.
-func (c *Coordinator) configurationAge() time.Duration {
-	return max(time.Nanosecond, c.timeSinceConfigurationCheck())
-}
-
-// configurationWait returns how long a watch of the configuration waits for a change. A watch that ends without one shows that
-// the configuration is in time for as long as the next one lasts.
-func (c *Coordinator) configurationWait() time.Duration {
-	if d := c.settings.ConfigurationDeadline; d > 0 {
-		return min(configurationWatchTimeout, d/2)
-	}
-	return configurationWatchTimeout
-}
-
-// confirmationAge is the age of a configuration that has just arrived from which the next watch does not wait for a change. After
-// a long transfer, or a long wait for the change, the age would soon be over the deadline.
-const confirmationAge = 250 * time.Millisecond
-
-// confirmationWait is the wait of a watch that only asks whether the configuration has changed.
-const confirmationWait = time.Millisecond
-
-// nextConfigurationWait returns the wait of the next watch. After a failed call its answer shows at once whether the store is back.
-func (c *Coordinator) nextConfigurationWait(s *configurationSync) time.Duration {
-	if s.repeats || s.applied && c.timeSinceConfigurationCheck() >= confirmationAge {
-		return confirmationWait
-	}
-	return c.configurationWait()
-}
--- a/internal/coordinator/routing_test.go
+++ b/internal/coordinator/routing_test.go
@@ -132,6 +132,7 @@
 		"newer version":          {pingAnswer{Version: 15, ConfigurationAge: 300 * time.Millisecond}, 9 * time.Second},
 		"no version":             {pingAnswer{ConfigurationAge: 300 * time.Millisecond}, 9 * time.Second},
 		"older than known":       {pingAnswer{Version: 12, ConfigurationAge: time.Minute}, 9 * time.Second},
+		"of the future":          {pingAnswer{Version: 12, ConfigurationAge: -time.Hour}, 0},
 		"build before":           {pingAnswer{Version: 12, StoreSilence: 400 * time.Millisecond}, 400 * time.Millisecond},
 		"build before, no store": {pingAnswer{Version: 12, StoreSilence: time.Minute}, 9 * time.Second},
 	} {
