coordinator, platform: tests of the configuration's age don't depend on the machine's speed

Ages in these tests stood 100 ms from their bounds by the real clock, so that a pause of a busy machine could have failed them; none has been seen to. They use virtual time or a stopped clock now.

--- a/internal/coordinator/configuration_test.go
+++ b/internal/coordinator/configuration_test.go
@@ -57,10 +57,17 @@
 	is.True(strings.Contains(log.String(), "Failures=5"))
 }
 
+// freezeClock stops the timekeeper's clock until the returned function is called, so that ages don't depend on the speed of the machine.
+func freezeClock() func() {
+	now := timekeeper.Now()
+	return timekeeper.Replace(func() time.Time { return now })
+}
+
 // A transfer of the configuration lasts while the store answers other calls. Guards against logs that say nothing until the
 // transfer has failed, so that a host without the newest version can't be told from one that has it.
 func TestLateConfigurationIsLogged(t *testing.T) {
 	is := is.New(t)
+	defer freezeClock()()
 	var log bytes.Buffer
 	c := New(Settings{Name: "a"}, Dependencies{}, slog.New(slog.NewTextHandler(&log, nil)))
 	c.config.Store(&Configuration{Version: 12})
--- a/internal/coordinator/evacuations_test.go
+++ b/internal/coordinator/evacuations_test.go
@@ -201,6 +201,7 @@
 	ld.c.deps.Workers, ld.c.settings.EvacuationDeadline = workers, maxEvacuationDeadline
 	is.NoErr(ld.readEvacuations(context.Background()))
 	start := decideStart(t, ld)
+	defer freezeClock()()
 	p := &poller{ld: ld, target: Target{ID: "w0"}, ctx: context.Background()}
 	confirmed := func(age time.Duration) { ld.lastConfirmedSent.Store(timekeeper.Now().Add(-age).UnixNano()) }
 	ld.evacuationsCheckedAt.Store(timekeeper.Now().Add(-maxEvacuationDeadline).UnixNano())
--- a/internal/coordinator/routing_test.go
+++ b/internal/coordinator/routing_test.go
@@ -65,6 +65,7 @@
 }
 
 func checkRouting(t *testing.T, fields []string) {
+	defer timekeeper.Replace(time.Now)()
 	is := is.New(t)
 	number := func(s string) uint64 {
 		n, err := strconv.ParseUint(s, 10, 64)
--- a/internal/coordinator/store_health_test.go
+++ b/internal/coordinator/store_health_test.go
@@ -120,6 +120,7 @@
 // takes the store for lost until the transfer ends, and against one that takes the stalled transfer itself for an outage.
 func TestStoreIsProbedDuringLongTransferAfterFailure(t *testing.T) {
 	is := is.New(t)
+	defer freezeClock()()
 	store := termStore{reads: make(chan string, 10)}
 	c := New(Settings{Name: "a"}, Dependencies{Store: store}, slog.New(slog.DiscardHandler))
 	c.recordStoreResult(nil)
