--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -31,7 +31,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD")
 		os.Exit(exitNotRun)
 	}
-	play, known := map[string]func(f *fleet, trouble bool) int{"advice": playAdvice, "lasting": playLasting, "hopeless": playHopeless, "long": playLong, "looping": playLooping, "returning": playReturning, "saved": playSaved}[os.Args[1]]
+	play, known := map[string]func(f *fleet, trouble bool) int{"advice": playAdvice, "lasting": playLasting, "hopeless": playHopeless, "long": playLong, "rack": playRack, "looping": playLooping, "returning": playReturning, "saved": playSaved}[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
 		os.Exit(exitNotRun)
