orchestrator: waits name the returning task that keeps workers from a new one

The Wait line of a long-running task counted the workers that are kept from it (ReturningTask=21), but not for which task, so that the reason why that task does not start itself could not be looked up. KeptFor names it.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -81,7 +81,7 @@
 	silences          []time.Time             // when workers stopped answering, in the last crashEvidenceTime
 	expired           []string                // finished jobs whose records are to be deleted
 	capacityScarce    bool                    // only the reserve for short jobs is left
-	returning         map[string][]Resources  // by service: sizes of the returning tasks that have precedence
+	returning         map[string][]*task      // by service: returning tasks that have precedence, one of each size
 	lightlyLoaded     bool                    // less than lightLoadShare of the workers' processors is used
 	passDue           bool                    // a scheduling pass is due, because a change may let a task start
 	loadNotedAt       time.Time               // when noteLoad last ran
@@ -223,7 +223,7 @@
 		earlyCancels:      make(map[string]earlyCancel),
 		lapsed:            make(map[netip.AddrPort]lapsedWorker),
 		unplacedAt:        make(map[string]time.Time),
-		returning:         make(map[string][]Resources),
+		returning:         make(map[string][]*task),
 		passCount:         1, // no worker has been noted before it
 	}
 }
@@ -555,12 +555,12 @@
 	if !t.step.LongRunning || !t.lastRunEnd.IsZero() {
 		return false
 	}
-	sizes := o.returning[t.job().Policy.Service]
-	if len(sizes) == 0 {
+	returning := o.returning[t.job().Policy.Service]
+	if len(returning) == 0 {
 		return false
 	}
 	free := w.freeAfterShortTasks()
-	return slices.ContainsFunc(sizes, free.covers)
+	return slices.ContainsFunc(returning, func(r *task) bool { return free.covers(r.step.countedSize()) })
 }
 
 // maxAttempts returns the number of failed runs of the task after which its job fails.
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -138,17 +138,17 @@
 // it would fit. Other limits may keep it from all of these.
 const maxPrecedence = 30 * time.Second
 
-// updateReturning determines the sizes of the returning tasks that have precedence. queue is the result of queue.
+// updateReturning determines the returning tasks that have precedence, one of each size. queue is the result of queue.
 func (o *Orchestrator) updateReturning(queue []urgency) {
 	clear(o.returning)
 	for _, u := range queue {
 		s := u.step
 		service := s.occurrence.job.Policy.Service
-		if !s.LongRunning || slices.Contains(o.returning[service], s.countedSize()) {
+		if !s.LongRunning || slices.ContainsFunc(o.returning[service], func(t *task) bool { return t.step.countedSize() == s.countedSize() }) {
 			continue
 		}
-		if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.returning() && o.now.Sub(t.waitingSince) < maxPrecedence }) {
-			o.returning[service] = append(o.returning[service], s.countedSize())
+		if i := slices.IndexFunc(s.tasks, func(t *task) bool { return t.returning() && o.now.Sub(t.waitingSince) < maxPrecedence }); i >= 0 {
+			o.returning[service] = append(o.returning[service], s.tasks[i])
 		}
 	}
 }
@@ -406,5 +406,10 @@
 			figures += fmt.Sprintf(" %s=%d", b, excluded[b])
 		}
 	}
+	if excluded[obstacleReturningTask] > 0 {
+		for _, t := range o.returning[s.occurrence.job.Policy.Service] {
+			figures += " KeptFor=" + t.name
+		}
+	}
 	return figures
 }
