orchestrator: a returning task keeps one place, on a worker where it may run

Cause: the precedence of returning tasks compared sizes only, on all workers of the service. The hosts' logs show 21 of 21 candidates excluded by ReturningTask while the returning task itself waits for a label that no usable worker has.

Change: a returning task keeps one place on a worker that passes the same checks as a start (suitableWorkers, restriction), a gang only if all of its members have one, and nothing if there is no such worker. New tasks may use what is left beside it. The mechanism returning-first disables precedence.

--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -28,6 +28,9 @@
 	allowedBefore map[string]bool   // workers that were ever allowed, by ID; the policy's answer on a worker does not change
 }
 
+// denies reports whether the outside policy has answered that the step may not run on a worker.
+func (a *advice) denies(w *worker) bool { return a.answered[w.ID] && !a.allowedBefore[w.ID] }
+
 // adviceName returns the step's name in requests to the outside policy.
 func (s *step) adviceName() string {
 	return fmt.Sprintf("%s.%d.%d", s.occurrence.job.ID, s.occurrence.number, s.index)
--- a/internal/orchestrator/evacuation.go
+++ b/internal/orchestrator/evacuation.go
@@ -109,8 +109,7 @@
 	if ws, ok := known[key]; ok && !p.Advised {
 		return ws
 	}
-	ws, _ := o.candidates(s)
-	ws = slices.DeleteFunc(ws, func(w *worker) bool { return o.evacuations.Settles(w.FailureDomain, o.now) })
+	ws := slices.DeleteFunc(slices.Clone(o.surveyedCandidates(s)), func(w *worker) bool { return o.evacuations.Settles(w.FailureDomain, o.now) })
 	if !p.Advised {
 		known[key] = ws
 	}
--- a/internal/orchestrator/gang.go
+++ b/internal/orchestrator/gang.go
@@ -20,7 +20,7 @@
 		}
 		number = max(number, t.nextRun)
 	}
-	workers, reason := o.cachedCandidates(p, s)
+	workers, reason := o.cachedCandidates(p.survey, s)
 	if len(workers) == 0 {
 		o.noteWait(s, reason)
 		return 0
--- a/internal/orchestrator/mechanism.go
+++ b/internal/orchestrator/mechanism.go
@@ -43,6 +43,8 @@
 	MechanismPacedStarts Mechanism = "paced-starts"
 	// MechanismSingleMeasurements updates the interference model by each measurement of a worker once.
 	MechanismSingleMeasurements Mechanism = "single-measurements"
+	// MechanismReturningFirst keeps places for long-running tasks that had a run before from new ones.
+	MechanismReturningFirst Mechanism = "returning-first"
 	// MechanismStragglers moves or copies runs that hang or are slower than expected.
 	MechanismStragglers Mechanism = "straggler-moves"
 )
@@ -51,7 +53,7 @@
 var Mechanisms = []Mechanism{
 	MechanismStepLoad, MechanismImageSeparation, MechanismThrottledMoves, MechanismForecastOrder,
 	MechanismShortJobReserve, MechanismPreemption, MechanismReservations, MechanismQuarantine, MechanismStragglers, MechanismCrashIsolation,
-	MechanismEvacuationMoves, MechanismSlowRunCauses, MechanismMovesAfterQueue, MechanismPacedStarts, MechanismSingleMeasurements,
+	MechanismEvacuationMoves, MechanismSlowRunCauses, MechanismMovesAfterQueue, MechanismPacedStarts, MechanismSingleMeasurements, MechanismReturningFirst,
 }
 
 // MechanismSet is a set of mechanisms. The zero value is empty.
--- a/internal/orchestrator/mechanism_test.go
+++ b/internal/orchestrator/mechanism_test.go
@@ -53,6 +53,8 @@
 	orchestrator.MechanismMovesAfterQueue: waitingTasksTakeRoomFirst,
 	orchestrator.MechanismPacedStarts:     urgentJobsEndInTimeOnSlowHosts,
 
+	orchestrator.MechanismReturningFirst: returningTaskGetsItsPlace,
+
 	orchestrator.MechanismSingleMeasurements: repeatedMeasurementsCountOnce,
 }
 
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -81,7 +81,7 @@
 	silences          []time.Time             // when workers stopped answering, in the last crashEvidenceTime
 	expired           []string                // finished jobs whose records are to be deleted
 	capacityScarce    bool                    // only the reserve for short jobs is left
-	returning         map[string][]*task      // by service: returning tasks that have precedence, one of each size
+	precedences       map[string]*precedence  // by service, of the last scheduling pass
 	lightlyLoaded     bool                    // less than lightLoadShare of the workers' processors is used
 	passDue           bool                    // a scheduling pass is due, because a change may let a task start
 	loadNotedAt       time.Time               // when noteLoad last ran
@@ -223,7 +223,7 @@
 		earlyCancels:      make(map[string]earlyCancel),
 		lapsed:            make(map[netip.AddrPort]lapsedWorker),
 		unplacedAt:        make(map[string]time.Time),
-		returning:         make(map[string][]*task),
+		precedences:       make(map[string]*precedence),
 		passCount:         1, // no worker has been noted before it
 	}
 }
@@ -544,25 +544,6 @@
 	return !t.step.LongRunning && len(t.failed)+t.unknownRuns >= t.maxAttempts()
 }
 
-// returning reports whether a long-running task waits that had a run before.
-func (t *task) returning() bool {
-	return t.step.LongRunning && len(t.runs) == 0 && !t.lastRunEnd.IsZero()
-}
-
-// yieldsToReturning reports whether a long-running task that has never run must leave a worker to a
-// returning task of its service. It would take for good the capacity that the run of the other has left.
-func (o *Orchestrator) yieldsToReturning(t *task, w *worker) bool {
-	if !t.step.LongRunning || !t.lastRunEnd.IsZero() {
-		return false
-	}
-	returning := o.returning[t.job().Policy.Service]
-	if len(returning) == 0 {
-		return false
-	}
-	free := w.freeAfterShortTasks()
-	return slices.ContainsFunc(returning, func(r *task) bool { return free.covers(r.step.countedSize()) })
-}
-
 // maxAttempts returns the number of failed runs of the task after which its job fails.
 func (t *task) maxAttempts() int {
 	if a := t.job().Policy.Attempts; a > 0 {
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -97,7 +97,7 @@
 		}
 		if workers == nil {
 			var reason string
-			if workers, reason = o.cachedCandidates(p, s); len(workers) == 0 {
+			if workers, reason = o.cachedCandidates(p.survey, s); len(workers) == 0 {
 				o.noteWait(s, reason)
 				return starts
 			}
@@ -141,7 +141,7 @@
 		if o.blocked(p, t) != "" {
 			continue
 		}
-		if workers, _ := o.cachedCandidates(p, s); len(workers) == 0 || !o.preempt(t, workers) {
+		if workers, _ := o.cachedCandidates(p.survey, s); len(workers) == 0 || !o.preempt(t, workers) {
 			o.noteWait(s, reason)
 		}
 		return
@@ -180,6 +180,9 @@
 	o.emit(Note{Event: EventStart, Job: t.job().ID, Task: t.name, Run: number, Worker: w.ID, Age: o.timeSinceAnswer(w),
 		Figures: fmt.Sprintf("Score=%.2f FreeCores=%.1f Waited=%s", score, float64(w.free().CPU)/1000, o.now.Sub(t.waitingSince).Round(time.Millisecond))})
 	t.endMove()
+	if t.returning() {
+		defer o.returned(t)
+	}
 	speed := o.initialSpeed(s, w)
 	r := o.start(t, w, number, s.advice.tickets[w.ID])
 	r.targetSpeed, r.throttled = speed, speed < 100
@@ -240,29 +243,35 @@
 	return w.mayRunInheritedTasks && !w.provenIdle
 }
 
-// cachedCandidates returns the result of candidates, cached with the survey. It is the same for
-// all steps of a service with the same required label, unless the outside policy decides.
-func (o *Orchestrator) cachedCandidates(p *pass, s *step) ([]*worker, string) {
-	if s.occurrence.job.Policy.Advised {
-		return o.candidates(s)
+// cachedCandidates returns the workers that may run a step's tasks, or why there are none.
+func (o *Orchestrator) cachedCandidates(v *survey, s *step) ([]*worker, string) {
+	ws, reason := o.suitableWorkers(v, s)
+	if s.occurrence.job.Policy.Advised && len(ws) > 0 {
+		return o.advisedWorkers(s, ws)
 	}
+	return ws, reason
+}
+
+// suitableWorkers returns the usable workers of a step's service that have its required label, or why there are none. The outside
+// policy may exclude some of them. The result is cached with the survey, and workers may have become unusable since.
+func (o *Orchestrator) suitableWorkers(v *survey, s *step) ([]*worker, string) {
 	key := s.occurrence.job.Policy.Service + "/" + s.RequiredLabel
-	ws, ok := p.candidates[key]
+	ws, ok := v.candidates[key]
 	if !ok {
-		ws, p.reasons[key] = o.candidates(s)
-		p.candidates[key] = ws
+		ws, v.reasons[key] = o.findSuitable(s)
+		v.candidates[key] = ws
 	}
-	return ws, p.reasons[key]
+	return ws, v.reasons[key]
 }
 
 // surveyedCandidates returns the workers that may run a step's tasks. They may have become unusable since the survey.
 func (o *Orchestrator) surveyedCandidates(s *step) []*worker {
-	ws, _ := o.cachedCandidates(&pass{survey: o.currentSurvey()}, s)
+	ws, _ := o.cachedCandidates(o.currentSurvey(), s)
 	return ws
 }
 
-// candidates returns the workers that may run a step's tasks, or why there are none.
-func (o *Orchestrator) candidates(s *step) ([]*worker, string) {
+// findSuitable returns the result of suitableWorkers as of now.
+func (o *Orchestrator) findSuitable(s *step) ([]*worker, string) {
 	j := s.occurrence.job
 	var ws []*worker
 	reason := "no worker of service " + j.Policy.Service + " is listed"
@@ -284,9 +293,6 @@
 	if unusable != "" {
 		reason = "no worker is usable; the last one checked " + unusable
 	}
-	if j.Policy.Advised && len(ws) > 0 {
-		return o.advisedWorkers(s, ws)
-	}
 	return ws, reason
 }
 
@@ -345,6 +351,7 @@
 	obstacleBestEffortLimits obstacle = "BestEffortLimits"
 	obstacleCapacityAge      obstacle = "CapacityAge" // the worker does not guard its capacity, and that may have shrunk
 	obstacleSuspect          obstacle = "Suspect"     // the task or a run there may crash the worker
+	obstaclePolicy           obstacle = "Policy"      // the outside policy does not allow the step there
 )
 
 // fits reports whether a task may start on a worker now.
@@ -364,33 +371,51 @@
 		return obstacleRefusal
 	case w.probe != nil:
 		return obstacleProbe
-	case o.reserved(w) && w.reservedFor != t:
+	case o.reservedForOther(w, t):
 		return obstacleReservation
 	case !w.free().covers(s.countedSize()):
 		return obstacleCapacity
 	case !s.occurrence.job.Policy.Guarded && o.now.Sub(o.capacitiesAt) > maxCapacityAge:
 		return obstacleCapacityAge
-	case w.atLimit(s):
-		return obstacleLimit
-	case o.mustBeApart(t, w):
-		return obstacleSuspect
+	}
+	if b := o.restriction(t, w); b != obstacleNone {
+		return b
+	}
+	switch {
 	case o.yieldsToReturning(t, w):
 		return obstacleReturningTask
 	case s.LongRunning && o.capacityScarce && t.moveTarget != w && o.now.Sub(t.waitingSince) < longRunningMaxWait:
 		return obstacleShortJobReserve
-	}
-	if s.RackAffinity != "" && w.Rack != s.RackAffinity {
-		wait := converter.Scale(s.expectedRunTime(o.stats(s.occurrence.job.Policy.Queue).runTimeRatio), rackWaitShare)
-		if o.now.Sub(t.waitingSince) < wait && o.rackExists(s) {
-			return obstacleRack
-		}
-	}
-	if s.Fills && !o.bestEffortFits(t, w) {
+	case s.Fills && !o.bestEffortFits(t, w):
 		return obstacleBestEffortLimits
 	}
 	return obstacleNone
 }
 
+// restriction returns why a task may not start on a suitable worker, however much of its capacity is free. Whatever keeps a worker free
+// for a task has to ask for it.
+func (o *Orchestrator) restriction(t *task, w *worker) obstacle {
+	s := t.step
+	switch {
+	case w.atLimit(s):
+		return obstacleLimit
+	case s.advice.denies(w):
+		return obstaclePolicy
+	case o.mustBeApart(t, w):
+		return obstacleSuspect
+	case s.RackAffinity != "" && w.Rack != s.RackAffinity && o.waitsForRack(t):
+		return obstacleRack
+	}
+	return obstacleNone
+}
+
+// waitsForRack reports whether a task still waits for the rack of its data.
+func (o *Orchestrator) waitsForRack(t *task) bool {
+	s := t.step
+	wait := converter.Scale(s.expectedRunTime(o.stats(s.occurrence.job.Policy.Queue).runTimeRatio), rackWaitShare)
+	return o.now.Sub(t.waitingSince) < wait && o.rackExists(s)
+}
+
 // bestEffortFits reports whether a best-effort task may start on a worker: enough of the
 // processors must be unused, and no tail latency may be predicted to come near its target.
 func (o *Orchestrator) bestEffortFits(t *task, w *worker) bool {
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -134,25 +134,6 @@
 	o.work.starts += starts
 }
 
-// maxPrecedence is how long a returning task keeps new ones of its service from the workers on which
-// it would fit. Other limits may keep it from all of these.
-const maxPrecedence = 30 * time.Second
-
-// updateReturning determines the returning tasks that have precedence, one of each size. queue is the result of queue.
-func (o *Orchestrator) updateReturning(queue []urgency) {
-	clear(o.returning)
-	for _, u := range queue {
-		s := u.step
-		service := s.occurrence.job.Policy.Service
-		if !s.LongRunning || slices.ContainsFunc(o.returning[service], func(t *task) bool { return t.step.countedSize() == s.countedSize() }) {
-			continue
-		}
-		if i := slices.IndexFunc(s.tasks, func(t *task) bool { return t.returning() && o.now.Sub(t.waitingSince) < maxPrecedence }); i >= 0 {
-			o.returning[service] = append(o.returning[service], s.tasks[i])
-		}
-	}
-}
-
 // passPause returns the pause between two passes. It grows with the steps that the last pass went
 // through. Steps whose tasks all run, and those that a pass put off, cost nothing. A leader that is
 // behind leaves at least as much time to the events that wait: ends, stops, renewals of leases and
@@ -390,7 +371,7 @@
 	if s.Fills || i < 0 {
 		return ""
 	}
-	workers, _ := o.candidates(s)
+	workers, _ := o.suitableWorkers(o.currentSurvey(), s)
 	var most Resources
 	excluded := make(map[obstacle]int)
 	for _, w := range workers {
@@ -407,8 +388,11 @@
 		}
 	}
 	if excluded[obstacleReturningTask] > 0 {
-		for _, t := range o.returning[s.occurrence.job.Policy.Service] {
-			figures += " KeptFor=" + t.name
+		for _, w := range workers {
+			if o.yieldsToReturning(s.tasks[i], w) {
+				figures += " KeptFor=" + o.keptPlaces(s.occurrence.job.Policy.Service)[w].task.name
+				break
+			}
 		}
 	}
 	return figures
--- a/internal/orchestrator/reservation.go
+++ b/internal/orchestrator/reservation.go
@@ -51,6 +51,11 @@
 	return t != nil && o.now.Before(w.reservedUntil) && (len(t.runs) == 0 || t.moveTarget == w)
 }
 
+// reservedForOther reports whether a worker is reserved for another task than t.
+func (o *Orchestrator) reservedForOther(w *worker, t *task) bool {
+	return w.reservedFor != t && o.reserved(w)
+}
+
 // freeAfterShortTasks returns the free capacity of a worker after all its tasks that are not
 // long-running have ended.
 func (w *worker) freeAfterShortTasks() Resources { return w.Capacity.subtract(w.longRunning) }
--- a/internal/orchestrator/simulation_leader_test.go
+++ b/internal/orchestrator/simulation_leader_test.go
@@ -195,7 +195,11 @@
 			}
 		}
 		w.pendingCommands = append(w.pendingCommands, pendingCommand{sentAt: w.now, at: w.now.Add(time.Millisecond + w.startBacklog), leader: l, action: a})
-	case orchestrator.WriteSoon, orchestrator.RequestAdvice:
+	case orchestrator.RequestAdvice:
+		if w.policy != nil {
+			w.policy.request(l, a)
+		}
+	case orchestrator.WriteSoon:
 	}
 }
 
--- a/internal/orchestrator/simulation_test.go
+++ b/internal/orchestrator/simulation_test.go
@@ -68,9 +68,10 @@
 	pollSteps     int64                // steps of run between two polls of a worker
 	holdPolls     time.Duration        // interval of polls of workers where no run ends, which hold them for most of it; 0: they answer at once, see pollSteps
 	cancels       cancelModel
-	startCost     time.Duration // processor time of the leader's host for a start; 0: none
-	startBacklog  time.Duration // processor time that the decided starts still need
-	slowStore     *slowStore    // nil: writes take no time and are confirmed
+	startCost     time.Duration  // processor time of the leader's host for a start; 0: none
+	startBacklog  time.Duration  // processor time that the decided starts still need
+	slowStore     *slowStore     // nil: writes take no time and are confirmed
+	policy        *policyService // of queues with advice; nil: there are none
 }
 
 // faults holds the probability of each fault of a command.
@@ -363,6 +364,9 @@
 	if a.LeaseEnd <= k.clock(w.now) {
 		return orchestrator.StartExpired
 	}
+	if w.advised(a.Task) && !w.policy.accepts(k, a.Ticket, w.now) {
+		return orchestrator.StartNoTicket
+	}
 	if k.guarded && !k.hasRoom(w, a.Task, k.entry.Capacity) || w.refuses != nil && w.refuses(a.Task) {
 		return orchestrator.StartNoCapacity
 	}
@@ -490,6 +494,11 @@
 	}
 }
 
+// advised reports whether the outside policy decides where a task may run.
+func (w *simulation) advised(task string) bool {
+	return w.policy != nil && w.jobs[strings.SplitN(task, ".", 2)[0]].Policy.Advised
+}
+
 // longRunning reports whether a task runs until its job is cancelled.
 func (w *simulation) longRunning(task string) bool {
 	j := w.jobs[strings.SplitN(task, ".", 2)[0]]
@@ -514,6 +523,9 @@
 	if w.slowStore != nil {
 		w.slowStore.advance()
 	}
+	if w.policy != nil {
+		w.policy.advance(w)
+	}
 	if w.startCost > 0 {
 		w.startBacklog = max(0, w.startBacklog-d)
 		w.lag = w.startBacklog
