orchestrator: reservations and preemption ask whether the task may start on the worker

Callers would see: a worker kept free for a long-running task that waits for the rack of its data, and runs of lower priority stopped every 1.5 s on workers where the urgent task may not start.

Cause: both checked the limit by worker only, not the rack, the outside policy, the tasks to be kept apart, or, for preemption, another task's reservation.

Change: both ask restriction, as starts do. Nothing stored or sent changes.

--- a/internal/orchestrator/precedence_test.go
+++ b/internal/orchestrator/precedence_test.go
@@ -120,3 +120,51 @@
 	is.Equal(len(w.runningOn("old")) == 5, n < 2) // a place was left
 	return n
 }
+
+// rackCluster returns a cluster with a full worker on the rack r0, and one on the rack r1 with room for a small task beside a task of the
+// job "short". A task whose data is on r0 waits for that rack for half a minute.
+func rackCluster(t *testing.T) *simulation {
+	w := newSimulation(t, 1)
+	w.addWorker("w0", cores(8, 64), "r0")
+	w.elect(false)
+	w.run(time.Second)
+	w.submit(longRunningJob("full", 1, cores(8, 2)))
+	w.run(time.Second)
+	w.addWorker("w1", cores(8, 64), "r1")
+	w.leader().step(orchestrator.WorkersListed{Workers: w.listedWorkers()})
+	w.run(time.Second)
+	w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+	short := simpleJob("short", 1, cores(5, 2))
+	short.Policy.Priority = 2
+	w.submit(short)
+	w.run(200 * time.Millisecond)
+	is.New(t).Equal(w.runningOn("short"), []string{"w1"})
+	return w
+}
+
+// Guards against runs that are stopped for a task which may not start on their worker.
+func TestPreemptionStopsNothingWhereTaskMayNotStart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := rackCluster(t)
+	urgent := simpleJob("urgent", 1, cores(6, 2))
+	urgent.Steps[0].RackAffinity, urgent.Steps[0].Estimate = "r0", time.Minute
+	w.submit(urgent)
+	w.run(5 * time.Second)
+	is.Equal(w.stops("short"), 0)
+}
+
+// Guards against a worker that is reserved for a task which may not start there: its free capacity stays unused.
+func TestNoWorkerIsReservedWhereTaskMayNotStart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := rackCluster(t)
+	large := longRunningJob("large", 1, cores(6, 2))
+	large.Steps[0].RackAffinity, large.Steps[0].Estimate = "r0", time.Minute
+	large.Policy.Priority = 2
+	w.submit(large)
+	w.run(6 * time.Second) // longer than long-running tasks wait before a worker is reserved for them
+	w.submit(simpleJob("small", 1, cores(2, 2)))
+	w.run(500 * time.Millisecond)
+	is.Equal(w.runningOn("small"), []string{"w1"})
+}
--- a/internal/orchestrator/preempt.go
+++ b/internal/orchestrator/preempt.go
@@ -39,7 +39,7 @@
 	}
 	var best *victims
 	for _, w := range workers {
-		if ok, _ := o.usable(w); !ok || t.unsuitableWorkers[w.ID] || w.atLimit(t.step) {
+		if ok, _ := o.usable(w); !ok || t.unsuitableWorkers[w.ID] || o.reservedForOther(w, t) || o.restriction(t, w) != obstacleNone {
 			continue
 		}
 		if v := o.victimsOn(w, t); v != nil && (best == nil || v.cost < best.cost) {
--- a/internal/orchestrator/reservation.go
+++ b/internal/orchestrator/reservation.go
@@ -23,7 +23,7 @@
 	reserved := 0
 	var best *worker
 	for _, w := range workers {
-		if w.atLimit(t.step) || w.free().covers(t.step.countedSize()) || o.yieldsToReturning(t, w) {
+		if o.restriction(t, w) != obstacleNone || w.free().covers(t.step.countedSize()) || o.yieldsToReturning(t, w) {
 			continue // the task does not wait for capacity on this worker
 		}
 		if o.reserved(w) {
