coordinator, orchestrator: how long calls to the policy service take, and how many steps wait for one

AdviceFailed gets Workers and Took, order_seconds the label advise, and Load the figure AdviceWaiting. Nothing stored or sent between hosts changes.

--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -433,9 +433,11 @@
 }
 
 func (ld *leadership) requestAdvice(a orchestrator.RequestAdvice) {
+	begin := time.Now()
 	answer, err := ld.c.deps.Workers.Advise(context.Background(), a)
+	ld.c.metrics.observeCommand("advise", begin)
 	if err != nil {
-		ld.c.log.Warn("AdviceFailed", "Step", a.Step, "Cause", err.Error())
+		ld.c.log.Warn("AdviceFailed", "Step", a.Step, "Workers", len(a.Workers), "Took", time.Since(begin).Round(time.Millisecond).String(), "Cause", err.Error())
 	}
 	ld.apply(answer)
 }
--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -29,13 +29,14 @@
 	UnwrittenFor                        time.Duration // age of the oldest of these changes
 	StartLimit                          int           // starts per second that can wait for urgent jobs; 0: no limit
 	Samples                             int           // tail latencies that updated the interference model, in that interval
+	AdviceWaiting                       int           // steps that wait for an answer of the outside policy
 	PacedSteps                          int           // times that a pass left out a step because of that limit, in that interval
 }
 
 func (l Load) String() string {
-	return fmt.Sprintf("Workers=%d Cores=%d Counted=%d Serving=%d Filling=%d Unused=%d Jobs=%d WaitingTasks=%d WaitingCores=%d Passes=%d Starts=%d Scored=%d PutOffSteps=%d PassTime=%s RepeatedEnds=%d UnwrittenJobs=%d UnwrittenFor=%s StartLimit=%d PacedSteps=%d Samples=%d",
+	return fmt.Sprintf("Workers=%d Cores=%d Counted=%d Serving=%d Filling=%d Unused=%d Jobs=%d WaitingTasks=%d WaitingCores=%d Passes=%d Starts=%d Scored=%d PutOffSteps=%d PassTime=%s RepeatedEnds=%d UnwrittenJobs=%d UnwrittenFor=%s StartLimit=%d PacedSteps=%d Samples=%d AdviceWaiting=%d",
 		l.Workers, l.Cores, l.Counted, l.Serving, l.Filling, l.Unused, l.Jobs, l.WaitingTasks, l.WaitingCores, l.Passes, l.Starts, l.Scored, l.PutOffSteps,
-		l.PassTime.Round(time.Millisecond), l.RepeatedEnds, l.UnwrittenJobs, l.UnwrittenFor.Round(time.Millisecond), l.StartLimit, l.PacedSteps, l.Samples)
+		l.PassTime.Round(time.Millisecond), l.RepeatedEnds, l.UnwrittenJobs, l.UnwrittenFor.Round(time.Millisecond), l.StartLimit, l.PacedSteps, l.Samples, l.AdviceWaiting)
 }
 
 // noteLoad notes the capacity and the use of the usable workers and the size of the queue.
@@ -64,6 +65,9 @@
 		l.Unused += max(0, w.unusedCPU())
 	}
 	for s := range o.ready {
+		if s.advice.pending {
+			l.AdviceWaiting++
+		}
 		for _, t := range s.tasks {
 			if !t.done && len(t.runs) == 0 {
 				l.WaitingTasks++
