orchestrator: one call to the policy service at a time, for the most urgent step

Cause: each waiting step had a call of its own, all calls waited for one connection, and their limit of 2 s included that wait. Once the wait was 2 s, nearly all calls ended just after they were sent and were repeated. Tickets counted from before the wait, and steps asked about the same 30 workers again.

Change: the orchestrator sends one call at a time, for the first step in the scheduling queue whose tasks can start now, about as many workers as these probably need; the limit runs from the sending and follows from the configuration; tickets are kept by worker and process, from the answer on; a step asks about further workers while it lacks places.

NewWorkerClient loses a parameter.

--- a/cmd/peridotpitch/entry.go
+++ b/cmd/peridotpitch/entry.go
@@ -22,9 +22,6 @@
 	// commandTimeout limits a command to a worker. Workers answer in milliseconds; a
 	// command without an answer is sent again.
 	commandTimeout = 400 * time.Millisecond
-	// adviceTimeout limits a query to the policy service. The duration of a query grows with
-	// the number of workers in it, and the service handles one call of a host at a time.
-	adviceTimeout = 2 * time.Second
 	// memoryLimitShare is the Go runtime's memory limit (GOMEMLIMIT) as a share of the Memory
 	// setting. The garbage collector runs more often as the heap approaches it.
 	memoryLimitShare = 0.7
@@ -49,7 +46,7 @@
 	}
 	store, closeStore := platform.NewStore(s.StoreAddress, storeTimeout)
 	defer closeStore()
-	workers, closeWorkers := platform.NewWorkerClient(s.AdviceAddress, commandTimeout, adviceTimeout, connector.NewBudget(connector.Descriptors(), s.ProcessorShare))
+	workers, closeWorkers := platform.NewWorkerClient(s.AdviceAddress, commandTimeout, connector.NewBudget(connector.Descriptors(), s.ProcessorShare))
 	defer closeWorkers()
 	keys := coordinator.StoreKeys{Configuration: platform.ConfigurationKey, Workers: platform.WorkerKeyPrefix}
 	if s.EvacuationDeadline > 0 {
--- a/internal/coordinator/poller.go
+++ b/internal/coordinator/poller.go
@@ -439,5 +439,6 @@
 	if err != nil {
 		ld.c.log.Warn("AdviceFailed", "Step", a.Step, "Workers", len(a.Workers), "Took", time.Since(begin).Round(time.Millisecond).String(), "Cause", err.Error())
 	}
+	answer.AnsweredAt = timekeeper.Now()
 	ld.apply(answer)
 }
--- a/internal/orchestrator/action.go
+++ b/internal/orchestrator/action.go
@@ -49,11 +49,12 @@
 // StopPolling stops polling a worker.
 type StopPolling struct{ ID string }
 
-// RequestAdvice asks the outside policy which of the workers may run a step. The answer comes
-// back as AdviceAnswered.
+// RequestAdvice asks the outside policy which of the workers may run a step. The answer comes back as AdviceAnswered, and there is no other
+// request before.
 type RequestAdvice struct {
 	Step    string
 	Workers []string
+	Timeout time.Duration // for the answer
 }
 
 // WriteSoon requests a write of NextBatch without delay, because callers wait for it.
--- a/internal/orchestrator/event.go
+++ b/internal/orchestrator/event.go
@@ -201,11 +201,12 @@
 
 // AdviceAnswered is the outside policy's answer to a RequestAdvice.
 type AdviceAnswered struct {
-	Step    string // as in the request
-	Asked   []string
-	Tickets map[string]string // by worker; workers without one are not allowed
-	Valid   time.Duration     // of the tickets, from the request on
-	Failed  bool              // no answer
+	Step       string // as in the request
+	Asked      []string
+	Tickets    map[string]string // by worker; workers without one are not allowed
+	Valid      time.Duration     // of the tickets, from the answer on
+	AnsweredAt time.Time         // when the answer arrived
+	Failed     bool              // no answer
 }
 
 // HandOver ends this leadership. From then on the leader sends no commands, and its records
--- a/internal/orchestrator/job.go
+++ b/internal/orchestrator/job.go
@@ -73,7 +73,10 @@
 	Stretch        float64       // the deadline is the submission time + Stretch * expected run time + TargetDuration
 	TargetDuration time.Duration // see Stretch
 	Advised        bool          // an outside policy decides which workers may run a step
-	Guarded        bool          // workers refuse tasks that exceed their free capacity
+	// AdviceTime and AdviceTimePerWorker are the time that the outside policy takes for a request, and the further time for each worker named.
+	AdviceTime          time.Duration `msgpack:",omitempty"`
+	AdviceTimePerWorker time.Duration `msgpack:",omitempty"`
+	Guarded             bool          // workers refuse tasks that exceed their free capacity
 }
 
 // Job is a job as it was submitted.
--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -29,7 +29,7 @@
 	UnwrittenFor                        time.Duration // age of the oldest of these changes
 	StartLimit                          int           // starts per second that can wait for urgent jobs; 0: no limit
 	Samples                             int           // tail latencies that updated the interference model, in that interval
-	AdviceWaiting                       int           // steps that wait for an answer of the outside policy
+	AdviceWaiting                       int           // steps that wait for an answer of the outside policy, or for their turn to ask it
 	PacedSteps                          int           // times that a pass left out a step because of that limit, in that interval
 }
 
@@ -47,9 +47,12 @@
 
 // load returns the present load, with the work of the passes before the last note.
 func (o *Orchestrator) load() Load {
-	l := Load{Jobs: len(o.jobs), Passes: o.lastWork.passes, Starts: o.lastWork.starts, Scored: o.lastWork.scored, PutOffSteps: o.lastWork.putOffSteps,
+	l := Load{Jobs: len(o.jobs), AdviceWaiting: len(o.adviser.waiting), Passes: o.lastWork.passes, Starts: o.lastWork.starts, Scored: o.lastWork.scored, PutOffSteps: o.lastWork.putOffSteps,
 		PassTime: o.lastWork.took, RepeatedEnds: o.lastWork.repeatedEnds, UnwrittenJobs: len(o.dirty),
 		StartLimit: int(o.pacer.Limit()), PacedSteps: o.lastWork.pacedSteps, Samples: o.lastWork.samples}
+	if o.adviser.request != nil {
+		l.AdviceWaiting++
+	}
 	for _, j := range o.dirty {
 		l.UnwrittenFor = max(l.UnwrittenFor, o.now.Sub(j.changedAt))
 	}
@@ -65,9 +68,6 @@
 		l.Unused += max(0, w.unusedCPU())
 	}
 	for s := range o.ready {
-		if s.advice.pending {
-			l.AdviceWaiting++
-		}
 		for _, t := range s.tasks {
 			if !t.done && len(t.runs) == 0 {
 				l.WaitingTasks++
--- a/internal/orchestrator/mechanism.go
+++ b/internal/orchestrator/mechanism.go
@@ -45,6 +45,8 @@
 	MechanismSingleMeasurements Mechanism = "single-measurements"
 	// MechanismReturningFirst keeps places for long-running tasks that had a run before from new ones.
 	MechanismReturningFirst Mechanism = "returning-first"
+	// MechanismAdviceByNeed asks the outside policy about as many workers as a step's tasks need, instead of as many as a request may name.
+	MechanismAdviceByNeed Mechanism = "advice-by-need"
 	// MechanismStragglers moves or copies runs that hang or are slower than expected.
 	MechanismStragglers Mechanism = "straggler-moves"
 )
@@ -53,7 +55,7 @@
 var Mechanisms = []Mechanism{
 	MechanismStepLoad, MechanismImageSeparation, MechanismThrottledMoves, MechanismForecastOrder,
 	MechanismShortJobReserve, MechanismPreemption, MechanismReservations, MechanismQuarantine, MechanismStragglers, MechanismCrashIsolation,
-	MechanismEvacuationMoves, MechanismSlowRunCauses, MechanismMovesAfterQueue, MechanismPacedStarts, MechanismSingleMeasurements, MechanismReturningFirst,
+	MechanismEvacuationMoves, MechanismSlowRunCauses, MechanismMovesAfterQueue, MechanismPacedStarts, MechanismSingleMeasurements, MechanismReturningFirst, MechanismAdviceByNeed,
 }
 
 // MechanismSet is a set of mechanisms. The zero value is empty.
--- a/internal/orchestrator/mechanism_test.go
+++ b/internal/orchestrator/mechanism_test.go
@@ -54,6 +54,7 @@
 	orchestrator.MechanismPacedStarts:     urgentJobsEndInTimeOnSlowHosts,
 
 	orchestrator.MechanismReturningFirst: returningTaskGetsItsPlace,
+	orchestrator.MechanismAdviceByNeed:   adviceKeepsUpWithLoad,
 
 	orchestrator.MechanismSingleMeasurements: repeatedMeasurementsCountOnce,
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -99,10 +99,11 @@
 	lastPassSteps     int                     // steps that the last scheduling pass went through
 	lastPassTook      time.Duration           // how long the last scheduling pass took
 	scoreOffset       int                     // index of the worker at which choose begins if it scores only some of the workers
-	steppedDown       bool                    // a later leader exists
-	leaving           bool                    // this leader hands over
-	lag               time.Duration           // Lag of the last Tick
-	wallOffset        time.Duration           // WallOffset of the last Tick
+	adviser           adviser
+	steppedDown       bool          // a later leader exists
+	leaving           bool          // this leader hands over
+	lag               time.Duration // Lag of the last Tick
+	wallOffset        time.Duration // WallOffset of the last Tick
 }
 
 // finishedJob is a job whose final state is in the store.
@@ -117,6 +118,7 @@
 	runTimeRatio    float64 // moving average of the ratio of measured run times to estimates
 	runTimeVariance float64 // moving average of the variance of the logarithm of run times within a step
 	tasks           classifier.Queue
+	asked, allowed  float64 // recent answers of the outside policy on workers, and how many of them allowed the worker
 }
 
 // job is a job that has not finished, or whose final state is not in the store yet.
@@ -282,6 +284,7 @@
 		o.lastPassTook = o.measure(o.schedule)
 		o.work.took += o.lastPassTook
 	}
+	o.askNext()
 	return o.actions
 }
 
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -184,7 +184,7 @@
 		defer o.returned(t)
 	}
 	speed := o.initialSpeed(s, w)
-	r := o.start(t, w, number, s.advice.tickets[w.ID])
+	r := o.start(t, w, number, s.advice.ticket(w, o.now))
 	r.targetSpeed, r.throttled = speed, speed < 100
 	if w.probing {
 		w.probe = r
@@ -247,7 +247,7 @@
 func (o *Orchestrator) cachedCandidates(v *survey, s *step) ([]*worker, string) {
 	ws, reason := o.suitableWorkers(v, s)
 	if s.occurrence.job.Policy.Advised && len(ws) > 0 {
-		return o.advisedWorkers(s, ws)
+		return o.advisedWorkers(s)
 	}
 	return ws, reason
 }
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -95,6 +95,7 @@
 func (o *Orchestrator) schedule() {
 	o.work.passes++
 	queue := o.queue()
+	o.adviser.waiting = o.adviser.waiting[:0]
 	o.lastPassSteps = len(queue)
 	o.updateReturning(queue)
 	v := o.currentSurvey()
--- a/internal/orchestrator/run.go
+++ b/internal/orchestrator/run.go
@@ -240,7 +240,7 @@
 		o.recordRunOutcome(w, r.task.job(), true)
 		o.startNotExecuted(r)
 	case StartNoTicket:
-		r.task.step.advice = advice{}
+		r.task.step.advice.dropTickets()
 		o.startNotExecuted(r)
 	case StartExpired, StartInvalid:
 		o.startNotExecuted(r)
--- a/internal/orchestrator/simulation_policy_test.go
+++ b/internal/orchestrator/simulation_policy_test.go
@@ -18,12 +18,10 @@
 	calls               []*policyCall // not ended, in the order of their requests
 	answered, abandoned int
 	ended               map[policyTicket]time.Time
-	refusedStarts       int // for lack of a valid ticket
+	refusedStarts       int            // for lack of a valid ticket
+	asked               map[string]int // answered calls that named a worker, by its ID
 }
 
-// policyTimeout limits a call, with the wait for the connection.
-const policyTimeout = 2 * time.Second
-
 // policyCall is a call of a leader.
 type policyCall struct {
 	leader    *simulatedLeader
@@ -73,7 +71,11 @@
 func (p *policyService) answer(w *simulation, c *policyCall) {
 	p.answered++
 	a := orchestrator.AdviceAnswered{Step: c.request.Step, Asked: c.request.Workers, Tickets: make(map[string]string), Valid: p.validity}
+	if p.asked == nil {
+		p.asked = make(map[string]int)
+	}
 	for _, id := range c.request.Workers {
+		p.asked[id]++
 		if k := w.workers[id]; k != nil && p.allows(c.request.Step, id) {
 			ticket := c.request.Step + "-" + id
 			a.Tickets[id] = ticket
