orchestrator: the reserve for short jobs, and the light load, are taken by service

Callers would see: long-running tasks of a service with idle workers wait for 4.5 s because another service is full, and best-effort jobs without a run are not let in where the load of their own service is light.

Cause: capacityScarce and lightlyLoaded were sums over the workers of all services, while a task can only use those of its own.

Change: both are kept by service. TestFullServiceHoldsUpNoOther was red on (no start within 500 ms). Nothing stored or sent changes.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -80,9 +80,8 @@
 	lapsed            map[netip.AddrPort]lapsedWorker
 	silences          []time.Time             // when workers stopped answering, in the last crashEvidenceTime
 	expired           []string                // finished jobs whose records are to be deleted
-	capacityScarce    bool                    // only the reserve for short jobs is left
 	precedences       map[string]*precedence  // by service, of the last scheduling pass
-	lightlyLoaded     bool                    // less than lightLoadShare of the workers' processors is used
+	serviceLoads      map[string]serviceLoad  // by service, as of the last survey
 	passDue           bool                    // a scheduling pass is due, because a change may let a task start
 	loadNotedAt       time.Time               // when noteLoad last ran
 	work              passWork                // of the scheduling passes since loadNotedAt
@@ -226,6 +225,7 @@
 		lapsed:            make(map[netip.AddrPort]lapsedWorker),
 		unplacedAt:        make(map[string]time.Time),
 		precedences:       make(map[string]*precedence),
+		serviceLoads:      make(map[string]serviceLoad),
 		passCount:         1, // no worker has been noted before it
 	}
 }
--- a/internal/orchestrator/precedence_test.go
+++ b/internal/orchestrator/precedence_test.go
@@ -1,6 +1,7 @@
 package orchestrator_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -168,3 +169,26 @@
 	w.run(500 * time.Millisecond)
 	is.Equal(w.runningOn("small"), []string{"w1"})
 }
+
+// All workers of one service are busy, those of another one are idle. Guards against a long-running task that waits on idle workers because
+// the reserve for short jobs is taken over all services.
+func TestFullServiceHoldsUpNoOther(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newSimulation(t, 1)
+	for i := range 21 {
+		w.addWorker(fmt.Sprintf("w%02d", i), cores(8, 64), "r0")
+	}
+	w.workers["w20"].entry.Service = "other"
+	w.elect(false)
+	w.run(time.Second)
+	w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+	w.submit(simpleJob("short", 20, cores(8, 2)))
+	w.run(time.Second)
+	is.Equal(len(w.runningOn("short")), 20)
+	j := longRunningJob("job", 1, cores(2, 2))
+	j.Policy = orchestrator.Policy{Service: "other", Attempts: 3, Stretch: 2, TargetDuration: time.Second}
+	w.submit(j)
+	w.run(500 * time.Millisecond)
+	is.Equal(w.runningOn("job"), []string{"w20"})
+}
--- a/internal/orchestrator/preempt.go
+++ b/internal/orchestrator/preempt.go
@@ -34,7 +34,7 @@
 // costs least. It reports whether it has stopped any.
 func (o *Orchestrator) preempt(t *task, workers []*worker) bool {
 	waited := o.now.Sub(t.waitingSince)
-	if !o.enabled(MechanismPreemption) || t.step.Fills || waited < preemptMinWait || t.step.LongRunning && o.capacityScarce && waited < longRunningMaxWait || o.now.Before(t.nextPreemption) {
+	if !o.enabled(MechanismPreemption) || t.step.Fills || waited < preemptMinWait || t.step.LongRunning && o.loadOf(t.job()).scarce && waited < longRunningMaxWait || o.now.Before(t.nextPreemption) {
 		return false
 	}
 	var best *victims
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -30,13 +30,13 @@
 // maxSurveyAge bounds how much later a pass takes a worker into account that has become usable.
 const maxSurveyAge = 50 * time.Millisecond
 
-// currentSurvey returns a survey that is at most maxSurveyAge old. A new one updates capacityScarce and lightlyLoaded.
+// currentSurvey returns a survey that is at most maxSurveyAge old. A new one updates serviceLoads.
 func (o *Orchestrator) currentSurvey() *survey {
 	if o.lastSurvey != nil && o.now.Sub(o.lastSurvey.at) < maxSurveyAge {
 		return o.lastSurvey
 	}
 	v := &survey{at: o.now, candidates: make(map[string][]*worker), reasons: make(map[string]string)}
-	o.lightlyLoaded = o.updateLoad()
+	o.updateServiceLoads()
 	for _, w := range o.workersByID() {
 		if w.unreached() {
 			v.unreached = append(v.unreached, w)
@@ -188,7 +188,7 @@
 // where the step's tasks can start. If one such task fits on no worker, a larger one with the same
 // unplacedKey does not either, whatever else that one requires.
 func (o *Orchestrator) placedBySizeOnly(s *step) bool {
-	return !(s.Fills && o.lightlyLoaded) && !s.LongRunning && s.RequiredLabel == "" && s.RackAffinity == "" && s.MaxPerWorker == 0 && !s.Gang && !s.occurrence.job.Policy.Advised
+	return !(s.Fills && o.loadOf(s.occurrence.job).light) && !s.LongRunning && s.RequiredLabel == "" && s.RackAffinity == "" && s.MaxPerWorker == 0 && !s.Gang && !s.occurrence.job.Policy.Advised
 }
 
 // unplacedKey returns the service, and the image of a best-effort step.
@@ -216,18 +216,32 @@
 // does not count the same workers as usable as the leader does, the bound here is higher.
 const lightLoadShare = 0.6
 
-// updateLoad sets capacityScarce, and reports whether the load is light. While it is light, a
-// job without a run must start even where other tasks slow it down.
-func (o *Orchestrator) updateLoad() bool {
-	capacity, used := 0, 0
+// serviceLoad says how much of the processors of a service's usable workers is in use.
+type serviceLoad struct {
+	scarce bool // only the reserve for short jobs is left
+	light  bool // less than lightLoadShare is in use: a job without a run must start even where other tasks slow it down
+}
+
+// loadOf returns the load of the service that runs a job. A service without usable workers is neither scarce nor lightly loaded.
+func (o *Orchestrator) loadOf(j *job) serviceLoad { return o.serviceLoads[j.Policy.Service] }
+
+// updateServiceLoads sets serviceLoads.
+func (o *Orchestrator) updateServiceLoads() {
+	type sum struct{ capacity, used int }
+	sums := make(map[string]sum)
 	for _, w := range o.workersByID() {
 		if ok, _ := o.usable(w); ok {
-			capacity += w.Capacity.CPU
-			used += w.used.CPU
+			s := sums[w.Service]
+			sums[w.Service] = sum{s.capacity + w.Capacity.CPU, s.used + w.used.CPU}
+		}
+	}
+	clear(o.serviceLoads)
+	for service, s := range sums {
+		o.serviceLoads[service] = serviceLoad{
+			scarce: o.enabled(MechanismShortJobReserve) && float64(s.used) > (1-shortJobReserveShare)*float64(s.capacity),
+			light:  float64(s.used) < lightLoadShare*float64(s.capacity),
 		}
 	}
-	o.capacityScarce = o.enabled(MechanismShortJobReserve) && float64(used) > (1-shortJobReserveShare)*float64(capacity)
-	return float64(used) < lightLoadShare*float64(capacity)
 }
 
 // forecast says whether a job is expected to meet its deadline.
