orchestrator: no call to the policy service for a gang that can't start anyway

A step asked for tickets of a gang although the workers with room have fewer places than it has members, whatever the answer is: five calls in two seconds in a simulation, each of which others wait for. Found by TestAdviceUnderFaults, which is new: jobs of five kinds on a queue with advice while commands get no answer, workers restart, leaders change and the policy service is down.

Nothing stored or sent changes.

--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -220,6 +220,7 @@
 		score   float64
 	}
 	var candidates []candidate
+	reachable := 0 // places if the policy allows all candidates
 	for _, w := range suitable {
 		n := o.places(t, w, missing)
 		if n <= 0 {
@@ -229,10 +230,11 @@
 			missing -= n
 			continue
 		}
+		reachable += n
 		answer, _ := s.advice.on(w)
 		candidates = append(candidates, candidate{w, answer.allowed, n, o.scoreWorker(t, w)})
 	}
-	if missing <= 0 {
+	if missing <= 0 || s.Gang && reachable < missing {
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
--- a/internal/orchestrator/advice_test.go
+++ b/internal/orchestrator/advice_test.go
@@ -182,6 +182,18 @@
 	is.Equal(len(w.runningOn("gang")), 12)
 }
 
+// A gang of three may run on two workers only. Guards against calls for a step that can't start whatever the answer is.
+func TestNoAdviceForGangWithoutRoom(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newAdvisedCluster(t, 2, allowAll)
+	j := simpleJob("gang", 3, cores(6, 13))
+	j.Steps[0].Gang, j.Steps[0].MaxPerWorker = true, 1
+	w.submitAdvised(j)
+	w.run(10 * time.Second)
+	is.Equal(w.policy.answered, 0)
+}
+
 // A backlog of batch jobs waits for a slow policy service when an urgent job comes. Guards against steps that ask in the order of their
 // arrival.
 func TestUrgentStepAsksFirst(t *testing.T) {
@@ -275,3 +287,71 @@
 	l.run(time.Second)
 	return len(l.waiting()) == 0
 }
+
+// Jobs of several kinds come to a queue with advice while commands get no answer, workers restart, leaders change and the policy service is
+// down at times. Guards against a step that never has its tickets again, and against starts that break a guarantee on the way.
+func TestAdviceUnderFaults(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newSimulation(t, seed)
+			for i := range 10 {
+				w.addWorker(fmt.Sprintf("w%02d", i), cores(16, 64), fmt.Sprintf("r%d", i%2))
+			}
+			w.policy = &policyService{decide: 28 * time.Millisecond, perWorker: 3 * time.Millisecond, validity: time.Second, allows: allowHalf}
+			w.crash.down, w.crash.sameID = 500*time.Millisecond, true
+			w.elect(false)
+			w.run(time.Second)
+			w.faults = faults{dropped: 0.03}
+			var ids []string
+			for n := range 60 {
+				id := fmt.Sprintf("job%02d", n)
+				j := simpleJob(id, 1+w.rng.IntN(5), cores(2, 2))
+				switch s := &j.Steps[0]; w.rng.IntN(5) {
+				case 0:
+					s.LongRunning, s.Size = true, cores(0.1, 1)
+				case 1:
+					s.Gang, s.MaxPerWorker, s.Count = true, 1, 1+w.rng.IntN(3) // about half of the workers are allowed
+				case 2:
+					s.MaxPerWorker, s.Count = 1, 1+w.rng.IntN(3)
+				case 3:
+					s.RackAffinity = "r1"
+				}
+				w.submitAdvised(j)
+				ids = append(ids, id)
+				switch w.rng.IntN(10) {
+				case 0:
+					w.changeLeader(w.rng.IntN(2) == 0)
+				case 1:
+					w.policy.down = !w.policy.down
+				case 2:
+					if k := w.workers[w.workerNames[w.rng.IntN(len(w.workerNames))]]; !k.dead {
+						w.crashWorker(k)
+					}
+				}
+				w.run(time.Duration(w.rng.IntN(1000)) * time.Millisecond)
+			}
+			w.faults, w.policy.down = faults{}, false
+			w.run(time.Second)
+			w.leader().step(orchestrator.WorkersListed{Workers: w.listedWorkers()}) // also of workers that were away when it was elected
+			w.run(40 * time.Second)
+			for _, id := range ids {
+				step := w.jobs[id].Steps[0]
+				allowed := 0
+				for _, n := range w.workerNames {
+					if allowHalf(id+".0.0", n) {
+						allowed++
+					}
+				}
+				switch state := w.state(id); {
+				case state == orchestrator.StateFailed: // its workers were crashed too often
+				case state == orchestrator.StateSucceeded, step.LongRunning && len(w.runningOn(id)) == step.Count:
+				case allowed == 0 || step.Gang && allowed < step.Count:
+				default:
+					t.Errorf("%s is %s, and its tasks run on %v; it has %d and may run on %d workers: %+v", id, state, w.runningOn(id), step.Count, allowed, step)
+				}
+			}
+		})
+	}
+}
