orchestrator: a step with advice asks about workers where room can be made

Callers would see: on a full cluster, urgent and long-running tasks of a queue with advice wait until there is room by chance, while the same tasks of a queue without advice get room by preemption or a reservation.

Cause: a step asked about workers with enough free capacity only, and preemption and reservations look at workers with tickets only.

Change: if a task fits nowhere and may preempt or reserve by now, its step asks about workers where that frees enough, and not again while it has a ticket for one of them. Nothing stored or sent changes.

--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -208,19 +208,22 @@
 	o.emit(RequestAdvice{Step: s.adviceName(), Workers: names, Timeout: minAdviceTimeout + adviceTimeoutFactor*expected})
 }
 
-// workersToAskAbout returns the workers that a request of a step names: as many as its tasks without a place probably need, because the
-// policy takes longer for each. Workers that were allowed before go first, then those with the highest scores.
+// adviceCandidate is a worker about which a step may ask the outside policy.
+type adviceCandidate struct {
+	worker  *worker
+	allowed bool // it was allowed before
+	places  int  // tasks that can start there
+	score   float64
+}
+
+// workersToAskAbout returns the workers that a request of a step names. If a task fits on none, these are workers where room can be made for
+// it: that is done only where it may start.
 func (o *Orchestrator) workersToAskAbout(s *step) []*worker {
 	t, missing := o.waitingTask(s)
 	suitable, _ := o.suitableWorkers(o.currentSurvey(), s)
-	type candidate struct {
-		worker  *worker
-		allowed bool
-		places  int
-		score   float64
-	}
-	var candidates []candidate
-	reachable := 0 // places if the policy allows all candidates
+	var candidates []adviceCandidate
+	reachable := 0    // places if the policy allows all candidates
+	ticketed := false // a task has a ticket for a worker where it fits
 	for _, w := range suitable {
 		n := o.places(t, w, missing)
 		if n <= 0 {
@@ -228,16 +231,51 @@
 		}
 		if s.advice.ticket(w, o.now) != "" {
 			missing -= n
+			ticketed = true
 			continue
 		}
 		reachable += n
 		answer, _ := s.advice.on(w)
-		candidates = append(candidates, candidate{w, answer.allowed, n, o.scoreWorker(t, w)})
+		candidates = append(candidates, adviceCandidate{w, answer.allowed, n, o.scoreWorker(t, w)})
 	}
-	if missing <= 0 || s.Gang && reachable < missing {
+	switch {
+	case missing <= 0 || s.Gang && reachable < missing:
 		return nil
+	case len(candidates) == 0 && !ticketed:
+		candidates, missing = o.withRoomToMake(t, suitable), 1
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int {
+	return o.likelyToSuffice(s, candidates, missing)
+}
+
+// withRoomToMake returns the workers on which runs of lower priority can be stopped for a task, or which can be reserved for it. It returns
+// none if the task has a ticket for one of them.
+func (o *Orchestrator) withRoomToMake(t *task, suitable []*worker) []adviceCandidate {
+	s := t.step
+	waited := o.now.Sub(t.waitingSince)
+	reserves := s.LongRunning && waited >= longRunningMaxWait && o.enabled(MechanismReservations)
+	preempts := o.mayPreempt(t)
+	if s.Fills || s.Gang || len(t.runs) > 0 || !preempts && !reserves {
+		return nil
+	}
+	var candidates []adviceCandidate
+	for _, w := range suitable {
+		if ok, _ := o.usable(w); !ok || o.reservedForOther(w, t) || o.restriction(t, w) != obstacleNone ||
+			!(reserves && w.freeAfterShortTasks().covers(s.countedSize()) || preempts && o.victimsOn(w, t) != nil) {
+			continue
+		}
+		if s.advice.ticket(w, o.now) != "" {
+			return nil
+		}
+		answer, _ := s.advice.on(w)
+		candidates = append(candidates, adviceCandidate{w, answer.allowed, 1, o.scoreWorker(t, w)})
+	}
+	return candidates
+}
+
+// likelyToSuffice returns as many of the candidates as a step's tasks without a place probably need, because the policy takes longer for
+// each. Workers that were allowed before go first, then those with the highest scores.
+func (o *Orchestrator) likelyToSuffice(s *step, candidates []adviceCandidate, missing int) []*worker {
+	slices.SortStableFunc(candidates, func(a, b adviceCandidate) int {
 		if a.allowed != b.allowed {
 			if a.allowed {
 				return -1
--- a/internal/orchestrator/advice_test.go
+++ b/internal/orchestrator/advice_test.go
@@ -355,3 +355,45 @@
 		})
 	}
 }
+
+// All workers are full of runs of lower priority. Guards against an urgent step that never asks the policy service, because no worker has
+// room, and so stops no run of lower priority.
+func TestUrgentAdvisedTaskPreempts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newAdvisedCluster(t, 4, func(_, worker string) bool { return worker == "w01" || worker == "w03" })
+	w.runTime = func(string, *simulatedWorker) time.Duration { return time.Minute }
+	low := simpleJob("low", 40, cores(8, 2)) // more than find room
+	low.Policy.Priority = 2
+	w.submit(low)
+	w.run(time.Second)
+	is.Equal(len(w.runningOn("low")), 16)
+	w.submitAdvised(simpleJob("urgent", 1, cores(12, 2)))
+	w.run(4 * time.Second)
+	is.Equal(len(w.runningOn("urgent")), 1)
+	is.Equal(w.stops("low"), 2)
+	is.True(w.policy.answered <= 3)
+}
+
+// The same with runs of the same priority that end, and others that take their place. Guards against a long-running task for which no worker is
+// reserved.
+func TestWorkerIsReservedForAdvisedTask(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newAdvisedCluster(t, 20, allowHalf)
+	for _, n := range w.workerNames {
+		w.resize(w.workers[n], cores(8, 64))
+	}
+	w.runTime = func(string, *simulatedWorker) time.Duration { return 600 * time.Millisecond }
+	n := 0
+	load := func(d time.Duration) {
+		for end := w.now.Add(d); w.now.Before(end); w.run(shortJobInterval) {
+			n++
+			w.submit(simpleJob(fmt.Sprintf("short%05d", n), 3, cores(3, 2)))
+		}
+	}
+	load(5 * time.Second)
+	w.submitAdvised(longRunningJob("job", 1, cores(7, 2)))
+	load(4500*time.Millisecond + maxGap)
+	is.Equal(len(w.runningOn("job")), 1)
+}
--- a/internal/orchestrator/preempt.go
+++ b/internal/orchestrator/preempt.go
@@ -33,8 +33,7 @@
 // preempt stops runs of lower priority to free capacity for a task, on the worker where that
 // costs least. It reports whether it has stopped any.
 func (o *Orchestrator) preempt(t *task, workers []*worker) bool {
-	waited := o.now.Sub(t.waitingSince)
-	if !o.enabled(MechanismPreemption) || t.step.Fills || waited < preemptMinWait || t.step.LongRunning && o.loadOf(t.job()).scarce && waited < longRunningMaxWait || o.now.Before(t.nextPreemption) {
+	if !o.mayPreempt(t) {
 		return false
 	}
 	var best *victims
@@ -58,6 +57,13 @@
 	return true
 }
 
+// mayPreempt reports whether runs of lower priority may be stopped for a task now, if there are any.
+func (o *Orchestrator) mayPreempt(t *task) bool {
+	waited := o.now.Sub(t.waitingSince)
+	return o.enabled(MechanismPreemption) && !t.step.Fills && waited >= preemptMinWait && !o.now.Before(t.nextPreemption) &&
+		!(t.step.LongRunning && o.loadOf(t.job()).scarce && waited < longRunningMaxWait)
+}
+
 // victimsOn returns the runs of lower priority to stop on a worker, the cheapest first, so
 // that a task fits there. It returns nil if all of them do not free enough capacity or none
 // has to be stopped.
