orchestrator: room that becomes free on a full cluster goes to the most urgent step with advice

Callers would see: on a full cluster, batch jobs of a queue with advice start before urgent ones.

Change: a step searches at once if one of its tasks fits on a worker that has changed since the pass before. Nothing stored or sent changes.

--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -188,7 +188,7 @@
 // ask requests tickets for workers on which waiting tasks of a step can start now, if there are any.
 func (o *Orchestrator) ask(s *step) {
 	a := &s.advice
-	if !o.ready[s] || o.now.Before(a.retryAt) || !a.searchedAt.IsZero() && o.now.Sub(a.searchedAt) < adviceSearchInterval {
+	if !o.ready[s] || o.now.Before(a.retryAt) || o.stillWithoutRoom(s) {
 		return
 	}
 	ws := o.workersToAskAbout(s)
@@ -208,6 +208,17 @@
 	o.emit(RequestAdvice{Step: s.adviceName(), Workers: names, Timeout: minAdviceTimeout + adviceTimeoutFactor*expected})
 }
 
+// stillWithoutRoom reports whether a step has found no worker to ask about within adviceSearchInterval, and none of its tasks fits on the workers
+// that have changed lately. A less urgent step that searches next would take their room otherwise.
+func (o *Orchestrator) stillWithoutRoom(s *step) bool {
+	if at := s.advice.searchedAt; at.IsZero() || o.now.Sub(at) >= adviceSearchInterval {
+		return false
+	}
+	t, n := o.waitingTask(s)
+	changed := func(w *worker) bool { return w.Service == s.occurrence.job.Policy.Service && o.places(t, w, n) > 0 }
+	return !slices.ContainsFunc(o.lastChanged, changed) && !slices.ContainsFunc(o.changed, changed)
+}
+
 // adviceCandidate is a worker about which a step may ask the outside policy.
 type adviceCandidate struct {
 	worker  *worker
--- a/internal/orchestrator/advice_test.go
+++ b/internal/orchestrator/advice_test.go
@@ -397,3 +397,35 @@
 	load(4500*time.Millisecond + maxGap)
 	is.Equal(len(w.runningOn("job")), 1)
 }
+
+// The only worker is full when a batch job comes, and then an urgent one. Guards against a step that looks for room at intervals of its own, so
+// that a less urgent one takes the room that becomes free.
+func TestUrgentStepTakesRoomFirst(t *testing.T) {
+	t.Parallel()
+	for offset := time.Duration(0); offset < 300*time.Millisecond; offset += 10 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			is := is.New(t)
+			w := newAdvisedCluster(t, 1, allowAll)
+			w.disabled, _ = orchestrator.ParseMechanisms(string(orchestrator.MechanismPreemption))
+			w.changeLeader(true)
+			w.run(time.Second)
+			w.runTime = func(task string, _ *simulatedWorker) time.Duration {
+				if task == "first.0.0.0" {
+					return time.Second + offset
+				}
+				return time.Minute
+			}
+			w.submit(simpleJob("first", 1, cores(20, 2)))
+			w.submit(simpleJob("rest", 1, cores(12, 2)))
+			w.run(200 * time.Millisecond)
+			is.Equal(len(w.runningOn("first"))+len(w.runningOn("rest")), 2)
+			batch := simpleJob("batch", 1, cores(20, 2))
+			batch.Policy.Priority = 2
+			w.submitAdvised(batch)
+			w.run(100 * time.Millisecond)
+			w.submitAdvised(simpleJob("urgent", 1, cores(20, 2)))
+			w.run(2 * time.Second)
+			is.Equal(w.runningOn("urgent"), []string{"w00"})
+		})
+	}
+}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -93,6 +93,7 @@
 	lastSurvey        *survey                 // nil: none
 	passCount         uint64                  // scheduling passes with waiting tasks
 	changed           []*worker               // workers that have changed since the last of these passes, see noteChange
+	lastChanged       []*worker               // of changed, those of the last of these passes
 	failedSearches    map[string]failedSearch // of that pass, by unplacedKey
 	lastPassAt        time.Time               // of the last scheduling pass
 	lastPassSteps     int                     // steps that the last scheduling pass went through
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -104,7 +104,7 @@
 		return
 	}
 	p := &pass{survey: v, unplaced: make(map[string]failedSearch), changed: o.changed}
-	o.changed, o.passCount = nil, o.passCount+1
+	o.changed, o.lastChanged, o.passCount = nil, o.changed, o.passCount+1
 	defer func() { o.failedSearches = p.unplaced }()
 	starts := 0
 	for i, u := range queue {
