--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -29,8 +29,8 @@
 	UnwrittenFor                        time.Duration // age of the oldest of these changes
 	StartLimit                          int           // starts per second that can wait for urgent jobs; 0: no limit
 	Samples                             int           // tail latencies that updated the interference model, in that interval
-	AdviceWaiting                       int           // steps that wait for an answer of the outside policy, or for their turn to ask it
 	PacedSteps                          int           // times that a pass left out a step because of that limit, in that interval
+	AdviceWaiting                       int           // steps that wait for an answer of the outside policy, or for their turn to ask it
 }
 
 func (l Load) String() string {
