orchestrator: checks of reservations and of the load by service cost no more than before

Cause: reservations and preemption asked restriction for each worker before the cheaper checks, and the load of a service was looked up by name for each task and worker.

Change: restriction is asked last, and only for a worker that would be chosen; jobs hold their service's load. Decisions don't change, but that a worker which is reserved for a task that may no longer start there now counts as reserved until its time is over.

--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -71,6 +71,9 @@
 
 // denies reports whether the outside policy has answered that the step may not run on a worker.
 func (a *advice) denies(w *worker) bool {
+	if len(a.answers) == 0 {
+		return false
+	}
 	p, ok := a.on(w)
 	return ok && !p.allowed
 }
--- a/internal/orchestrator/chooser.go
+++ b/internal/orchestrator/chooser.go
@@ -37,7 +37,7 @@
 // if workers are unsuitable for some of them or have crashed under them, or if the length of their waits or the first
 // start changes where they may run.
 func (o *Orchestrator) alike(s *step, waiting []*task) bool {
-	if s.LongRunning || s.SameRack || s.RackAffinity != "" || s.Fills && o.loadOf(s.occurrence.job).light && o.starved(s.occurrence.job) {
+	if s.LongRunning || s.SameRack || s.RackAffinity != "" || s.Fills && s.occurrence.job.load.light && o.starved(s.occurrence.job) {
 		return false
 	}
 	return !slices.ContainsFunc(waiting, func(t *task) bool { return len(t.unsuitableWorkers) > 0 || t.suspected() })
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -81,7 +81,7 @@
 	silences          []time.Time             // when workers stopped answering, in the last crashEvidenceTime
 	expired           []string                // finished jobs whose records are to be deleted
 	precedences       map[string]*precedence  // by service, of the last scheduling pass
-	serviceLoads      map[string]serviceLoad  // by service, as of the last survey
+	serviceLoads      map[string]*serviceLoad // by service, as of the last survey
 	passDue           bool                    // a scheduling pass is due, because a change may let a task start
 	loadNotedAt       time.Time               // when noteLoad last ran
 	work              passWork                // of the scheduling passes since loadNotedAt
@@ -127,6 +127,7 @@
 	inherited           bool // accepted before this leader's election
 	cancelled           bool
 	started             bool // a task of it has started
+	load                *serviceLoad
 	state               State
 	finishedAt          time.Time
 	occurrences         []*occurrence // not finished: the open ones, and others that records or runs of earlier leaders name
@@ -226,7 +227,7 @@
 		lapsed:            make(map[netip.AddrPort]lapsedWorker),
 		unplacedAt:        make(map[string]time.Time),
 		precedences:       make(map[string]*precedence),
-		serviceLoads:      make(map[string]serviceLoad),
+		serviceLoads:      make(map[string]*serviceLoad),
 		passCount:         1, // no worker has been noted before it
 	}
 }
@@ -428,7 +429,7 @@
 
 // addJob adds a job, with the progress from its record r. r is nil if no record was written.
 func (o *Orchestrator) addJob(spec Job, revision uint64, r *Record) {
-	j := &job{Job: spec, inherited: spec.Epoch < o.settings.Epoch, state: StateQueued}
+	j := &job{Job: spec, inherited: spec.Epoch < o.settings.Epoch, state: StateQueued, load: o.serviceLoad(spec.Policy.Service)}
 	o.jobs[j.ID] = j
 	j.deadline = j.Submitted.Add(converter.Scale(o.longestChain(j), max(1, j.Policy.Stretch)) + j.Policy.TargetDuration)
 	o.noteUrgency(j)
--- a/internal/orchestrator/pacing.go
+++ b/internal/orchestrator/pacing.go
@@ -75,5 +75,5 @@
 // That is so only while the load is light: otherwise jobs wait for capacity too.
 func (o *Orchestrator) starvedByPacer(s *step) bool {
 	j := s.occurrence.job
-	return o.loadOf(j).light && j.runCount == 0 && o.now.Sub(j.idleSince) > maxPacedIdleTime
+	return j.load.light && j.runCount == 0 && o.now.Sub(j.idleSince) > maxPacedIdleTime
 }
--- a/internal/orchestrator/place.go
+++ b/internal/orchestrator/place.go
@@ -384,7 +384,7 @@
 	switch {
 	case o.yieldsToReturning(t, w):
 		return obstacleReturningTask
-	case s.LongRunning && o.loadOf(t.job()).scarce && t.moveTarget != w && o.now.Sub(t.waitingSince) < longRunningMaxWait:
+	case s.LongRunning && t.job().load.scarce && t.moveTarget != w && o.now.Sub(t.waitingSince) < longRunningMaxWait:
 		return obstacleShortJobReserve
 	case s.Fills && !o.bestEffortFits(t, w):
 		return obstacleBestEffortLimits
@@ -419,7 +419,7 @@
 // bestEffortFits reports whether a best-effort task may start on a worker: enough of the
 // processors must be unused, and no tail latency may be predicted to come near its target.
 func (o *Orchestrator) bestEffortFits(t *task, w *worker) bool {
-	if o.loadOf(t.job()).light && o.starved(t.job()) {
+	if t.job().load.light && o.starved(t.job()) {
 		return true
 	}
 	if w.unusedCPU() < int(bestEffortUnusedShare*float64(t.step.Size.CPU)) {
--- a/internal/orchestrator/precedence.go
+++ b/internal/orchestrator/precedence.go
@@ -170,7 +170,7 @@
 // yieldsToReturning reports whether a long-running task that has never run must leave a worker to a returning task of its service. It
 // would take for good the capacity that the run of the other has left.
 func (o *Orchestrator) yieldsToReturning(t *task, w *worker) bool {
-	if !t.step.LongRunning || !t.lastRunEnd.IsZero() {
+	if len(o.precedences) == 0 || !t.step.LongRunning || !t.lastRunEnd.IsZero() {
 		return false
 	}
 	k := o.keptPlaces(t.job().Policy.Service)[w]
--- a/internal/orchestrator/preempt.go
+++ b/internal/orchestrator/preempt.go
@@ -38,10 +38,10 @@
 	}
 	var best *victims
 	for _, w := range workers {
-		if ok, _ := o.usable(w); !ok || t.unsuitableWorkers[w.ID] || o.reservedForOther(w, t) || o.restriction(t, w) != obstacleNone {
+		if ok, _ := o.usable(w); !ok || t.unsuitableWorkers[w.ID] || w.atLimit(t.step) || o.reservedForOther(w, t) {
 			continue
 		}
-		if v := o.victimsOn(w, t); v != nil && (best == nil || v.cost < best.cost) {
+		if v := o.victimsOn(w, t); v != nil && (best == nil || v.cost < best.cost) && o.restriction(t, w) == obstacleNone {
 			best = v
 		}
 	}
@@ -61,7 +61,7 @@
 func (o *Orchestrator) mayPreempt(t *task) bool {
 	waited := o.now.Sub(t.waitingSince)
 	return o.enabled(MechanismPreemption) && !t.step.Fills && waited >= preemptMinWait && !o.now.Before(t.nextPreemption) &&
-		!(t.step.LongRunning && o.loadOf(t.job()).scarce && waited < longRunningMaxWait)
+		!(t.step.LongRunning && t.job().load.scarce && waited < longRunningMaxWait)
 }
 
 // victimsOn returns the runs of lower priority to stop on a worker, the cheapest first, so
--- a/internal/orchestrator/queue.go
+++ b/internal/orchestrator/queue.go
@@ -188,7 +188,7 @@
 // where the step's tasks can start. If one such task fits on no worker, a larger one with the same
 // unplacedKey does not either, whatever else that one requires.
 func (o *Orchestrator) placedBySizeOnly(s *step) bool {
-	return !(s.Fills && o.loadOf(s.occurrence.job).light) && !s.LongRunning && s.RequiredLabel == "" && s.RackAffinity == "" && s.MaxPerWorker == 0 && !s.Gang && !s.occurrence.job.Policy.Advised
+	return !(s.Fills && s.occurrence.job.load.light) && !s.LongRunning && s.RequiredLabel == "" && s.RackAffinity == "" && s.MaxPerWorker == 0 && !s.Gang && !s.occurrence.job.Policy.Advised
 }
 
 // unplacedKey returns the service, and the image of a best-effort step.
@@ -216,14 +216,22 @@
 // does not count the same workers as usable as the leader does, the bound here is higher.
 const lightLoadShare = 0.6
 
-// serviceLoad says how much of the processors of a service's usable workers is in use.
+// serviceLoad says how much of the processors of a service's usable workers is in use. A service without such workers is neither scarce nor
+// lightly loaded.
 type serviceLoad struct {
 	scarce bool // only the reserve for short jobs is left
 	light  bool // less than lightLoadShare is in use: a job without a run must start even where other tasks slow it down
 }
 
-// loadOf returns the load of the service that runs a job. A service without usable workers is neither scarce nor lightly loaded.
-func (o *Orchestrator) loadOf(j *job) serviceLoad { return o.serviceLoads[j.Policy.Service] }
+// serviceLoad returns the load of a service, which updateServiceLoads keeps up to date.
+func (o *Orchestrator) serviceLoad(service string) *serviceLoad {
+	l := o.serviceLoads[service]
+	if l == nil {
+		l = &serviceLoad{}
+		o.serviceLoads[service] = l
+	}
+	return l
+}
 
 // updateServiceLoads sets serviceLoads.
 func (o *Orchestrator) updateServiceLoads() {
@@ -235,9 +243,9 @@
 			sums[w.Service] = sum{s.capacity + w.Capacity.CPU, s.used + w.used.CPU}
 		}
 	}
-	clear(o.serviceLoads)
-	for service, s := range sums {
-		o.serviceLoads[service] = serviceLoad{
+	for service, l := range o.serviceLoads {
+		s := sums[service]
+		*l = serviceLoad{
 			scarce: o.enabled(MechanismShortJobReserve) && float64(s.used) > (1-shortJobReserveShare)*float64(s.capacity),
 			light:  float64(s.used) < lightLoadShare*float64(s.capacity),
 		}
--- a/internal/orchestrator/reservation.go
+++ b/internal/orchestrator/reservation.go
@@ -23,18 +23,18 @@
 	reserved := 0
 	var best *worker
 	for _, w := range workers {
-		if o.restriction(t, w) != obstacleNone || w.free().covers(t.step.countedSize()) || o.yieldsToReturning(t, w) {
+		if w.atLimit(t.step) || w.free().covers(t.step.countedSize()) || o.yieldsToReturning(t, w) {
 			continue // the task does not wait for capacity on this worker
 		}
 		if o.reserved(w) {
-			if w.reservedFor == t {
+			if w.reservedFor == t && o.restriction(t, w) == obstacleNone {
 				best = w
 				break
 			}
 			reserved++
 			continue
 		}
-		if w.freeAfterShortTasks().covers(t.step.countedSize()) && (best == nil || w.free().CPU > best.free().CPU) {
+		if w.freeAfterShortTasks().covers(t.step.countedSize()) && (best == nil || w.free().CPU > best.free().CPU) && o.restriction(t, w) == obstacleNone {
 			best = w
 		}
 	}
